Serve real sockets: north and south sides round the module, met in an exchange

What was there: the module and its adapter, and no program that listens.

What this adds: cmd/topazfall and the packages config, exchange, dispatch, north, south and inventory. One goroutine (internal/dispatch) owns the Balancer; the two HTTP sides know only the exchange object. The settings decoder moves from internal/wire to internal/config, where both the adapter and the dispatcher read it.

Choices checked in fasthttp's source before relying on them: - HostClient.Do hides which connection carries a request and may send again; the south side uses its pool only (AcquireConn, LIFO) and writes each relay once itself, so written bytes are known exactly. - A kept connection that its host has closed accepts a write and loses it; it is peeked at before use and replaced. - A handler does not see its client leave; the accepted connection reads one byte ahead while the handler waits.

--- /dev/null
+++ b/cmd/topazfall/main.go
@@ -0,0 +1,101 @@
+// Command topazfall is one dispatcher: it takes messages from clients, has them served by south side hosts
+// as the decision module says, and gives each its one final answer.
+package main
+
+import (
+	"context"
+	"log"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"molespring/internal/config"
+	"molespring/internal/dispatch"
+	"molespring/internal/inventory"
+	"molespring/internal/north"
+	"molespring/internal/south"
+)
+
+const (
+	firstNews = 2 * time.Second // how long to wait for discovery where no host is known
+	lateComes = time.Second     // connections still come for part of this after SIGTERM
+)
+
+func main() {
+	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	log.SetOutput(os.Stderr)
+	if err := run(); err != nil {
+		log.Fatalf("at=main error=%q", err)
+	}
+}
+
+func run() error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return err
+	}
+	within(&c)
+	core, err := dispatch.New(c.Settings)
+	if err != nil {
+		return err
+	}
+	// Of the descriptors a half is for clients, a quarter for hosts' call-backs, a bit less for relays.
+	sockets := c.Sockets - 32
+	hosts := south.New(core, south.Options{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond,
+		ConnIdle: c.ConnIdle, Conns: sockets / 4})
+	clients := north.New(core, hosts, &c.Settings, north.Options{Clients: sockets / 2, Hosts: sockets / 4})
+	list := inventory.New(c.Discovery, core)
+	ln, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return err
+	}
+	go core.Run(hosts, list)
+	known := list.Known(c.Known)
+	go list.Run()
+	served := make(chan error, 1)
+	go func() { served <- clients.Serve(ln) }()
+	if known == 0 {
+		select {
+		case <-list.Tried():
+		case <-time.After(firstNews): // an empty list is no reason to stay away for ever
+		}
+	}
+	core.Sync()
+	clients.SetReady()
+	log.Printf("at=main state=ready name=%s listen=%s known=%d", c.Name, c.Listen, known)
+	select {
+	case err := <-served:
+		return err
+	case s := <-signals:
+		log.Printf("at=main state=leaving signal=%s in_hand=%d", s, core.InHand())
+	}
+	clients.Leave()
+	for quiet := time.Now().Add(lateComes); time.Now().Before(quiet) || core.InHand() > 0 || hosts.Busy(); {
+		time.Sleep(5 * time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err = clients.Close(ctx)
+	log.Printf("at=main state=left in_hand=%d", core.InHand())
+	if err == context.DeadlineExceeded { // a connection that never sent a whole message
+		return nil
+	}
+	return err
+}
+
+// within keeps the runtime within the limits: it cannot see them by itself.
+func within(c *config.Config) {
+	if c.Cores > 0 {
+		runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
+	}
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/config/settings.go
@@ -1,14 +1,17 @@
-package wire
+// Package config reads what a dispatcher is told: its settings, which are the same object on the bench and in
+// service, and its place in the deployment.
+package config
 
 import (
-	"encoding/json"
 	"fmt"
 
+	jsoniter "github.com/json-iterator/go"
+
 	"molespring"
 )
 
-// profile mirrors the settings object of the wire; keys that it does not name are ignored.
-type profile struct {
+// Profile mirrors the settings object of the wire; keys that it does not name are ignored.
+type Profile struct {
 	Me         int      `json:"me"`
 	Replicas   int      `json:"replicas_of_me"`
 	MyZone     string   `json:"my_zone"`
@@ -47,6 +50,7 @@
 	} `json:"deductions"`
 	Allowed struct {
 		Cancel        bool  `json:"cancel"`
+		ConnIdle      int64 `json:"conn_idle_us"`
 		DialTimeout   int64 `json:"dial_timeout_us"`
 		MaxRetryAfter int64 `json:"max_retry_after_us"`
 		MayProbe      bool  `json:"may_probe"`
@@ -77,13 +81,18 @@
 		"answers": molespring.ReportsInAnswers, "probe": molespring.ReportsInProbes}
 )
 
-// parseSettings reads the settings object of an ENLIST line.
-func parseSettings(seed uint64, text []byte) (molespring.Settings, error) {
-	var p profile
-	var s molespring.Settings
-	if err := json.Unmarshal(text, &p); err != nil {
-		return s, fmt.Errorf("unreadable settings: %v", err)
+// ParseSettings reads the settings object, as an ENLIST line or a configuration holds it.
+func ParseSettings(seed uint64, text []byte) (molespring.Settings, error) {
+	var p Profile
+	if err := jsoniter.Unmarshal(text, &p); err != nil {
+		return molespring.Settings{}, fmt.Errorf("unreadable settings: %v", err)
 	}
+	return p.Settings(seed)
+}
+
+// Settings translates the object into the module's terms.
+func (p *Profile) Settings(seed uint64) (molespring.Settings, error) {
+	var s molespring.Settings
 	source, ok := sources[p.Stats.Source]
 	if !ok {
 		return s, fmt.Errorf("settings: stats.source is %q", p.Stats.Source)
@@ -134,3 +143,18 @@
 	}
 	return s, nil
 }
+
+// SetLoad takes one value of a load report by its name, in the wire's words or the simulator's. Names that
+// no decision needs are passed over.
+func SetLoad(l *molespring.Load, name string, v float64) {
+	switch name {
+	case "pending", "queue":
+		l.Queue = v
+	case "busy_reqs", "inflight":
+		l.Inflight = v
+	case "x0":
+		l.Free = v
+	case "cpu_share", "util":
+		l.Util = v
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,322 @@
+// Package dispatch runs the decision module: one goroutine owns the Balancer, its clock and timers and the
+// open exchanges. It feeds what happens to the module and carries out the module's actions in order. It
+// decides nothing and knows no HTTP, so that another protocol can enter here by the same rules.
+package dispatch
+
+import (
+	"container/heap"
+	"log"
+	"sync/atomic"
+
+	"molespring"
+	"molespring/internal/exchange"
+)
+
+// South carries relays to hosts. Its methods return at once.
+type South interface {
+	Send(*exchange.Relay)
+	CallOff(*exchange.Relay) // the relay has ended here; the host should drop it
+	Probe(*exchange.Host)
+}
+
+// Inventory is asked for the list of hosts. Its methods return at once.
+type Inventory interface {
+	Follow()
+	Fetch()
+}
+
+// Entry is one host of the inventory.
+type Entry struct {
+	molespring.Worker
+	Addr string
+}
+
+// Core is the dispatch goroutine's state. The exported methods may be called from any goroutine.
+type Core struct {
+	Clock
+	balancer  *molespring.Balancer
+	south     South
+	inventory Inventory
+	ops       chan func()
+	inHand    atomic.Int64
+
+	// The dispatch goroutine's own from here on.
+	number  uint64
+	byID    map[string]*exchange.Exchange
+	byNum   map[uint64]*exchange.Exchange
+	hosts   map[string]*exchange.Host
+	events  []molespring.Event
+	actions []molespring.Action
+	timers  timers
+}
+
+// New returns a core for these settings.
+func New(s molespring.Settings) (*Core, error) {
+	b, err := molespring.New(s)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{Clock: NewClock(), balancer: b, ops: make(chan func(), 1024), byID: map[string]*exchange.Exchange{},
+		byNum: map[uint64]*exchange.Exchange{}, hosts: map[string]*exchange.Host{}}, nil
+}
+
+// Run serves until the program ends.
+func (c *Core) Run(south South, inventory Inventory) {
+	c.south, c.inventory = south, inventory
+	alarm := newAlarm()
+	for {
+		alarm.set(c.timers.next(), c.Now())
+		select {
+		case op := <-c.ops:
+			op()
+		case <-alarm.C:
+		}
+		for now := c.Now(); c.timers.next() <= now; {
+			heap.Pop(&c.timers).(timer).ring()
+			c.settle()
+		}
+		c.settle()
+	}
+}
+
+// InHand is the number of messages without a final answer, and of relays that have not ended.
+func (c *Core) InHand() int64 { return c.inHand.Load() }
+
+// Arrive takes in a message. It gets exactly one final answer.
+func (c *Core) Arrive(x *exchange.Exchange) {
+	c.inHand.Add(1)
+	c.ops <- func() {
+		if c.byID[x.ID] != nil {
+			c.finish(x, exchange.Answer{Verdict: exchange.Twice})
+			return
+		}
+		c.number++
+		x.Number = c.number
+		c.byID[x.ID], c.byNum[x.Number] = x, x
+		c.feed(molespring.Event{Kind: molespring.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
+			Due: x.Due, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
+	}
+}
+
+// Gone tells that the client of a message has left.
+func (c *Core) Gone(x *exchange.Exchange) {
+	c.ops <- func() {
+		if c.finish(x, exchange.Answer{Verdict: exchange.Failed}) {
+			c.feed(molespring.Event{Kind: molespring.ClientGone, Request: x.Number})
+			c.forget(x)
+		}
+	}
+}
+
+// Ended tells how a relay ended. Of several endings the first counts.
+func (c *Core) Ended(r *exchange.Relay, o molespring.Outcome, l molespring.Load) {
+	c.ops <- func() { c.end(r, o, l, nil) }
+}
+
+// State is what a host says of a job.
+type State int
+
+// The states that hosts tell of.
+const (
+	Started State = iota
+	Running
+	Over
+)
+
+// Note is one call-back of a host.
+type Note struct {
+	ID, From string
+	State    State
+	Share    float64
+	Outcome  molespring.Outcome // of Over
+	Result   []byte
+	Load     molespring.Load
+}
+
+// Noted takes a call-back. It may come before the host's answer to the relay, come again, or be about an
+// earlier life of this dispatcher: it counts only for a relay that is still out at the host it comes from.
+func (c *Core) Noted(n Note) {
+	c.ops <- func() {
+		r := c.find(n.ID, n.From)
+		if r == nil {
+			return
+		}
+		e := molespring.Event{Request: r.Exchange.Number, Attempt: r.N, Worker: r.Host.ID, Amount: n.Share}
+		switch n.State {
+		case Started:
+			e.Kind = molespring.JobStarted
+			c.feed(e)
+		case Running:
+			e.Kind = molespring.JobProgress
+			c.feed(e)
+		case Over:
+			c.end(r, n.Outcome, n.Load, n.Result)
+		}
+	}
+}
+
+func (c *Core) find(id, host string) *exchange.Relay {
+	if x := c.byID[id]; x != nil {
+		for _, r := range x.Relays {
+			if !r.Done && r.Host.ID == host {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// List takes news of the inventory; for ListBroken there are no entries.
+func (c *Core) List(kind molespring.EventKind, entries []Entry) {
+	c.ops <- func() {
+		if kind == molespring.ListWhole || kind == molespring.ListStale {
+			for _, h := range c.hosts {
+				h.SetClosed(true)
+			}
+		}
+		workers := make([]molespring.Worker, len(entries))
+		for i, e := range entries {
+			h := c.hosts[e.ID]
+			if h == nil || h.Addr != e.Addr { // a relay under way keeps the address it was made for
+				if h != nil {
+					h.SetClosed(true)
+				}
+				h = &exchange.Host{ID: e.ID, Addr: e.Addr}
+				c.hosts[e.ID] = h
+			}
+			h.SetClosed(e.State != molespring.Ready)
+			workers[i] = e.Worker
+		}
+		c.feed(molespring.Event{Kind: kind, List: workers})
+	}
+}
+
+// Probed tells what a probe brought.
+func (c *Core) Probed(h *exchange.Host, o molespring.Outcome, took int64, l molespring.Load) {
+	c.ops <- func() {
+		c.feed(molespring.Event{Kind: molespring.ProbeDone, Worker: h.ID, Outcome: o, Took: took, Load: l})
+	}
+}
+
+// Sync returns when all that was told before has been dealt with.
+func (c *Core) Sync() {
+	done := make(chan struct{})
+	c.ops <- func() { close(done) }
+	<-done
+}
+
+// feed queues an event: what an action leads to must not reach the module before that action's siblings
+// are carried out.
+func (c *Core) feed(e molespring.Event) { c.events = append(c.events, e) }
+
+// settle hands the queued events to the module and carries out what it wants.
+func (c *Core) settle() {
+	for i := 0; i < len(c.events); i++ {
+		c.actions = c.balancer.Handle(c.Now(), &c.events[i], c.actions[:0])
+		for j := range c.actions {
+			c.carryOut(&c.actions[j])
+		}
+	}
+	c.events = c.events[:0]
+}
+
+func (c *Core) carryOut(a *molespring.Action) {
+	x := c.byNum[a.Request]
+	switch a.Kind {
+	case molespring.Send:
+		c.send(x, c.hosts[a.Worker], a)
+	case molespring.Refuse:
+		c.finish(x, exchange.Answer{Verdict: exchange.Refused, After: a.After})
+		c.forget(x)
+	case molespring.Fail:
+		verdict := exchange.Failed
+		if x != nil && len(x.Relays) > 0 && x.Relays[len(x.Relays)-1].Outcome == molespring.Overdue {
+			verdict = exchange.TimedOut
+		}
+		c.finish(x, exchange.Answer{Verdict: verdict})
+		c.forget(x)
+	case molespring.CancelAttempt:
+		if x != nil && a.Attempt < len(x.Relays) && !x.Relays[a.Attempt].Done {
+			c.south.CallOff(x.Relays[a.Attempt])
+			c.end(x.Relays[a.Attempt], molespring.Recalled, molespring.NoLoad, nil)
+		}
+	case molespring.SetTimer:
+		token := a.Token
+		c.after(c.Now()+a.After, func() { c.feed(molespring.Event{Kind: molespring.TimerDue, Token: token}) })
+	case molespring.ProbeWorker:
+		if h := c.hosts[a.Worker]; h != nil {
+			c.south.Probe(h)
+		}
+	case molespring.FollowList:
+		c.inventory.Follow()
+	case molespring.FetchList:
+		c.inventory.Fetch()
+	case molespring.Log:
+		log.Printf("at=module text=%q", a.Text)
+	}
+}
+
+func (c *Core) send(x *exchange.Exchange, h *exchange.Host, a *molespring.Action) {
+	if x == nil || h == nil { // the module names only what it was given
+		log.Printf("at=send error=unknown request=%d worker=%s", a.Request, a.Worker)
+		return
+	}
+	now, due := c.Now(), x.Due
+	if a.After != 0 {
+		due = min(due, now+a.After)
+	}
+	r := x.Relay(h, now, due)
+	c.inHand.Add(1)
+	c.after(due, func() {
+		if !r.Done {
+			c.south.CallOff(r)
+			c.end(r, molespring.Overdue, molespring.NoLoad, nil)
+		}
+	})
+	c.south.Send(r)
+}
+
+// end gives a relay its one outcome. The first to be served answers the client.
+func (c *Core) end(r *exchange.Relay, o molespring.Outcome, l molespring.Load, result []byte) {
+	if r.Done {
+		return
+	}
+	r.Done, r.Outcome = true, o
+	r.End()
+	c.inHand.Add(-1)
+	x := r.Exchange
+	if o == molespring.Completed {
+		c.finish(x, exchange.Answer{Verdict: exchange.Served, Body: result})
+	}
+	now := c.Now()
+	log.Printf("at=relay id=%s n=%d host=%s outcome=%s took_us=%d", x.ID, r.N, r.Host.ID, outcomes[o], now-r.Sent)
+	c.feed(molespring.Event{Kind: molespring.AttemptDone, Request: x.Number, Attempt: r.N, Worker: r.Host.ID,
+		Outcome: o, Took: now - r.Sent, Final: x.Over(), Load: l})
+	c.forget(x)
+}
+
+var outcomes = [...]string{"completed", "errored", "saturated", "overdue", "refused_conn", "severed", "recalled", "superseded"}
+
+func (c *Core) finish(x *exchange.Exchange, a exchange.Answer) bool {
+	if x == nil || !x.Finish(a) {
+		return false
+	}
+	c.inHand.Add(-1)
+	return true
+}
+
+// forget drops an exchange that owes and awaits nothing any more.
+func (c *Core) forget(x *exchange.Exchange) {
+	if x == nil || !x.Over() {
+		return
+	}
+	for _, r := range x.Relays {
+		if !r.Done {
+			return
+		}
+	}
+	if c.byID[x.ID] == x { // by now the id may be another's
+		delete(c.byID, x.ID)
+	}
+	delete(c.byNum, x.Number)
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,124 @@
+// Package exchange holds what the north side and the south side share of one message: the message as it
+// came, the relays made for it, and its one final answer. Neither side knows the other; both know this.
+package exchange
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"molespring"
+)
+
+// Field is one header field, as the bytes that came.
+type Field struct{ Name, Value string }
+
+// Message is what a client handed in. What goes on to a south side host is kept as it came; the rest are
+// the few values that decisions need.
+type Message struct {
+	ID     string
+	Method string
+	Path   string // with its query
+	Fields []Field
+	Body   []byte
+
+	Class   int   // index into the settings' classes
+	Tenant  int   // index into the settings' tenants, or -1
+	Arrived int64 // on the dispatcher's clock, microseconds
+	Due     int64 // when the final answer must leave, on that clock
+	Hint    int64 // expected work in microseconds, 0 if not known
+	Slots   float64
+	Retry   bool
+}
+
+// Verdict says what became of a message.
+type Verdict int
+
+// The verdicts.
+const (
+	Served  Verdict = iota // Body is what a south side host made
+	Refused                // trying again is harmless; After may advise when
+	Failed
+	TimedOut // failed, for want of time
+	Twice    // a message with this id is in hand already
+)
+
+// Answer is the final answer to a message.
+type Answer struct {
+	Verdict Verdict
+	Body    []byte
+	After   int64 // advised wait in microseconds, 0 for none
+}
+
+// Exchange is one message in hand.
+type Exchange struct {
+	Message
+	Number uint64   // the decision module's name for it
+	Relays []*Relay // in the order they were made; the dispatch goroutine's
+	over   atomic.Bool
+	answer chan Answer
+}
+
+// New opens an exchange.
+func New(m Message) *Exchange { return &Exchange{Message: m, answer: make(chan Answer, 1)} }
+
+// Finish gives the final answer. Only the first call counts; it tells whether this was the first.
+func (x *Exchange) Finish(a Answer) bool {
+	if !x.over.CompareAndSwap(false, true) {
+		return false
+	}
+	x.answer <- a
+	return true
+}
+
+// Over tells that the exchange has its final answer.
+func (x *Exchange) Over() bool { return x.over.Load() }
+
+// Answer delivers the final answer.
+func (x *Exchange) Answer() <-chan Answer { return x.answer }
+
+// Host is a south side host, as the inventory last named it.
+type Host struct {
+	ID, Addr string
+	closed   atomic.Bool
+}
+
+// SetClosed notes whether the inventory wants nothing new sent to the host.
+func (h *Host) SetClosed(closed bool) { h.closed.Store(closed) }
+
+// The stages of a relay. It moves forward only, so that of a start and a call-off exactly one wins.
+const (
+	waiting int32 = iota // for a connection
+	started              // its bytes may be on the wire
+	ended
+)
+
+// Relay is one attempt to have a message served by one host.
+type Relay struct {
+	Exchange *Exchange
+	N        int
+	Host     *Host
+	Sent     int64
+	Due      int64 // when the dispatcher stops waiting for it
+	Outcome  molespring.Outcome
+	Done     bool // Outcome is known; the dispatch goroutine's
+	stage    atomic.Int32
+}
+
+// Relay adds a relay to the exchange.
+func (x *Exchange) Relay(h *Host, now, due int64) *Relay {
+	r := &Relay{Exchange: x, N: len(x.Relays), Host: h, Sent: now, Due: due}
+	x.Relays = append(x.Relays, r)
+	return r
+}
+
+// Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message or
+// the relay's own time; what was legal when it was decided is not sent then.
+func (r *Relay) Start(now int64) bool {
+	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && r.stage.CompareAndSwap(waiting, started)
+}
+
+// End closes the relay and tells whether any of it may have reached the host.
+func (r *Relay) End() (wasStarted bool) { return r.stage.Swap(ended) == started }
+
+// Lower is the name of a field in the form that names are compared in.
+func Lower(name string) string { return strings.ToLower(name) }
--- /dev/null
+++ b/internal/inventory/inventory.go
@@ -0,0 +1,185 @@
+// Package inventory follows discovery's list of hosts: the copy known from before a restart first, then a
+// watch whose next call follows at once on each answer.
+package inventory
+
+import (
+	"fmt"
+	"log"
+	"net"
+	"strconv"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/valyala/fasthttp"
+
+	"molespring"
+	"molespring/internal/dispatch"
+)
+
+const (
+	wait    = time.Second             // how long a watch call may wait: news counts as told soon after that
+	grace   = 1500 * time.Millisecond // what a silent discovery gets beyond it
+	backOff = 150 * time.Millisecond  // after a failed call; a watch goes on if the next call comes within 200 ms
+)
+
+// Watch follows the list at one discovery address.
+type Watch struct {
+	client *fasthttp.HostClient
+	core   *dispatch.Core
+	seq    int64
+	known  bool // there is a list that changes can be applied to
+	kick   chan bool
+	tried  chan struct{}
+}
+
+// New returns a watch that tells core of the list.
+func New(addr string, core *dispatch.Core) *Watch {
+	return &Watch{core: core, kick: make(chan bool, 1), tried: make(chan struct{}), client: &fasthttp.HostClient{
+		Addr: addr, MaxConns: 2, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20,
+		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, grace) }}}
+}
+
+// Follow asks for changes from now on, which the watch brings anyway; it only ends a back-off early.
+func (w *Watch) Follow() { w.push(false) }
+
+// Fetch asks for the whole list.
+func (w *Watch) Fetch() { w.push(true) }
+
+func (w *Watch) push(whole bool) {
+	select {
+	case w.kick <- whole:
+	default:
+	}
+}
+
+// Tried is closed once a first call has ended, well or not.
+func (w *Watch) Tried() <-chan struct{} { return w.tried }
+
+// Known takes the list as it was had before a restart and tells how many hosts it names.
+func (w *Watch) Known(text []byte) int {
+	if len(text) == 0 {
+		return 0
+	}
+	l, err := parse(text)
+	if err != nil {
+		log.Printf("at=inventory known=unreadable error=%q", err)
+		return 0
+	}
+	w.seq, w.known = l.seq, true
+	w.core.List(molespring.ListStale, l.entries)
+	return len(l.entries)
+}
+
+// Run watches until the program ends.
+func (w *Watch) Run() {
+	broken := false
+	for first := true; ; first = false {
+		err := w.call()
+		if first {
+			close(w.tried)
+		}
+		if err == nil {
+			if broken {
+				log.Printf("at=inventory state=back seq=%d", w.seq)
+			}
+			broken = false
+			continue
+		}
+		if !broken {
+			log.Printf("at=inventory state=broken seq=%d error=%q", w.seq, err)
+			w.core.List(molespring.ListBroken, nil)
+		}
+		broken = true
+		select {
+		case whole := <-w.kick:
+			w.known = w.known && !whole
+		case <-time.After(backOff):
+		}
+	}
+}
+
+// call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for.
+func (w *Watch) call() error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	select {
+	case whole := <-w.kick:
+		w.known = w.known && !whole
+	default:
+	}
+	path, limit := "/v1/endpoints", grace
+	if w.known {
+		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+		limit += wait
+	}
+	req.SetRequestURI("http://" + w.client.Addr + path)
+	if err := w.client.DoTimeout(req, resp, limit); err != nil {
+		return err
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode())
+	}
+	l, err := parse(resp.Body())
+	if err != nil {
+		return err
+	}
+	switch {
+	case l.whole:
+		w.core.List(molespring.ListWhole, l.entries)
+	case !w.known || l.seq < w.seq: // changes to a list that is not ours
+		w.known = false
+		return fmt.Errorf("changes up to %d do not follow %d", l.seq, w.seq)
+	default:
+		w.core.List(molespring.ListPatch, l.entries)
+	}
+	if len(l.entries) > 0 {
+		log.Printf("at=inventory seq=%d whole=%t entries=%d", l.seq, l.whole, len(l.entries))
+	}
+	w.seq, w.known = l.seq, true
+	return nil
+}
+
+type list struct {
+	seq     int64
+	whole   bool
+	entries []dispatch.Entry
+}
+
+var states = map[string]molespring.WorkerState{
+	"up": molespring.Ready, "draining": molespring.Draining, "removed": molespring.Gone}
+
+// parse reads a list and translates it into the module's terms. A list with an entry that makes no sense
+// is no list: to leave the entry out would be to say that the host is gone, or still there.
+func parse(text []byte) (list, error) {
+	var f struct {
+		Seq   *int64 `json:"seq"`
+		Whole bool   `json:"whole"`
+		Hosts []struct {
+			Host   string  `json:"host"`
+			Dial   string  `json:"dial"`
+			Site   string  `json:"site"`
+			Class  string  `json:"class"`
+			Block  int     `json:"block"`
+			Health string  `json:"health"`
+			Share  float64 `json:"share"`
+			Born   int64   `json:"born_ms"`
+		} `json:"hosts"`
+	}
+	if err := jsoniter.Unmarshal(text, &f); err != nil {
+		return list{}, err
+	}
+	if f.Seq == nil {
+		return list{}, fmt.Errorf("no seq")
+	}
+	l := list{seq: *f.Seq, whole: f.Whole, entries: make([]dispatch.Entry, len(f.Hosts))}
+	for i, h := range f.Hosts {
+		state, ok := states[h.Health]
+		if !ok || h.Host == "" || h.Dial == "" && state != molespring.Gone {
+			return list{}, fmt.Errorf("hosts[%d]: host %q dial %q health %q", i, h.Host, h.Dial, h.Health)
+		}
+		l.entries[i] = dispatch.Entry{Addr: h.Dial, Worker: molespring.Worker{ID: h.Host, Zone: h.Site, Kind: h.Class,
+			Cell: h.Block, State: state, Weight: h.Share, StartedAt: h.Born * 1000}}
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/north/north.go
@@ -0,0 +1,264 @@
+// Package north is the clients' side: it takes messages in over HTTP, waits for their one final answer and
+// writes it. The hosts' call-backs come to the same address and are handed on.
+package north
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"molespring"
+	"molespring/internal/dispatch"
+	"molespring/internal/exchange"
+)
+
+const (
+	largestBody   = 64 << 10
+	largestHeader = 16 << 10
+	longestWait   = time.Hour
+	readTime      = 10 * time.Second // for one message, from its first byte
+	idleTime      = 2 * time.Minute
+	lead          = 5000 // microseconds by which an answer leaves before the client's own deadline
+)
+
+// CallBacks takes what hosts tell of jobs.
+type CallBacks interface {
+	CallBack(body []byte) error
+}
+
+// Options bound what the north side uses.
+type Options struct {
+	Clients int // most connections that are served messages
+	Hosts   int // connections beyond those, for call-backs only
+}
+
+// Side is the north side.
+type Side struct {
+	core    *dispatch.Core
+	back    CallBacks
+	o       Options
+	classes map[string]int
+	tenants map[string]int
+	server  *fasthttp.Server
+	ready   atomic.Bool
+	leaving atomic.Bool
+}
+
+// New returns a north side that hands messages to core and call-backs to back.
+func New(core *dispatch.Core, back CallBacks, s *molespring.Settings, o Options) *Side {
+	n := &Side{core: core, back: back, o: o, classes: map[string]int{}, tenants: map[string]int{}}
+	for i, c := range s.Classes {
+		n.classes[c.Name] = i
+	}
+	for i, t := range s.Tenants {
+		n.tenants[t.Name] = i
+	}
+	n.server = &fasthttp.Server{
+		Handler: n.handle, ErrorHandler: malformed, Logger: log.Default(),
+		Concurrency: o.Clients + o.Hosts, MaxRequestBodySize: largestBody, ReadBufferSize: largestHeader,
+		ReadTimeout: readTime, IdleTimeout: idleTime, CloseOnShutdown: true,
+		// What goes on to a host goes on as it came.
+		DisableHeaderNamesNormalizing: true, DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
+	}
+	return n
+}
+
+// Serve serves what comes in on ln, until Close.
+func (n *Side) Serve(ln net.Listener) error { return n.server.Serve(&listener{Listener: ln}) }
+
+// SetReady makes /ready answer 200.
+func (n *Side) SetReady() { n.ready.Store(true) }
+
+// Leave makes every further answer the last on its connection. All that comes is still served.
+func (n *Side) Leave() { n.leaving.Store(true) }
+
+// Close ends the listening and the idle connections, and waits for the busy ones.
+func (n *Side) Close(ctx context.Context) error { return n.server.ShutdownWithContext(ctx) }
+
+func (n *Side) handle(ctx *fasthttp.RequestCtx) {
+	switch path := string(ctx.Request.URI().PathOriginal()); path {
+	case "/api":
+		if n.method(ctx, fasthttp.MethodPost) {
+			n.message(ctx)
+		}
+		if n.leaving.Load() {
+			ctx.SetConnectionClose()
+		}
+	case "/v1/job-events":
+		if !n.method(ctx, fasthttp.MethodPost) {
+			return
+		}
+		if err := n.back.CallBack(ctx.Request.Body()); err != nil {
+			log.Printf("at=callback error=%q", err)
+			say(ctx, fasthttp.StatusBadRequest, "unreadable call-back")
+		}
+	case "/ready":
+		if !n.method(ctx, fasthttp.MethodGet) {
+			return
+		}
+		if !n.ready.Load() || n.leaving.Load() {
+			say(ctx, fasthttp.StatusServiceUnavailable, "not ready")
+		}
+	default:
+		say(ctx, fasthttp.StatusNotFound, "no such path")
+	}
+}
+
+func (n *Side) method(ctx *fasthttp.RequestCtx, want string) bool {
+	if got := string(ctx.Method()); got == want || got == fasthttp.MethodHead && want == fasthttp.MethodGet {
+		return true
+	}
+	ctx.Response.Header.Set("Allow", want)
+	say(ctx, fasthttp.StatusMethodNotAllowed, "only "+want+" here")
+	return false
+}
+
+func say(ctx *fasthttp.RequestCtx, status int, text string) {
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("text/plain")
+	ctx.SetBodyString(text + "\n")
+}
+
+// malformed answers what is no request at all, or too large a one.
+func malformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var network net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		say(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB")
+	case errors.As(err, &small):
+		say(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is over 16 KiB")
+	case errors.As(err, &network) && network.Timeout():
+		say(ctx, fasthttp.StatusRequestTimeout, "the request took too long to come")
+	default:
+		say(ctx, fasthttp.StatusBadRequest, "malformed request")
+	}
+}
+
+// message takes in one message and writes its final answer.
+func (n *Side) message(ctx *fasthttp.RequestCtx) {
+	m, fault := n.read(&ctx.Request)
+	if fault != "" {
+		say(ctx, fasthttp.StatusBadRequest, fault)
+		return
+	}
+	c, _ := ctx.Conn().(*conn)
+	if c != nil && c.open() > int64(n.o.Clients) {
+		// The rest is kept for the hosts: a call-back that finds no connection is an answer lost.
+		ctx.SetConnectionClose()
+		say(ctx, fasthttp.StatusServiceUnavailable, "too many connections")
+		return
+	}
+	x := exchange.New(m)
+	n.core.Arrive(x)
+	var gone <-chan struct{}
+	if c != nil {
+		gone = c.watch()
+		defer c.unwatch()
+	}
+	select {
+	case a := <-x.Answer():
+		write(ctx, x, a)
+	case <-gone:
+		n.core.Gone(x)
+		log.Printf("at=gone id=%s", x.ID)
+		ctx.SetConnectionClose()
+	}
+}
+
+func write(ctx *fasthttp.RequestCtx, x *exchange.Exchange, a exchange.Answer) {
+	switch a.Verdict {
+	case exchange.Served:
+		ctx.SetBody(a.Body)
+	case exchange.Refused:
+		if a.After > 0 {
+			ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(float64(a.After)/1e6, 'f', 3, 64))
+		}
+		say(ctx, fasthttp.StatusServiceUnavailable, "refused")
+	case exchange.Failed:
+		say(ctx, fasthttp.StatusBadGateway, "failed")
+	case exchange.TimedOut:
+		say(ctx, fasthttp.StatusGatewayTimeout, "timed out")
+	case exchange.Twice:
+		say(ctx, fasthttp.StatusConflict, "a message with this id is in hand")
+	}
+	log.Printf("at=answer id=%s class=%d tenant=%d status=%d after_us=%d", x.ID, x.Class, x.Tenant, ctx.Response.StatusCode(), a.After)
+}
+
+// read copies a message out of a request; fault says what is wrong with it.
+func (n *Side) read(r *fasthttp.Request) (m exchange.Message, fault string) {
+	m = exchange.Message{Method: string(r.Header.Method()), Path: string(r.Header.RequestURI()),
+		Arrived: n.core.Now(), Class: -1, Tenant: -1, Slots: 1, Body: append([]byte(nil), r.Body()...)}
+	wait := time.Duration(-1)
+	for name, value := range r.Header.All() {
+		f := exchange.Field{Name: string(name), Value: string(value)}
+		m.Fields = append(m.Fields, f)
+		switch exchange.Lower(f.Name) {
+		case "x-request-id":
+			m.ID = f.Value
+		case "x-priority-class":
+			if i, ok := n.classes[f.Value]; ok {
+				m.Class = i
+			}
+		case "x-tenant-id":
+			if i, ok := n.tenants[f.Value]; ok {
+				m.Tenant = i
+			}
+		case "x-timeout-ms":
+			if ms, err := strconv.ParseInt(f.Value, 10, 64); err == nil && ms <= longestWait.Milliseconds() {
+				wait = time.Duration(ms) * time.Millisecond
+			}
+		case "x-retried":
+			m.Retry = f.Value == "1"
+		case "x-cost":
+			if us, err := strconv.ParseFloat(f.Value, 64); err == nil && us > 0 && us < 1e12 {
+				m.Hint = int64(us)
+			}
+		case "x-attrs":
+			m.Slots = slots(f.Value)
+		}
+	}
+	switch {
+	case !plain(m.ID):
+		return m, "X-Request-ID is missing or unusable"
+	case m.Class < 0:
+		return m, "X-Priority-Class is missing or unknown"
+	case m.Tenant < 0 && len(n.tenants) > 0:
+		return m, "X-Tenant-Id is missing or unknown"
+	case wait <= 0:
+		return m, "X-Timeout-Ms is missing or out of range"
+	}
+	// The way back takes time too; the lead is small beside any wait that a client could mean.
+	m.Due = m.Arrived + max(wait.Microseconds()-lead, wait.Microseconds()*9/10)
+	return m, ""
+}
+
+// plain tells whether an id can stand in a path as it came.
+func plain(id string) bool {
+	for _, c := range []byte(id) {
+		if c <= ' ' || c >= 0x7f || c == '/' || c == '?' || c == '#' || c == '%' {
+			return false
+		}
+	}
+	return id != "" && id != "." && id != ".." && len(id) <= 256
+}
+
+// slots finds the slots that a job takes among the further figures.
+func slots(attrs string) float64 {
+	for pair := range strings.SplitSeq(attrs, ",") {
+		if name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name == "slots" {
+			if v, err := strconv.ParseFloat(value, 64); err == nil && v > 0 && v < 1e6 {
+				return v
+			}
+		}
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/south/callback.go
@@ -0,0 +1,96 @@
+package south
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"molespring"
+	"molespring/internal/config"
+	"molespring/internal/dispatch"
+)
+
+// CallBack takes the body of one call-back. The error says why it cannot be read.
+func (s *Side) CallBack(body []byte) error {
+	n, known, err := parseNote(body)
+	if err == nil && known {
+		s.core.Noted(n)
+	}
+	return err
+}
+
+// ends translates the states that end a job into the module's outcomes.
+var ends = map[string]molespring.Outcome{"done": molespring.Completed, "failed": molespring.Errored,
+	"returned": molespring.Saturated, "lost": molespring.Severed}
+
+// parseNote reads a call-back; known is false for a state that says nothing to this dispatcher.
+func parseNote(body []byte) (n dispatch.Note, known bool, err error) {
+	var f struct {
+		ID     string              `json:"id"`
+		From   string              `json:"from"`
+		State  string              `json:"state"`
+		Share  float64             `json:"share"`
+		Result jsoniter.RawMessage `json:"result"`
+		Load   map[string]float64  `json:"load"`
+	}
+	if err := jsoniter.Unmarshal(body, &f); err != nil {
+		return n, false, err
+	}
+	if f.ID == "" || f.From == "" || f.State == "" {
+		return n, false, fmt.Errorf("id %q from %q state %q", f.ID, f.From, f.State)
+	}
+	n = dispatch.Note{ID: f.ID, From: f.From, Share: f.Share, Load: molespring.NoLoad}
+	for name, v := range f.Load {
+		config.SetLoad(&n.Load, name, v)
+	}
+	switch f.State {
+	case "started":
+		n.State = dispatch.Started
+	case "running":
+		n.State = dispatch.Running
+	default:
+		n.State = dispatch.Over
+		if n.Outcome, known = ends[f.State]; !known {
+			return n, false, nil
+		}
+	}
+	if len(f.Result) > 0 && f.Result[0] == '"' {
+		var text string
+		if err := jsoniter.Unmarshal(f.Result, &text); err != nil {
+			return n, false, err
+		}
+		n.Result = []byte(text)
+	} else if string(f.Result) != "null" {
+		n.Result = f.Result // what is no string goes on as it came
+	}
+	return n, true, nil
+}
+
+// headerLoad reads a load report of the form name=value,name=value. What cannot be read is left out.
+func headerLoad(text []byte) molespring.Load {
+	l := molespring.NoLoad
+	for len(text) > 0 {
+		var pair []byte
+		pair, text, _ = bytes.Cut(text, []byte{','})
+		name, value, _ := bytes.Cut(pair, []byte{'='})
+		if v, err := strconv.ParseFloat(string(bytes.TrimSpace(value)), 64); err == nil {
+			config.SetLoad(&l, string(bytes.TrimSpace(name)), v)
+		}
+	}
+	return l
+}
+
+// bodyLoad reads a load report that came as a body, as an object or in the header's form.
+func bodyLoad(text []byte) molespring.Load {
+	l := molespring.NoLoad
+	var f map[string]float64
+	if jsoniter.Unmarshal(text, &f) != nil {
+		return headerLoad(text)
+	}
+	for name, v := range f {
+		config.SetLoad(&l, name, v)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/south/line.go
@@ -0,0 +1,44 @@
+package south
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+)
+
+// line is a connection to a host that is counted while it is open.
+type line struct {
+	net.Conn
+	count *atomic.Int64
+	once  sync.Once
+}
+
+// Close closes the connection; it may be called more than once.
+func (l *line) Close() error {
+	l.once.Do(func() { l.count.Add(-1) })
+	return l.Conn.Close()
+}
+
+// stale tells that a kept connection can carry nothing any more: the host has closed or reset it, or has
+// sent what nobody asked for. A message written to it would count as sent and be lost.
+func stale(c net.Conn) bool {
+	l, ok := c.(*line)
+	if !ok {
+		return false
+	}
+	raw, err := l.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return true
+	}
+	fresh := false
+	if raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		fresh = err == syscall.EAGAIN
+		return true
+	}) != nil {
+		return true
+	}
+	return !fresh
+}
--- /dev/null
+++ b/internal/south/south.go
@@ -0,0 +1,243 @@
+// Package south speaks with the south side hosts: it carries relays to them, takes their call-backs, calls
+// off and probes. Every relay is written once at most; nothing here sends again by itself.
+package south
+
+import (
+	"errors"
+	"log"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"molespring"
+	"molespring/internal/dispatch"
+	"molespring/internal/exchange"
+)
+
+// Options bound what the south side uses.
+type Options struct {
+	DialTimeout time.Duration
+	ConnIdle    time.Duration // the hosts' idle limit
+	Conns       int           // most connections at a time
+}
+
+const (
+	sideCall  = 2 * time.Second // the most that a call-off may take
+	probeTime = 500 * time.Millisecond
+	largest   = 64 << 10 // of an answer's body
+)
+
+// Side is the south side.
+type Side struct {
+	core  *dispatch.Core
+	o     Options
+	conns atomic.Int64
+	side  atomic.Int64 // calls other than relays that are under way
+
+	mu      sync.Mutex
+	clients map[string]*fasthttp.HostClient
+	early   map[*exchange.Relay]net.Conn // relays written, or being written, that the host has not answered
+}
+
+// New returns a south side that reports to core.
+func New(core *dispatch.Core, o Options) *Side {
+	return &Side{core: core, o: o, clients: map[string]*fasthttp.HostClient{}, early: map[*exchange.Relay]net.Conn{}}
+}
+
+var errTooMany = errors.New("too many connections")
+
+// client keeps the connections to one address. The newest is used first, so that the rest fall idle; they
+// are closed well before the host would do it, as what crosses the host's closing is lost.
+func (s *Side) client(addr string) *fasthttp.HostClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[addr]
+	if c == nil {
+		c = &fasthttp.HostClient{Addr: addr, MaxConns: s.o.Conns, MaxIdleConnDuration: s.o.ConnIdle * 2 / 3,
+			ConnPoolStrategy: fasthttp.LIFO, MaxIdemponentCallAttempts: 1, Dial: s.dial}
+		s.clients[addr] = c
+	}
+	return c
+}
+
+// dial opens a connection, within the bound that the limit on descriptors sets.
+func (s *Side) dial(addr string) (net.Conn, error) {
+	if s.conns.Add(1) > int64(s.o.Conns) {
+		s.conns.Add(-1)
+		return nil, errTooMany
+	}
+	c, err := net.DialTimeout("tcp", addr, s.o.DialTimeout)
+	if err != nil {
+		s.conns.Add(-1)
+		return nil, err
+	}
+	return &line{Conn: c, count: &s.conns}, nil
+}
+
+// Send carries out a relay.
+func (s *Side) Send(r *exchange.Relay) {
+	go func() {
+		if o, l, ended := s.relay(r); ended {
+			s.core.Ended(r, o, l)
+		}
+	}()
+}
+
+// relay writes the message to the host and reads its first answer. A 202 does not end the relay: the
+// call-backs tell the rest.
+func (s *Side) relay(r *exchange.Relay) (o molespring.Outcome, l molespring.Load, ended bool) {
+	l = molespring.NoLoad
+	out := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(out)
+	written, err := s.talk(r.Host.Addr, out, s.core.At(r.Due), time.Time{}, func(c net.Conn) []byte {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !r.Start(s.core.Now()) {
+			return nil
+		}
+		s.early[r] = c
+		return request(r, s.core.Now())
+	})
+	s.mu.Lock()
+	delete(s.early, r)
+	s.mu.Unlock()
+	switch {
+	case err == errNotSent:
+		return molespring.Superseded, l, true
+	case err != nil:
+		log.Printf("at=relay id=%s n=%d host=%s written=%t error=%q", r.Exchange.ID, r.N, r.Host.ID, written, err)
+		if !written {
+			return molespring.RefusedConn, l, true
+		}
+		return molespring.Severed, l, true
+	case out.StatusCode() == fasthttp.StatusAccepted:
+		return 0, l, false
+	}
+	l = headerLoad(out.Header.Peek("X-Server-Load"))
+	switch status := out.StatusCode(); {
+	case (status == 503 || status == 504) && string(out.Header.Peek("X-Not-Processed")) == "1":
+		return molespring.Saturated, l, true
+	default:
+		log.Printf("at=relay id=%s n=%d host=%s status=%d", r.Exchange.ID, r.N, r.Host.ID, status)
+		return molespring.Errored, l, true
+	}
+}
+
+var errNotSent = errors.New("not sent")
+
+// talk makes one call on a connection to addr: it writes what compose returns, once, and reads the answer.
+// written tells whether the last byte was handed to the connection: before that nothing can have run.
+func (s *Side) talk(addr string, out *fasthttp.Response, writeBy, readBy time.Time, compose func(net.Conn) []byte) (written bool, err error) {
+	client := s.client(addr)
+	cc, err := client.AcquireConn(0, false)
+	for err == nil && stale(cc.Conn()) { // nothing was written to it: another may be taken
+		client.CloseConn(cc)
+		cc, err = client.AcquireConn(0, false)
+	}
+	if err != nil {
+		return false, err
+	}
+	c := cc.Conn()
+	bytes := compose(c)
+	if bytes == nil {
+		client.ReleaseConn(cc)
+		return false, errNotSent
+	}
+	c.SetWriteDeadline(writeBy)
+	c.SetReadDeadline(readBy)
+	if n, err := c.Write(bytes); err != nil {
+		client.CloseConn(cc)
+		return n == len(bytes), err
+	}
+	in := client.AcquireReader(c)
+	defer client.ReleaseReader(in)
+	if err := out.ReadLimitBody(in, largest); err != nil {
+		client.CloseConn(cc)
+		return true, err
+	}
+	if out.ConnectionClose() || in.Buffered() > 0 {
+		client.CloseConn(cc)
+	} else {
+		client.ReleaseConn(cc)
+	}
+	return true, nil
+}
+
+// hop names the fields that belong to the client's connection, or that are written anew.
+var hop = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
+	"transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true, "x-timeout-ms": true}
+
+// request is a relay as it goes on the wire: the message as it came, but for what belongs to its connection
+// and for the time left, which is rounded up so that the host never stops before the dispatcher does.
+func request(r *exchange.Relay, now int64) []byte {
+	x := r.Exchange
+	b := make([]byte, 0, 512+len(x.Body))
+	b = append(append(append(append(b, x.Method...), ' '), x.Path...), " HTTP/1.1\r\n"...)
+	for _, f := range x.Fields {
+		if !hop[exchange.Lower(f.Name)] {
+			b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
+		}
+	}
+	b = strconv.AppendInt(append(b, "X-Timeout-Ms: "...), max((r.Due-now+999)/1000, 1), 10)
+	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(x.Body)), 10)
+	return append(append(b, "\r\n\r\n"...), x.Body...)
+}
+
+// CallOff makes the host drop a relay that has ended here. Where it has not answered yet, the closed
+// connection may do; if its 202 is on the way, only DELETE does.
+func (s *Side) CallOff(r *exchange.Relay) {
+	s.mu.Lock()
+	c := s.early[r]
+	wasStarted := r.End()
+	s.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+	if wasStarted {
+		s.side.Add(1)
+		go func() {
+			defer s.side.Add(-1)
+			s.call("DELETE", "/jobs/"+r.Exchange.ID, r.Host.Addr, sideCall, nil)
+		}()
+	}
+}
+
+// Probe asks a host for its load.
+func (s *Side) Probe(h *exchange.Host) {
+	go func() {
+		began, l, o := s.core.Now(), molespring.NoLoad, molespring.ProbeFailed
+		if s.call("GET", "/status/load", h.Addr, probeTime, func(out *fasthttp.Response) {
+			if out.StatusCode() == fasthttp.StatusOK {
+				l, o = bodyLoad(out.Body()), molespring.Completed
+			}
+		}) != nil {
+			l = molespring.NoLoad
+		}
+		s.core.Probed(h, o, s.core.Now()-began, l)
+	}()
+}
+
+// call makes a call without a body. It holds a connection for a limited time only.
+func (s *Side) call(method, path, addr string, limit time.Duration, use func(*fasthttp.Response)) error {
+	out := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(out)
+	by := time.Now().Add(limit)
+	_, err := s.talk(addr, out, by, by, func(net.Conn) []byte {
+		return []byte(method + " " + path + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n")
+	})
+	if err != nil {
+		log.Printf("at=call method=%s path=%s addr=%s error=%q", method, path, addr, err)
+		return err
+	}
+	if use != nil {
+		use(out)
+	}
+	return nil
+}
+
+// Busy tells whether call-offs are still on their way.
+func (s *Side) Busy() bool { return s.side.Load() > 0 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"strconv"
 
 	"molespring"
+	"molespring/internal/config"
 )
 
 // MsgKind says what one message asks of the adapter.
@@ -163,7 +164,7 @@
 	if d.err != nil {
 		return m, false, d.err
 	}
-	m.Settings, err = parseSettings(n, d.rest)
+	m.Settings, err = config.ParseSettings(n, d.rest)
 	if err != nil {
 		return m, false, err
 	}
@@ -352,16 +353,7 @@
 		}
 		v, err := float(value)
 		d.keep(err)
-		switch string(name) {
-		case "pending":
-			e.Load.Queue = v
-		case "busy_reqs":
-			e.Load.Inflight = v
-		case "x0":
-			e.Load.Free = v
-		case "cpu_share":
-			e.Load.Util = v
-		}
+		config.SetLoad(&e.Load, string(name), v)
 	}
 }
 
