--- a/balancer.go
+++ b/balancer.go
@@ -1,6 +1,6 @@
-package molespring
+package topazfall
 
-// The decision module. Its interface (settings, events, actions) is in molespring.go. In reading order: the
+// The decision module. Its interface (settings, events, actions) is in topazfall.go. In reading order: the
 // life of a request, choice, legality, what is observed of a worker, learned tables, the list and buddy set.
 
 import (
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1,4 +1,4 @@
-package molespring
+package topazfall
 
 import (
 	"fmt"
@@ -111,8 +111,8 @@
 	if lines > 550 {
 		t.Errorf("balancer.go has %d lines that are not blank, 550 at most", lines)
 	}
-	if !strings.Contains(strings.Join(strings.SplitN(string(text), "\n", 8)[:7], "\n"), "molespring.go") {
-		t.Error("the top of balancer.go does not name molespring.go")
+	if !strings.Contains(strings.Join(strings.SplitN(string(text), "\n", 8)[:7], "\n"), "topazfall.go") {
+		t.Error("the top of balancer.go does not name topazfall.go")
 	}
 }
 
--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 
-	"molespring"
-	"molespring/internal/wire"
+	"topazfall"
+	"topazfall/internal/wire"
 )
 
 func main() {
@@ -28,8 +28,8 @@
 // serve answers every batch of in with one reply on out.
 func serve(in io.Reader, out io.Writer) error {
 	decoder, replies := wire.NewDecoder(in), bufio.NewWriterSize(out, 1<<16)
-	balancers := map[int]*molespring.Balancer{}
-	var actions []molespring.Action
+	balancers := map[int]*topazfall.Balancer{}
+	var actions []topazfall.Action
 	var reply []byte
 	var parts []part
 	var now int64
@@ -45,7 +45,7 @@
 		case wire.Begin:
 			now, reply, parts = m.Now, reply[:0], parts[:0]
 		case wire.Enlist:
-			b, err := molespring.New(m.Settings)
+			b, err := topazfall.New(m.Settings)
 			if err != nil {
 				return fmt.Errorf("instance %d: %w", m.Instance, err)
 			}
--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -14,11 +14,11 @@
 	"syscall"
 	"time"
 
-	"molespring/internal/config"
-	"molespring/internal/dispatch"
-	"molespring/internal/inventory"
-	"molespring/internal/north"
-	"molespring/internal/south"
+	"topazfall/internal/config"
+	"topazfall/internal/dispatch"
+	"topazfall/internal/inventory"
+	"topazfall/internal/north"
+	"topazfall/internal/south"
 )
 
 const (
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"molespring"
+	"topazfall"
 )
 
 // Config is what one dispatcher is told at its start.
@@ -18,7 +18,7 @@
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   []byte // the list of hosts as last had, in discovery's form; may be empty
-	Settings                molespring.Settings
+	Settings                topazfall.Settings
 	ConnIdle                time.Duration // a host closes a connection once it has been idle for so long
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,7 +7,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"molespring"
+	"topazfall"
 )
 
 // Profile mirrors the settings object of the wire; keys that it does not name are ignored.
@@ -72,40 +72,40 @@
 }
 
 var (
-	repeatRules = map[string]molespring.RepeatRule{
-		"retryable": molespring.Safe, "dedup": molespring.Keyed, "fragile": molespring.Unsafe}
-	groups = map[string]molespring.Group{
-		"": molespring.GroupAll, "all": molespring.GroupAll, "zone": molespring.GroupZone, "cell": molespring.GroupCell}
-	sources = map[string]molespring.ReportSource{
-		"": molespring.ReportsNever, "none": molespring.ReportsNever,
-		"answers": molespring.ReportsInAnswers, "probe": molespring.ReportsInProbes}
+	repeatRules = map[string]topazfall.RepeatRule{
+		"retryable": topazfall.Safe, "dedup": topazfall.Keyed, "fragile": topazfall.Unsafe}
+	groups = map[string]topazfall.Group{
+		"": topazfall.GroupAll, "all": topazfall.GroupAll, "zone": topazfall.GroupZone, "cell": topazfall.GroupCell}
+	sources = map[string]topazfall.ReportSource{
+		"": topazfall.ReportsNever, "none": topazfall.ReportsNever,
+		"answers": topazfall.ReportsInAnswers, "probe": topazfall.ReportsInProbes}
 )
 
 // ParseSettings reads the settings object, as an ENLIST line or a configuration holds it.
-func ParseSettings(seed uint64, text []byte) (molespring.Settings, error) {
+func ParseSettings(seed uint64, text []byte) (topazfall.Settings, error) {
 	var p Profile
 	if err := jsoniter.Unmarshal(text, &p); err != nil {
-		return molespring.Settings{}, fmt.Errorf("unreadable settings: %v", err)
+		return topazfall.Settings{}, fmt.Errorf("unreadable settings: %v", err)
 	}
 	return p.Settings(seed)
 }
 
 // Settings translates the object into the module's terms.
-func (p *Profile) Settings(seed uint64) (molespring.Settings, error) {
-	var s molespring.Settings
+func (p *Profile) Settings(seed uint64) (topazfall.Settings, error) {
+	var s topazfall.Settings
 	source, ok := sources[p.Stats.Source]
 	if !ok {
 		return s, fmt.Errorf("settings: stats.source is %q", p.Stats.Source)
 	}
-	s = molespring.Settings{
+	s = topazfall.Settings{
 		Seed: seed, Me: p.Me, Dispatchers: p.Replicas, Zone: p.MyZone, Zones: p.Areas, Kinds: p.Skus,
 		Tick: p.TickMicros, ReportsIn: source, TellsStart: p.Domain.TellsStart,
 		Progress: p.Domain.Progress, AskForList: p.Discovery == "subscribe", OverShare: p.OverShare, CrossZone: p.Deductions.CrossZone,
-		Contract: molespring.Contract{
+		Contract: topazfall.Contract{
 			AnswerSlack: p.Contract.AnswerSlack, DrainGrace: p.Contract.DrainGrace, AskEvery: p.Contract.AskEvery,
 			ColdFrom: p.Contract.ColdFrom, RampTime: p.Contract.RampTime,
 			FallMultiple: p.Contract.FallMultiple, FallTime: p.Contract.FallTime},
-		Allowed: molespring.Allowed{
+		Allowed: topazfall.Allowed{
 			Cancel: p.Allowed.Cancel, Probe: p.Allowed.MayProbe, PeerMessages: p.Allowed.PeerMessages,
 			SecondCopies: p.Allowed.ParallelTries, RetryAfter: p.Allowed.RetryAfter,
 			MaxRetryAfter: p.Allowed.MaxRetryAfter, Attempts: p.Allowed.SendCap, DialTimeout: p.Allowed.DialTimeout},
@@ -119,7 +119,7 @@
 		if !ok {
 			return s, fmt.Errorf("settings: classes[%d].group is %q", i, c.Group)
 		}
-		k := molespring.Class{Name: c.Name, Deadline: c.Deadline, Aim: c.Aim, Worth: c.Points,
+		k := topazfall.Class{Name: c.Name, Deadline: c.Deadline, Aim: c.Aim, Worth: c.Points,
 			LateWorth: c.LateWorth, Repeat: repeat, Group: group, Window: c.Window}
 		if i < len(p.Domain.ClassStretch) {
 			k.Stretch = p.Domain.ClassStretch[i]
@@ -139,14 +139,14 @@
 		s.Classes = append(s.Classes, k)
 	}
 	for _, r := range p.Realms {
-		s.Tenants = append(s.Tenants, molespring.Tenant{Name: r.Name, Share: r.Share, Quota: r.Quota})
+		s.Tenants = append(s.Tenants, topazfall.Tenant{Name: r.Name, Share: r.Share, Quota: r.Quota})
 	}
 	return s, nil
 }
 
 // SetLoad takes one value of a load report by its name, in the wire's words or the simulator's. Names that
 // no decision needs are passed over.
-func SetLoad(l *molespring.Load, name string, v float64) {
+func SetLoad(l *topazfall.Load, name string, v float64) {
 	switch name {
 	case "pending", "queue":
 		l.Queue = v
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,8 +8,8 @@
 	"log"
 	"sync/atomic"
 
-	"molespring"
-	"molespring/internal/exchange"
+	"topazfall"
+	"topazfall/internal/exchange"
 )
 
 // South carries relays to hosts. Its methods return at once.
@@ -27,14 +27,14 @@
 
 // Entry is one host of the inventory.
 type Entry struct {
-	molespring.Worker
+	topazfall.Worker
 	Addr string
 }
 
 // Core is the dispatch goroutine's state. The exported methods may be called from any goroutine.
 type Core struct {
 	Clock
-	balancer  *molespring.Balancer
+	balancer  *topazfall.Balancer
 	south     South
 	inventory Inventory
 	ops       chan func()
@@ -45,14 +45,14 @@
 	byID    map[string]*exchange.Exchange
 	byNum   map[uint64]*exchange.Exchange
 	hosts   map[string]*exchange.Host
-	events  []molespring.Event
-	actions []molespring.Action
+	events  []topazfall.Event
+	actions []topazfall.Action
 	timers  timers
 }
 
 // New returns a core for these settings.
-func New(s molespring.Settings) (*Core, error) {
-	b, err := molespring.New(s)
+func New(s topazfall.Settings) (*Core, error) {
+	b, err := topazfall.New(s)
 	if err != nil {
 		return nil, err
 	}
@@ -93,7 +93,7 @@
 		c.number++
 		x.Number = c.number
 		c.byID[x.ID], c.byNum[x.Number] = x, x
-		c.feed(molespring.Event{Kind: molespring.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
+		c.feed(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
 			Due: x.Due, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
 	}
 }
@@ -102,14 +102,14 @@
 func (c *Core) Gone(x *exchange.Exchange) {
 	c.ops <- func() {
 		if c.finish(x, exchange.Answer{Verdict: exchange.Failed}) {
-			c.feed(molespring.Event{Kind: molespring.ClientGone, Request: x.Number})
+			c.feed(topazfall.Event{Kind: topazfall.ClientGone, Request: x.Number})
 			c.forget(x)
 		}
 	}
 }
 
 // Ended tells how a relay ended. Of several endings the first counts.
-func (c *Core) Ended(r *exchange.Relay, o molespring.Outcome, l molespring.Load) {
+func (c *Core) Ended(r *exchange.Relay, o topazfall.Outcome, l topazfall.Load) {
 	c.ops <- func() { c.end(r, o, l, nil) }
 }
 
@@ -128,9 +128,9 @@
 	ID, From string
 	State    State
 	Share    float64
-	Outcome  molespring.Outcome // of Over
+	Outcome  topazfall.Outcome // of Over
 	Result   []byte
-	Load     molespring.Load
+	Load     topazfall.Load
 }
 
 // Noted takes a call-back. It may come before the host's answer to the relay, come again, or be about an
@@ -141,13 +141,13 @@
 		if r == nil {
 			return
 		}
-		e := molespring.Event{Request: r.Exchange.Number, Attempt: r.N, Worker: r.Host.ID, Amount: n.Share}
+		e := topazfall.Event{Request: r.Exchange.Number, Attempt: r.N, Worker: r.Host.ID, Amount: n.Share}
 		switch n.State {
 		case Started:
-			e.Kind = molespring.JobStarted
+			e.Kind = topazfall.JobStarted
 			c.feed(e)
 		case Running:
-			e.Kind = molespring.JobProgress
+			e.Kind = topazfall.JobProgress
 			c.feed(e)
 		case Over:
 			c.end(r, n.Outcome, n.Load, n.Result)
@@ -167,14 +167,14 @@
 }
 
 // List takes news of the inventory; for ListBroken there are no entries.
-func (c *Core) List(kind molespring.EventKind, entries []Entry) {
+func (c *Core) List(kind topazfall.EventKind, entries []Entry) {
 	c.ops <- func() {
-		if kind == molespring.ListWhole || kind == molespring.ListStale {
+		if kind == topazfall.ListWhole || kind == topazfall.ListStale {
 			for _, h := range c.hosts {
 				h.SetClosed(true)
 			}
 		}
-		workers := make([]molespring.Worker, len(entries))
+		workers := make([]topazfall.Worker, len(entries))
 		for i, e := range entries {
 			h := c.hosts[e.ID]
 			if h == nil || h.Addr != e.Addr { // a relay under way keeps the address it was made for
@@ -184,17 +184,17 @@
 				h = &exchange.Host{ID: e.ID, Addr: e.Addr}
 				c.hosts[e.ID] = h
 			}
-			h.SetClosed(e.State != molespring.Ready)
+			h.SetClosed(e.State != topazfall.Ready)
 			workers[i] = e.Worker
 		}
-		c.feed(molespring.Event{Kind: kind, List: workers})
+		c.feed(topazfall.Event{Kind: kind, List: workers})
 	}
 }
 
 // Probed tells what a probe brought.
-func (c *Core) Probed(h *exchange.Host, o molespring.Outcome, took int64, l molespring.Load) {
+func (c *Core) Probed(h *exchange.Host, o topazfall.Outcome, took int64, l topazfall.Load) {
 	c.ops <- func() {
-		c.feed(molespring.Event{Kind: molespring.ProbeDone, Worker: h.ID, Outcome: o, Took: took, Load: l})
+		c.feed(topazfall.Event{Kind: topazfall.ProbeDone, Worker: h.ID, Outcome: o, Took: took, Load: l})
 	}
 }
 
@@ -207,7 +207,7 @@
 
 // feed queues an event: what an action leads to must not reach the module before that action's siblings
 // are carried out.
-func (c *Core) feed(e molespring.Event) { c.events = append(c.events, e) }
+func (c *Core) feed(e topazfall.Event) { c.events = append(c.events, e) }
 
 // settle hands the queued events to the module and carries out what it wants.
 func (c *Core) settle() {
@@ -220,43 +220,43 @@
 	c.events = c.events[:0]
 }
 
-func (c *Core) carryOut(a *molespring.Action) {
+func (c *Core) carryOut(a *topazfall.Action) {
 	x := c.byNum[a.Request]
 	switch a.Kind {
-	case molespring.Send:
+	case topazfall.Send:
 		c.send(x, c.hosts[a.Worker], a)
-	case molespring.Refuse:
+	case topazfall.Refuse:
 		c.finish(x, exchange.Answer{Verdict: exchange.Refused, After: a.After})
 		c.forget(x)
-	case molespring.Fail:
+	case topazfall.Fail:
 		verdict := exchange.Failed
-		if x != nil && len(x.Relays) > 0 && x.Relays[len(x.Relays)-1].Outcome == molespring.Overdue {
+		if x != nil && len(x.Relays) > 0 && x.Relays[len(x.Relays)-1].Outcome == topazfall.Overdue {
 			verdict = exchange.TimedOut
 		}
 		c.finish(x, exchange.Answer{Verdict: verdict})
 		c.forget(x)
-	case molespring.CancelAttempt:
+	case topazfall.CancelAttempt:
 		if x != nil && a.Attempt < len(x.Relays) && !x.Relays[a.Attempt].Done {
 			c.south.CallOff(x.Relays[a.Attempt])
-			c.end(x.Relays[a.Attempt], molespring.Recalled, molespring.NoLoad, nil)
+			c.end(x.Relays[a.Attempt], topazfall.Recalled, topazfall.NoLoad, nil)
 		}
-	case molespring.SetTimer:
+	case topazfall.SetTimer:
 		token := a.Token
-		c.after(c.Now()+a.After, func() { c.feed(molespring.Event{Kind: molespring.TimerDue, Token: token}) })
-	case molespring.ProbeWorker:
+		c.after(c.Now()+a.After, func() { c.feed(topazfall.Event{Kind: topazfall.TimerDue, Token: token}) })
+	case topazfall.ProbeWorker:
 		if h := c.hosts[a.Worker]; h != nil {
 			c.south.Probe(h)
 		}
-	case molespring.FollowList:
+	case topazfall.FollowList:
 		c.inventory.Follow()
-	case molespring.FetchList:
+	case topazfall.FetchList:
 		c.inventory.Fetch()
-	case molespring.Log:
+	case topazfall.Log:
 		log.Printf("at=module text=%q", a.Text)
 	}
 }
 
-func (c *Core) send(x *exchange.Exchange, h *exchange.Host, a *molespring.Action) {
+func (c *Core) send(x *exchange.Exchange, h *exchange.Host, a *topazfall.Action) {
 	if x == nil || h == nil { // the module names only what it was given
 		log.Printf("at=send error=unknown request=%d worker=%s", a.Request, a.Worker)
 		return
@@ -270,14 +270,14 @@
 	c.after(due, func() {
 		if !r.Done {
 			c.south.CallOff(r)
-			c.end(r, molespring.Overdue, molespring.NoLoad, nil)
+			c.end(r, topazfall.Overdue, topazfall.NoLoad, nil)
 		}
 	})
 	c.south.Send(r)
 }
 
 // end gives a relay its one outcome. The first to be served answers the client.
-func (c *Core) end(r *exchange.Relay, o molespring.Outcome, l molespring.Load, result []byte) {
+func (c *Core) end(r *exchange.Relay, o topazfall.Outcome, l topazfall.Load, result []byte) {
 	if r.Done {
 		return
 	}
@@ -285,12 +285,12 @@
 	r.End()
 	c.inHand.Add(-1)
 	x := r.Exchange
-	if o == molespring.Completed {
+	if o == topazfall.Completed {
 		c.finish(x, exchange.Answer{Verdict: exchange.Served, Body: result})
 	}
 	now := c.Now()
 	log.Printf("at=relay id=%s n=%d host=%s outcome=%s took_us=%d", x.ID, r.N, r.Host.ID, outcomes[o], now-r.Sent)
-	c.feed(molespring.Event{Kind: molespring.AttemptDone, Request: x.Number, Attempt: r.N, Worker: r.Host.ID,
+	c.feed(topazfall.Event{Kind: topazfall.AttemptDone, Request: x.Number, Attempt: r.N, Worker: r.Host.ID,
 		Outcome: o, Took: now - r.Sent, Final: x.Over(), Load: l})
 	c.forget(x)
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -6,7 +6,7 @@
 	"strings"
 	"sync/atomic"
 
-	"molespring"
+	"topazfall"
 )
 
 // Field is one header field, as the bytes that came.
@@ -99,7 +99,7 @@
 	Host     *Host
 	Sent     int64
 	Due      int64 // when the dispatcher stops waiting for it
-	Outcome  molespring.Outcome
+	Outcome  topazfall.Outcome
 	Done     bool // Outcome is known; the dispatch goroutine's
 	stage    atomic.Int32
 }
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -12,8 +12,8 @@
 	jsoniter "github.com/json-iterator/go"
 	"github.com/valyala/fasthttp"
 
-	"molespring"
-	"molespring/internal/dispatch"
+	"topazfall"
+	"topazfall/internal/dispatch"
 )
 
 const (
@@ -66,7 +66,7 @@
 		return 0
 	}
 	w.seq, w.known = l.seq, true
-	w.core.List(molespring.ListStale, l.entries)
+	w.core.List(topazfall.ListStale, l.entries)
 	return len(l.entries)
 }
 
@@ -87,7 +87,7 @@
 		}
 		if !broken {
 			log.Printf("at=inventory state=broken seq=%d error=%q", w.seq, err)
-			w.core.List(molespring.ListBroken, nil)
+			w.core.List(topazfall.ListBroken, nil)
 		}
 		broken = true
 		select {
@@ -126,12 +126,12 @@
 	}
 	switch {
 	case l.whole:
-		w.core.List(molespring.ListWhole, l.entries)
+		w.core.List(topazfall.ListWhole, l.entries)
 	case !w.known || l.seq < w.seq: // changes to a list that is not ours
 		w.known = false
 		return fmt.Errorf("changes up to %d do not follow %d", l.seq, w.seq)
 	default:
-		w.core.List(molespring.ListPatch, l.entries)
+		w.core.List(topazfall.ListPatch, l.entries)
 	}
 	if len(l.entries) > 0 {
 		log.Printf("at=inventory seq=%d whole=%t entries=%d", l.seq, l.whole, len(l.entries))
@@ -146,8 +146,8 @@
 	entries []dispatch.Entry
 }
 
-var states = map[string]molespring.WorkerState{
-	"up": molespring.Ready, "draining": molespring.Draining, "removed": molespring.Gone}
+var states = map[string]topazfall.WorkerState{
+	"up": topazfall.Ready, "draining": topazfall.Draining, "removed": topazfall.Gone}
 
 // parse reads a list and translates it into the module's terms. A list with an entry that makes no sense
 // is no list: to leave the entry out would be to say that the host is gone, or still there.
@@ -175,10 +175,10 @@
 	l := list{seq: *f.Seq, whole: f.Whole, entries: make([]dispatch.Entry, len(f.Hosts))}
 	for i, h := range f.Hosts {
 		state, ok := states[h.Health]
-		if !ok || h.Host == "" || h.Dial == "" && state != molespring.Gone {
+		if !ok || h.Host == "" || h.Dial == "" && state != topazfall.Gone {
 			return list{}, fmt.Errorf("hosts[%d]: host %q dial %q health %q", i, h.Host, h.Dial, h.Health)
 		}
-		l.entries[i] = dispatch.Entry{Addr: h.Dial, Worker: molespring.Worker{ID: h.Host, Zone: h.Site, Kind: h.Class,
+		l.entries[i] = dispatch.Entry{Addr: h.Dial, Worker: topazfall.Worker{ID: h.Host, Zone: h.Site, Kind: h.Class,
 			Cell: h.Block, State: state, Weight: h.Share, StartedAt: h.Born * 1000}}
 	}
 	return l, nil
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -14,9 +14,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"molespring"
-	"molespring/internal/dispatch"
-	"molespring/internal/exchange"
+	"topazfall"
+	"topazfall/internal/dispatch"
+	"topazfall/internal/exchange"
 )
 
 const (
@@ -52,7 +52,7 @@
 }
 
 // New returns a north side that hands messages to core and call-backs to back.
-func New(core *dispatch.Core, back CallBacks, s *molespring.Settings, o Options) *Side {
+func New(core *dispatch.Core, back CallBacks, s *topazfall.Settings, o Options) *Side {
 	n := &Side{core: core, back: back, o: o, classes: map[string]int{}, tenants: map[string]int{}}
 	for i, c := range s.Classes {
 		n.classes[c.Name] = i
--- a/internal/south/callback.go
+++ b/internal/south/callback.go
@@ -7,9 +7,9 @@
 
 	jsoniter "github.com/json-iterator/go"
 
-	"molespring"
-	"molespring/internal/config"
-	"molespring/internal/dispatch"
+	"topazfall"
+	"topazfall/internal/config"
+	"topazfall/internal/dispatch"
 )
 
 // CallBack takes the body of one call-back. The error says why it cannot be read.
@@ -22,8 +22,8 @@
 }
 
 // ends translates the states that end a job into the module's outcomes.
-var ends = map[string]molespring.Outcome{"done": molespring.Completed, "failed": molespring.Errored,
-	"returned": molespring.Saturated, "lost": molespring.Severed}
+var ends = map[string]topazfall.Outcome{"done": topazfall.Completed, "failed": topazfall.Errored,
+	"returned": topazfall.Saturated, "lost": topazfall.Severed}
 
 // parseNote reads a call-back; known is false for a state that says nothing to this dispatcher.
 func parseNote(body []byte) (n dispatch.Note, known bool, err error) {
@@ -41,7 +41,7 @@
 	if f.ID == "" || f.From == "" || f.State == "" {
 		return n, false, fmt.Errorf("id %q from %q state %q", f.ID, f.From, f.State)
 	}
-	n = dispatch.Note{ID: f.ID, From: f.From, Share: f.Share, Load: molespring.NoLoad}
+	n = dispatch.Note{ID: f.ID, From: f.From, Share: f.Share, Load: topazfall.NoLoad}
 	for name, v := range f.Load {
 		config.SetLoad(&n.Load, name, v)
 	}
@@ -69,8 +69,8 @@
 }
 
 // headerLoad reads a load report of the form name=value,name=value. What cannot be read is left out.
-func headerLoad(text []byte) molespring.Load {
-	l := molespring.NoLoad
+func headerLoad(text []byte) topazfall.Load {
+	l := topazfall.NoLoad
 	for len(text) > 0 {
 		var pair []byte
 		pair, text, _ = bytes.Cut(text, []byte{','})
@@ -83,8 +83,8 @@
 }
 
 // bodyLoad reads a load report that came as a body, as an object or in the header's form.
-func bodyLoad(text []byte) molespring.Load {
-	l := molespring.NoLoad
+func bodyLoad(text []byte) topazfall.Load {
+	l := topazfall.NoLoad
 	var f map[string]float64
 	if jsoniter.Unmarshal(text, &f) != nil {
 		return headerLoad(text)
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -13,9 +13,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"molespring"
-	"molespring/internal/dispatch"
-	"molespring/internal/exchange"
+	"topazfall"
+	"topazfall/internal/dispatch"
+	"topazfall/internal/exchange"
 )
 
 // Options bound what the south side uses.
@@ -89,8 +89,8 @@
 
 // relay writes the message to the host and reads its first answer. A 202 does not end the relay: the
 // call-backs tell the rest.
-func (s *Side) relay(r *exchange.Relay) (o molespring.Outcome, l molespring.Load, ended bool) {
-	l = molespring.NoLoad
+func (s *Side) relay(r *exchange.Relay) (o topazfall.Outcome, l topazfall.Load, ended bool) {
+	l = topazfall.NoLoad
 	out := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(out)
 	written, err := s.talk(r.Host.Addr, out, s.core.At(r.Due), time.Time{}, func(c net.Conn) []byte {
@@ -107,23 +107,23 @@
 	s.mu.Unlock()
 	switch {
 	case err == errNotSent:
-		return molespring.Superseded, l, true
+		return topazfall.Superseded, l, true
 	case err != nil:
 		log.Printf("at=relay id=%s n=%d host=%s written=%t error=%q", r.Exchange.ID, r.N, r.Host.ID, written, err)
 		if !written {
-			return molespring.RefusedConn, l, true
+			return topazfall.RefusedConn, l, true
 		}
-		return molespring.Severed, l, true
+		return topazfall.Severed, l, true
 	case out.StatusCode() == fasthttp.StatusAccepted:
 		return 0, l, false
 	}
 	l = headerLoad(out.Header.Peek("X-Server-Load"))
 	switch status := out.StatusCode(); {
 	case (status == 503 || status == 504) && string(out.Header.Peek("X-Not-Processed")) == "1":
-		return molespring.Saturated, l, true
+		return topazfall.Saturated, l, true
 	default:
 		log.Printf("at=relay id=%s n=%d host=%s status=%d", r.Exchange.ID, r.N, r.Host.ID, status)
-		return molespring.Errored, l, true
+		return topazfall.Errored, l, true
 	}
 }
 
@@ -209,13 +209,13 @@
 // Probe asks a host for its load.
 func (s *Side) Probe(h *exchange.Host) {
 	go func() {
-		began, l, o := s.core.Now(), molespring.NoLoad, molespring.ProbeFailed
+		began, l, o := s.core.Now(), topazfall.NoLoad, topazfall.ProbeFailed
 		if s.call("GET", "/status/load", h.Addr, probeTime, func(out *fasthttp.Response) {
 			if out.StatusCode() == fasthttp.StatusOK {
-				l, o = bodyLoad(out.Body()), molespring.Completed
+				l, o = bodyLoad(out.Body()), topazfall.Completed
 			}
 		}) != nil {
-			l = molespring.NoLoad
+			l = topazfall.NoLoad
 		}
 		s.core.Probed(h, o, s.core.Now()-began, l)
 	}()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,8 +11,8 @@
 	"io"
 	"strconv"
 
-	"molespring"
-	"molespring/internal/config"
+	"topazfall"
+	"topazfall/internal/config"
 )
 
 // MsgKind says what one message asks of the adapter.
@@ -32,8 +32,8 @@
 	Kind     MsgKind
 	Now      int64
 	Instance int
-	Settings molespring.Settings
-	Event    *molespring.Event
+	Settings topazfall.Settings
+	Event    *topazfall.Event
 }
 
 // names resolves the class and tenant names of one instance.
@@ -47,9 +47,9 @@
 	inBatch   bool
 	selected  int
 	instances map[int]*names
-	lists     map[int][]molespring.Worker
+	lists     map[int][]topazfall.Worker
 	words     map[string]string
-	event     molespring.Event
+	event     topazfall.Event
 	rest      []byte // what is unread of the current line
 	err       error  // first fault of the current line
 }
@@ -57,7 +57,7 @@
 // NewDecoder returns a decoder that reads from in.
 func NewDecoder(in io.Reader) *Decoder {
 	return &Decoder{in: bufio.NewReaderSize(in, 1<<16), instances: map[int]*names{},
-		lists: map[int][]molespring.Worker{}, words: map[string]string{}, selected: -1}
+		lists: map[int][]topazfall.Worker{}, words: map[string]string{}, selected: -1}
 }
 
 // Next returns the next message. At the orderly end of the input the error is io.EOF; every other
@@ -188,7 +188,7 @@
 	if n < 0 {
 		return errors.New("negative number of entries")
 	}
-	var entries []molespring.Worker
+	var entries []topazfall.Worker
 	for range n {
 		line, err := d.readLine()
 		if err == io.EOF {
@@ -201,14 +201,14 @@
 		if word := d.part(); string(word) != "WORKER" {
 			return fmt.Errorf("expected WORKER, found %q", clip(line))
 		}
-		w := molespring.Worker{ID: d.word(), Zone: d.word(), Kind: d.word(), Cell: int(d.integer())}
+		w := topazfall.Worker{ID: d.word(), Zone: d.word(), Kind: d.word(), Cell: int(d.integer())}
 		switch state := d.part(); string(state) {
 		case "ready":
-			w.State = molespring.Ready
+			w.State = topazfall.Ready
 		case "draining":
-			w.State = molespring.Draining
+			w.State = topazfall.Draining
 		case "gone":
-			w.State = molespring.Gone
+			w.State = topazfall.Gone
 		default:
 			return fmt.Errorf("unknown readiness %q", clip(state))
 		}
@@ -222,21 +222,21 @@
 	return nil
 }
 
-var outcomes = map[string]molespring.Outcome{
-	"completed": molespring.Completed, "errored": molespring.Errored, "saturated": molespring.Saturated,
-	"overdue": molespring.Overdue, "refused_conn": molespring.RefusedConn, "severed": molespring.Severed,
-	"recalled": molespring.Recalled, "superseded": molespring.Superseded}
+var outcomes = map[string]topazfall.Outcome{
+	"completed": topazfall.Completed, "errored": topazfall.Errored, "saturated": topazfall.Saturated,
+	"overdue": topazfall.Overdue, "refused_conn": topazfall.RefusedConn, "severed": topazfall.Severed,
+	"recalled": topazfall.Recalled, "superseded": topazfall.Superseded}
 
-var listKinds = map[string]molespring.EventKind{"patch": molespring.ListPatch, "whole": molespring.ListWhole,
-	"stale_copy": molespring.ListStale, "broken": molespring.ListBroken}
+var listKinds = map[string]topazfall.EventKind{"patch": topazfall.ListPatch, "whole": topazfall.ListWhole,
+	"stale_copy": topazfall.ListStale, "broken": topazfall.ListBroken}
 
 // occurrence decodes an event of the selected instance into d.event.
 func (d *Decoder) occurrence(word []byte, known *names) error {
-	d.event = molespring.Event{Tenant: -1, Load: molespring.NoLoad}
+	d.event = topazfall.Event{Tenant: -1, Load: topazfall.NoLoad}
 	e := &d.event
 	switch string(word) {
 	case "CALL":
-		e.Kind, e.Request = molespring.Arrival, d.id()
+		e.Kind, e.Request = topazfall.Arrival, d.id()
 		class := d.part()
 		i, ok := known.classes[string(class)]
 		if !ok && d.err == nil {
@@ -255,7 +255,7 @@
 		}
 		e.Retry = flags&2 != 0
 	case "COMPLETED":
-		e.Kind, e.Request, e.Attempt, e.Worker = molespring.AttemptDone, d.id(), int(d.integer()), d.word()
+		e.Kind, e.Request, e.Attempt, e.Worker = topazfall.AttemptDone, d.id(), int(d.integer()), d.word()
 		d.outcome(e)
 		e.Final = d.integer() == 1
 		d.part() // note of the family
@@ -264,9 +264,9 @@
 		e.Request, e.Worker, e.Attempt = d.id(), d.word(), int(d.integer())
 		switch kind := d.integer(); kind {
 		case 1:
-			e.Kind = molespring.JobStarted
+			e.Kind = topazfall.JobStarted
 		case 2:
-			e.Kind = molespring.JobProgress
+			e.Kind = topazfall.JobProgress
 		default:
 			return fmt.Errorf("unknown kind of notice %d", kind)
 		}
@@ -277,18 +277,18 @@
 		if err != nil {
 			return fmt.Errorf("no timer was set by the name %q", clip(name))
 		}
-		e.Kind, e.Token = molespring.TimerDue, token
+		e.Kind, e.Token = topazfall.TimerDue, token
 	case "CANCELLED_BY_CLIENT":
-		e.Kind, e.Request = molespring.ClientGone, d.id()
+		e.Kind, e.Request = topazfall.ClientGone, d.id()
 	case "HEALTH_RESULT":
-		e.Kind, e.Worker = molespring.ProbeDone, d.word()
+		e.Kind, e.Worker = topazfall.ProbeDone, d.word()
 		d.outcome(e)
 		d.load(e)
 	case "FIRST_BYTE":
-		e.Kind, e.Request, e.Took = molespring.StreamBegan, d.id(), d.integer()
+		e.Kind, e.Request, e.Took = topazfall.StreamBegan, d.id(), d.integer()
 		e.Attempt, e.Worker = int(d.integer()), d.word()
 	case "WHISPER":
-		e.Kind, e.From = molespring.PeerMessage, int(d.integer())
+		e.Kind, e.From = topazfall.PeerMessage, int(d.integer())
 		d.payload(e)
 	case "TARGETS":
 		return d.targets(e)
@@ -298,7 +298,7 @@
 	return d.done()
 }
 
-func (d *Decoder) targets(e *molespring.Event) error {
+func (d *Decoder) targets(e *topazfall.Event) error {
 	d.part() // the version: changes come in order and without gaps
 	how := d.part()
 	kind, ok := listKinds[string(how)]
@@ -307,7 +307,7 @@
 	}
 	e.Kind = kind
 	ref := int(d.integer())
-	if err := d.done(); err != nil || kind == molespring.ListBroken {
+	if err := d.done(); err != nil || kind == topazfall.ListBroken {
 		return err
 	}
 	if e.List, ok = d.lists[ref]; !ok {
@@ -316,7 +316,7 @@
 	return nil
 }
 
-func (d *Decoder) outcome(e *molespring.Event) {
+func (d *Decoder) outcome(e *topazfall.Event) {
 	rc := d.part()
 	code, ok := outcomes[string(rc)]
 	if !ok && d.err == nil {
@@ -325,7 +325,7 @@
 	e.Outcome, e.Took = code, d.integer()
 }
 
-func (d *Decoder) payload(e *molespring.Event) {
+func (d *Decoder) payload(e *topazfall.Event) {
 	text := d.part()
 	if string(text) == "-" {
 		return
@@ -338,7 +338,7 @@
 }
 
 // load reads a load report: name:value pairs set apart by commas.
-func (d *Decoder) load(e *molespring.Event) {
+func (d *Decoder) load(e *topazfall.Event) {
 	text := d.part()
 	if string(text) == "-" {
 		return
@@ -480,30 +480,30 @@
 func AppendEnd(out []byte) []byte { return append(out, "EOR\n"...) }
 
 // AppendAction appends the line of one action.
-func AppendAction(out []byte, a *molespring.Action) []byte {
+func AppendAction(out []byte, a *topazfall.Action) []byte {
 	switch a.Kind {
-	case molespring.Send:
+	case topazfall.Send:
 		out = strconv.AppendUint(append(out, "PASS_ON "...), a.Request, 10)
 		out = append(append(append(out, ' '), a.Worker...), ' ')
 		out = strconv.AppendInt(out, a.After, 10)
-	case molespring.Refuse:
+	case topazfall.Refuse:
 		out = strconv.AppendUint(append(out, "TURN_AWAY "...), a.Request, 10)
 		out = strconv.AppendInt(append(out, ' '), a.After, 10)
-	case molespring.Fail:
+	case topazfall.Fail:
 		out = strconv.AppendUint(append(out, "ABORT "...), a.Request, 10)
-	case molespring.CancelAttempt:
+	case topazfall.CancelAttempt:
 		out = strconv.AppendUint(append(out, "ABORT_ATTEMPT "...), a.Request, 10)
 		out = strconv.AppendInt(append(out, ' '), int64(a.Attempt), 10)
-	case molespring.SetTimer:
+	case topazfall.SetTimer:
 		out = strconv.AppendInt(append(out, "WAKE_ME "...), a.After, 10)
 		out = strconv.AppendUint(append(out, ' '), a.Token, 10)
-	case molespring.ProbeWorker:
+	case topazfall.ProbeWorker:
 		out = append(append(out, "ASK_LOAD "...), a.Worker...)
-	case molespring.FollowList:
+	case topazfall.FollowList:
 		out = append(out, "FOLLOW 1"...)
-	case molespring.FetchList:
+	case topazfall.FetchList:
 		out = append(out, "QUERY_ALL"...)
-	case molespring.Log:
+	case topazfall.Log:
 		out = append(append(out, "NOTE_DOWN "...), a.Text...)
 	}
 	return append(out, '\n')
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"molespring"
+	"topazfall"
 )
 
 const settings = `{"me": 2, "replicas_of_me": 5, "my_zone": "z", "areas": ["z"], "skus": ["fast", "std"], "new_key": [1],
@@ -42,31 +42,31 @@
 		t.Fatalf("%v, %d messages", err, len(msgs))
 	}
 	s := msgs[1].Settings
-	if s.Seed != 9 || s.Me != 2 || s.Dispatchers != 5 || len(s.Classes) != 2 || s.Classes[1].Repeat != molespring.Keyed ||
-		s.Classes[1].Group != molespring.GroupCell || s.Classes[1].Kind != "fast" || s.Classes[0].Kind != "" ||
+	if s.Seed != 9 || s.Me != 2 || s.Dispatchers != 5 || len(s.Classes) != 2 || s.Classes[1].Repeat != topazfall.Keyed ||
+		s.Classes[1].Group != topazfall.GroupCell || s.Classes[1].Kind != "fast" || s.Classes[0].Kind != "" ||
 		s.Classes[0].Stretch != 1.75 || !s.Allowed.Probe || s.Allowed.Attempts != 3 || !s.TellsStart ||
-		s.ReportsIn != molespring.ReportsInAnswers || s.Tenants[0].Quota != 4 {
+		s.ReportsIn != topazfall.ReportsInAnswers || s.Tenants[0].Quota != 4 {
 		t.Errorf("%+v", s)
 	}
 }
 
 func TestEvents(t *testing.T) {
 	list := "LIST 0 2\nWORKER w1 z fast 4 ready 1.5 -\nWORKER w2 z std 4 gone 1 77\n"
-	for line, want := range map[string]molespring.Event{
-		"CALL 17 book t 99 8000 120 2 - 3": {Kind: molespring.Arrival, Request: 17, Class: 1, Tenant: 0, Due: 8000, Hint: 120,
-			Slots: 2, Retry: true, Load: molespring.NoLoad},
-		"CALL 17 plan 0 - 8000 120 - - 0": {Kind: molespring.Arrival, Request: 17, Tenant: -1, Due: 8000, Load: molespring.NoLoad},
-		"BELL 12":                         {Kind: molespring.TimerDue, Token: 12, Tenant: -1, Load: molespring.NoLoad},
-		"NOTICE 17 w1 1 2 0.25": {Kind: molespring.JobProgress, Request: 17, Worker: "w1", Attempt: 1, Amount: 0.25,
-			Tenant: -1, Load: molespring.NoLoad},
-		"CANCELLED_BY_CLIENT 17": {Kind: molespring.ClientGone, Request: 17, Tenant: -1, Load: molespring.NoLoad},
-		"HEALTH_RESULT w1 completed 1400 busy_reqs:7,cpu_share:0.62,pending:3,x0:-0.4,odd:1": {Kind: molespring.ProbeDone,
-			Worker: "w1", Took: 1400, Tenant: -1, Load: molespring.Load{Queue: 3, Inflight: 7, Free: -0.4, Util: 0.62}},
-		"COMPLETED 17 1 w1 severed 18500 0 - -": {Kind: molespring.AttemptDone, Request: 17, Attempt: 1, Worker: "w1",
-			Outcome: molespring.Severed, Took: 18500, Tenant: -1, Load: molespring.NoLoad},
-		"FIRST_BYTE 17 9250 0 w1": {Kind: molespring.StreamBegan, Request: 17, Took: 9250, Worker: "w1", Tenant: -1,
-			Load: molespring.NoLoad},
-		"TARGETS 4 broken 0": {Kind: molespring.ListBroken, Tenant: -1, Load: molespring.NoLoad},
+	for line, want := range map[string]topazfall.Event{
+		"CALL 17 book t 99 8000 120 2 - 3": {Kind: topazfall.Arrival, Request: 17, Class: 1, Tenant: 0, Due: 8000, Hint: 120,
+			Slots: 2, Retry: true, Load: topazfall.NoLoad},
+		"CALL 17 plan 0 - 8000 120 - - 0": {Kind: topazfall.Arrival, Request: 17, Tenant: -1, Due: 8000, Load: topazfall.NoLoad},
+		"BELL 12":                         {Kind: topazfall.TimerDue, Token: 12, Tenant: -1, Load: topazfall.NoLoad},
+		"NOTICE 17 w1 1 2 0.25": {Kind: topazfall.JobProgress, Request: 17, Worker: "w1", Attempt: 1, Amount: 0.25,
+			Tenant: -1, Load: topazfall.NoLoad},
+		"CANCELLED_BY_CLIENT 17": {Kind: topazfall.ClientGone, Request: 17, Tenant: -1, Load: topazfall.NoLoad},
+		"HEALTH_RESULT w1 completed 1400 busy_reqs:7,cpu_share:0.62,pending:3,x0:-0.4,odd:1": {Kind: topazfall.ProbeDone,
+			Worker: "w1", Took: 1400, Tenant: -1, Load: topazfall.Load{Queue: 3, Inflight: 7, Free: -0.4, Util: 0.62}},
+		"COMPLETED 17 1 w1 severed 18500 0 - -": {Kind: topazfall.AttemptDone, Request: 17, Attempt: 1, Worker: "w1",
+			Outcome: topazfall.Severed, Took: 18500, Tenant: -1, Load: topazfall.NoLoad},
+		"FIRST_BYTE 17 9250 0 w1": {Kind: topazfall.StreamBegan, Request: 17, Took: 9250, Worker: "w1", Tenant: -1,
+			Load: topazfall.NoLoad},
+		"TARGETS 4 broken 0": {Kind: topazfall.ListBroken, Tenant: -1, Load: topazfall.NoLoad},
 	} {
 		msgs, err := decode(start(list + line + "\nCOMMIT\n"))
 		if err != io.EOF || len(msgs) != 4 {
@@ -79,7 +79,7 @@
 	}
 	msgs, err := decode(start(list + "TARGETS 4 patch 0\nLIST 0 0\nTARGETS 5 whole 0\nWHISPER 2 aGkgNw==\nKILL\nCOMMIT\n"))
 	if err != io.EOF || len(msgs[2].Event.List) != 2 || len(msgs[3].Event.List) != 0 ||
-		msgs[2].Event.List[1].State != molespring.Gone || msgs[2].Event.List[1].StartedAt != 77 ||
+		msgs[2].Event.List[1].State != topazfall.Gone || msgs[2].Event.List[1].StartedAt != 77 ||
 		string(msgs[4].Event.Data) != "hi 7" || msgs[5].Kind != Kill {
 		t.Errorf("%v, %+v", err, msgs)
 	}
@@ -116,11 +116,11 @@
 func TestActions(t *testing.T) {
 	var out []byte
 	out = AppendActor(out, 3)
-	for _, a := range []molespring.Action{
-		{Kind: molespring.Send, Request: 7, Worker: "w1", After: 9}, {Kind: molespring.Refuse, Request: 7, After: 5},
-		{Kind: molespring.Fail, Request: 7}, {Kind: molespring.CancelAttempt, Request: 7, Attempt: 1},
-		{Kind: molespring.SetTimer, After: 4, Token: 29}, {Kind: molespring.ProbeWorker, Worker: "w1"},
-		{Kind: molespring.FollowList}, {Kind: molespring.FetchList}, {Kind: molespring.Log, Text: "two words"}} {
+	for _, a := range []topazfall.Action{
+		{Kind: topazfall.Send, Request: 7, Worker: "w1", After: 9}, {Kind: topazfall.Refuse, Request: 7, After: 5},
+		{Kind: topazfall.Fail, Request: 7}, {Kind: topazfall.CancelAttempt, Request: 7, Attempt: 1},
+		{Kind: topazfall.SetTimer, After: 4, Token: 29}, {Kind: topazfall.ProbeWorker, Worker: "w1"},
+		{Kind: topazfall.FollowList}, {Kind: topazfall.FetchList}, {Kind: topazfall.Log, Text: "two words"}} {
 		out = AppendAction(out, &a)
 	}
 	want := "AS 3\nPASS_ON 7 w1 9\nTURN_AWAY 7 5\nABORT 7\nABORT_ATTEMPT 7 1\nWAKE_ME 4 29\nASK_LOAD w1\nFOLLOW 1\n" +
--- a/random_test.go
+++ b/random_test.go
@@ -1,4 +1,4 @@
-package molespring
+package topazfall
 
 import (
 	"fmt"
--- a/state.go
+++ b/state.go
@@ -1,4 +1,4 @@
-package molespring
+package topazfall
 
 // What a balancer remembers, and plain look-ups. Every decision is in balancer.go.
 
--- a/molespring.go
+++ b/topazfall.go
@@ -1,4 +1,4 @@
-// Package molespring makes the decisions of a dispatcher that pushes jobs to workers: which worker
+// Package topazfall makes the decisions of a dispatcher that pushes jobs to workers: which worker
 // gets a job, when to try again, when to refuse. It follows the Bayesian load sharing of Shin and Hou:
 // every dispatcher keeps a small buddy set, holds an observed region of backlog for each buddy, learns
 // how far that region can be trusted, and sends each job where the risk of a late start is least.
@@ -10,7 +10,7 @@
 // AttemptDone event. All times and durations are microseconds.
 //
 // This file holds the interface only; every decision is made in balancer.go.
-package molespring
+package topazfall
 
 import "fmt"
 
@@ -242,12 +242,12 @@
 		{s.Contract.ColdFrom < 0 || s.Contract.ColdFrom > 1, "Contract.ColdFrom"},
 	} {
 		if c.bad {
-			return fmt.Errorf("molespring: settings: %s is missing or out of range", c.name)
+			return fmt.Errorf("topazfall: settings: %s is missing or out of range", c.name)
 		}
 	}
 	for i, c := range s.Classes {
 		if c.Deadline <= 0 || c.Aim < 0 || c.Stretch < 0 || c.LateWorth < 0 || c.LateWorth > 1 {
-			return fmt.Errorf("molespring: settings: Classes[%d] (%q) has a deadline, aim, stretch or"+
+			return fmt.Errorf("topazfall: settings: Classes[%d] (%q) has a deadline, aim, stretch or"+
 				" late worth out of range", i, c.Name)
 		}
 	}
