Shut in two steps at SIGTERM; play recorded exchanges against the program

Now all that comes is served for 0.6 s (connections come for 0.4 s), then idle clients' connections are closed, which sends their next message elsewhere, and what still comes is refused before any relay. Call-backs are taken to the last.

Also: a relay that was called off no longer logs its closed connection as an error, an id given twice is a 400, and the inventory's calls name no agent.

Tests: cmd/topazfall starts the program and plays testdata/*.txt against it. Found while writing them: a comment within a block became part of a 202's body and closed the kept connection; the player drops comments.

--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	firstNews = 2 * time.Second // how long to wait for discovery where no host is known
-	lateComes = time.Second     // connections still come for part of this after SIGTERM
+	firstNews = 2 * time.Second        // how long to wait for discovery where no host is known
+	lateComes = 600 * time.Millisecond // after SIGTERM connections still come for up to 0.4 s
+	settle    = 50 * time.Millisecond  // for what was being read when the taking in ended
 )
 
 func main() {
@@ -50,17 +51,17 @@
 	sockets := c.Sockets - 32
 	hosts := south.New(core, south.Options{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond,
 		ConnIdle: c.ConnIdle, Conns: sockets / 4})
-	clients := north.New(core, hosts, &c.Settings, north.Options{Clients: sockets / 2, Hosts: sockets / 4})
-	list := inventory.New(c.Discovery, core)
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
+	clients := north.New(ln, core, hosts, &c.Settings, north.Options{Clients: sockets / 2, Hosts: sockets / 4})
+	list := inventory.New(c.Discovery, core)
 	go core.Run(hosts, list)
 	known := list.Known(c.Known)
 	go list.Run()
 	served := make(chan error, 1)
-	go func() { served <- clients.Serve(ln) }()
+	go func() { served <- clients.Serve() }()
 	if known == 0 {
 		select {
 		case <-list.Tried():
@@ -76,8 +77,14 @@
 	case s := <-signals:
 		log.Printf("at=main state=leaving signal=%s in_hand=%d", s, core.InHand())
 	}
+	// All that comes is served while clients can still be sent here. What came later could be cut off by
+	// the kill that follows, and would be lost; so it is refused. What is in hand is finished, and as its
+	// call-backs need the listener, that stays open to the last.
 	clients.Leave()
-	for quiet := time.Now().Add(lateComes); time.Now().Before(quiet) || core.InHand() > 0 || hosts.Busy(); {
+	time.Sleep(lateComes)
+	clients.Shut()
+	time.Sleep(settle)
+	for core.InHand() > 0 || hosts.Busy() {
 		time.Sleep(5 * time.Millisecond)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- /dev/null
+++ b/cmd/topazfall/play_test.go
@@ -0,0 +1,233 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/textproto"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The program is this test's own binary, started again.
+func TestMain(m *testing.M) {
+	if os.Getenv("TOPAZFALL_PLAYED") != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+const patience = 20 * time.Second // no verdict hangs on how fast a machine is
+
+// TestExchanges plays the recorded exchanges of testdata against the program. In a file, '> NAME' is
+// followed by bytes to send, '< NAME' by bytes to expect; a * stands for anything within a line, and
+// '! ' by a command. The first letter of a name is the party: c connects to the program, a and b are hosts, d
+// is discovery.
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for i, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(f)
+			require.NoError(t, err)
+			p := &player{T: t, parties: map[byte]net.Listener{}, conns: map[string]*peer{}, addr: fmt.Sprintf("127.1.0.%d:0", i+2)}
+			p.play(string(text))
+		})
+	}
+}
+
+type peer struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+type player struct {
+	*testing.T
+	parties map[byte]net.Listener
+	conns   map[string]*peer
+	addr    string
+	program *exec.Cmd
+}
+
+var (
+	step   = regexp.MustCompile(`(?m)^([<>!]) (.*)\n`)
+	remark = regexp.MustCompile(`(?m)^# .*\n`)
+)
+
+func (p *player) play(text string) {
+	text = remark.ReplaceAllString(text, "")
+	steps := step.FindAllStringSubmatchIndex(text, -1)
+	known := "a"
+	for i, s := range steps {
+		end := len(text)
+		if i+1 < len(steps) {
+			end = steps[i+1][0]
+		}
+		kind, name, block := text[s[2]:s[3]], text[s[4]:s[5]], text[s[1]:end]
+		if word, rest, _ := strings.Cut(name, " "); word == "known" {
+			known = rest
+			continue
+		}
+		if p.program == nil {
+			p.start(known)
+		}
+		switch kind {
+		case ">":
+			_, err := p.peer(name).Write([]byte(wireForm(block)))
+			p.noError(name, err)
+		case "<":
+			want := strings.ReplaceAll(regexp.QuoteMeta(strings.TrimRight(block, "\n")), `\*`, `[^\n]*`)
+			got := p.message(name)
+			require.Regexp(p, "^"+want+"$", got, "step %d, %s", i, name)
+		case "!":
+			p.command(name)
+		}
+	}
+}
+
+// wireForm ends the lines of a header with CR LF and leaves the body alone.
+func wireForm(block string) string {
+	head, body, _ := strings.Cut(strings.TrimRight(block, "\n")+"\n\n", "\n\n")
+	return strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + strings.TrimRight(body, "\n")
+}
+
+func (p *player) noError(name string, err error) { require.NoError(p, err, name) }
+
+func (p *player) start(known string) {
+	for _, party := range "abd" {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		p.noError("listen", err)
+		p.Cleanup(func() { ln.Close() })
+		p.parties[byte(party)] = ln
+	}
+	free, err := net.Listen("tcp", p.addr) // at an address of its own: nobody else takes the port meanwhile
+	p.noError("listen", err)
+	p.addr = free.Addr().String()
+	free.Close()
+	config, err := os.ReadFile("testdata/config.json")
+	p.noError("config", err)
+	var hosts []string
+	for _, h := range known {
+		hosts = append(hosts, p.fill(`{"host":"s-`+string(h)+`","dial":"{`+string(h)+`}","site":"hall","class":"m","block":0,"health":"up","share":1,"born_ms":0}`))
+	}
+	path := filepath.Join(p.TempDir(), "config.json")
+	p.noError("config", os.WriteFile(path, []byte(strings.ReplaceAll(p.fill(string(config)), `"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`)), 0o600))
+	p.program = exec.Command(os.Args[0])
+	p.program.Env = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0"}
+	var log strings.Builder
+	p.program.Stderr = &log
+	p.noError("start", p.program.Start())
+	p.Cleanup(func() {
+		p.program.Process.Kill()
+		p.program.Wait()
+		if p.Failed() {
+			p.Log(log.String())
+		}
+	})
+	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
+		require.True(p, time.Now().Before(end), "the program is not ready")
+		if c, err := net.Dial("tcp", p.addr); err == nil {
+			io.WriteString(c, "GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+			got, _ := io.ReadAll(c)
+			c.Close()
+			if strings.HasPrefix(string(got), "HTTP/1.1 200") {
+				return
+			}
+		}
+	}
+}
+
+// fill puts the parties' addresses in.
+func (p *player) fill(text string) string {
+	for party, ln := range p.parties {
+		text = strings.ReplaceAll(text, "{"+string(party)+"}", ln.Addr().String())
+	}
+	return strings.ReplaceAll(text, "{listen}", p.addr)
+}
+
+// peer is the connection of that name; a new name connects, or waits to be connected to.
+func (p *player) peer(name string) *peer {
+	c := p.conns[name]
+	if c == nil {
+		var nc net.Conn
+		var err error
+		if ln := p.parties[name[0]]; ln != nil {
+			ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+			nc, err = ln.Accept()
+		} else {
+			nc, err = net.Dial("tcp", p.addr)
+		}
+		p.noError(name, err)
+		p.Cleanup(func() { nc.Close() })
+		c = &peer{nc, bufio.NewReader(nc)}
+		p.conns[name] = c
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	return c
+}
+
+// message reads one message and returns it with plain line ends.
+func (p *player) message(name string) string {
+	c := p.peer(name)
+	in := textproto.NewReader(c.in)
+	var lines []string
+	length := 0
+	for {
+		line, err := in.ReadLine()
+		require.NoError(p, err, "%s after %q", name, lines)
+		lines = append(lines, line)
+		if line == "" {
+			break
+		}
+		if key, value, _ := strings.Cut(line, ": "); strings.EqualFold(key, "Content-Length") {
+			length, err = strconv.Atoi(value)
+			p.noError(name, err)
+		}
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(c.in, body)
+	p.noError(name, err)
+	return strings.TrimRight(strings.Join(lines, "\n")+"\n"+string(body), "\n")
+}
+
+func (p *player) command(text string) {
+	word, rest, _ := strings.Cut(text, " ")
+	switch word {
+	case "close":
+		p.noError(rest, p.peer(rest).Close())
+		delete(p.conns, rest)
+	case "reset":
+		p.noError(rest, p.peer(rest).Conn.(*net.TCPConn).SetLinger(0))
+		p.noError(rest, p.peer(rest).Close())
+	case "eof": // the program has closed the connection
+		_, err := p.peer(rest).in.ReadByte()
+		require.Error(p, err, rest)
+		require.False(p, os.IsTimeout(err), rest)
+	case "down": // connections to the party are refused
+		p.noError(rest, p.parties[rest[0]].Close())
+	case "term":
+		p.noError(text, p.program.Process.Signal(syscall.SIGTERM))
+	case "exit":
+		err := p.program.Wait()
+		require.Equal(p, rest, strconv.Itoa(p.program.ProcessState.ExitCode()), "%v", err)
+	case "pause":
+		d, err := time.ParseDuration(rest)
+		p.noError(rest, err)
+		time.Sleep(d)
+	default:
+		require.Fail(p, "no such command", text)
+	}
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -117,6 +117,9 @@
 	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && r.stage.CompareAndSwap(waiting, started)
 }
 
+// Ended tells that the relay is closed.
+func (r *Relay) Ended() bool { return r.stage.Load() == ended }
+
 // End closes the relay and tells whether any of it may have reached the host.
 func (r *Relay) End() (wasStarted bool) { return r.stage.Swap(ended) == started }
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -35,7 +35,7 @@
 // New returns a watch that tells core of the list.
 func New(addr string, core *dispatch.Core) *Watch {
 	return &Watch{core: core, kick: make(chan bool, 1), tried: make(chan struct{}), client: &fasthttp.HostClient{
-		Addr: addr, MaxConns: 2, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20,
+		Addr: addr, MaxConns: 2, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20,
 		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, grace) }}}
 }
 
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -8,12 +8,45 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // listener wraps what it accepts, so that a client's leaving is noticed while its message is in hand.
 type listener struct {
 	net.Listener
-	conns atomic.Int64
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+// count is the number of open connections.
+func (l *listener) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// closeIdle closes the connections of clients that have no message in hand. A message that crosses the
+// closing has not been read, and its client sends it again elsewhere.
+func (l *listener) closeIdle() {
+	l.mu.Lock()
+	var idle []*conn
+	for c := range l.conns {
+		if c.client.Load() && c.idle.Load() {
+			idle = append(idle, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+}
+
+// track follows what the server does with a connection.
+func track(nc net.Conn, state fasthttp.ConnState) {
+	if c, ok := nc.(*conn); ok {
+		c.idle.Store(state == fasthttp.StateIdle)
+	}
 }
 
 // Accept goes on when descriptors run out for a moment: the server would end for good.
@@ -21,8 +54,11 @@
 	for {
 		c, err := l.Listener.Accept()
 		if err == nil {
-			l.conns.Add(1)
-			return &conn{Conn: c, l: l}, nil
+			c := &conn{Conn: c, l: l}
+			l.mu.Lock()
+			l.conns[c] = true
+			l.mu.Unlock()
+			return c, nil
 		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ECONNABORTED) {
 			return nil, err
@@ -37,17 +73,18 @@
 type conn struct {
 	net.Conn
 	l       *listener
-	once    sync.Once
+	client  atomic.Bool // it has brought a message
+	idle    atomic.Bool // it is between requests
 	ahead   [1]byte
 	have    bool
 	stopped chan struct{}
 }
 
-func (c *conn) open() int64 { return c.l.conns.Load() }
-
 // Close closes the connection; it may be called more than once.
 func (c *conn) Close() error {
-	c.once.Do(func() { c.l.conns.Add(-1) })
+	c.l.mu.Lock()
+	delete(c.l.conns, c)
+	c.l.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -47,13 +47,15 @@
 	classes map[string]int
 	tenants map[string]int
 	server  *fasthttp.Server
+	ln      *listener
 	ready   atomic.Bool
 	leaving atomic.Bool
+	shut    atomic.Bool
 }
 
-// New returns a north side that hands messages to core and call-backs to back.
-func New(core *dispatch.Core, back CallBacks, s *topazfall.Settings, o Options) *Side {
-	n := &Side{core: core, back: back, o: o, classes: map[string]int{}, tenants: map[string]int{}}
+// New returns a north side that serves what comes in on ln: messages go to core and call-backs to back.
+func New(ln net.Listener, core *dispatch.Core, back CallBacks, s *topazfall.Settings, o Options) *Side {
+	n := &Side{core: core, back: back, o: o, ln: &listener{Listener: ln, conns: map[*conn]bool{}}, classes: map[string]int{}, tenants: map[string]int{}}
 	for i, c := range s.Classes {
 		n.classes[c.Name] = i
 	}
@@ -66,13 +68,13 @@
 		ReadTimeout: readTime, IdleTimeout: idleTime, CloseOnShutdown: true,
 		// What goes on to a host goes on as it came.
 		DisableHeaderNamesNormalizing: true, DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
+		ConnState: track, NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
 	}
 	return n
 }
 
-// Serve serves what comes in on ln, until Close.
-func (n *Side) Serve(ln net.Listener) error { return n.server.Serve(&listener{Listener: ln}) }
+// Serve serves until Close.
+func (n *Side) Serve() error { return n.server.Serve(n.ln) }
 
 // SetReady makes /ready answer 200.
 func (n *Side) SetReady() { n.ready.Store(true) }
@@ -80,6 +82,13 @@
 // Leave makes every further answer the last on its connection. All that comes is still served.
 func (n *Side) Leave() { n.leaving.Store(true) }
 
+// Shut ends the taking in: idle clients are sent elsewhere, and what still comes is refused before anything
+// is done for it. Call-backs are taken as before.
+func (n *Side) Shut() {
+	n.shut.Store(true)
+	n.ln.closeIdle()
+}
+
 // Close ends the listening and the idle connections, and waits for the busy ones.
 func (n *Side) Close(ctx context.Context) error { return n.server.ShutdownWithContext(ctx) }
 
@@ -150,20 +159,19 @@
 		say(ctx, fasthttp.StatusBadRequest, fault)
 		return
 	}
-	c, _ := ctx.Conn().(*conn)
-	if c != nil && c.open() > int64(n.o.Clients) {
-		// The rest is kept for the hosts: a call-back that finds no connection is an answer lost.
+	c := ctx.Conn().(*conn)
+	c.client.Store(true)
+	// Beyond the clients' share, connections are kept for the hosts: a call-back that finds none is an
+	// answer lost.
+	if n.shut.Load() || n.ln.count() > n.o.Clients {
 		ctx.SetConnectionClose()
-		say(ctx, fasthttp.StatusServiceUnavailable, "too many connections")
+		say(ctx, fasthttp.StatusServiceUnavailable, "not taken")
 		return
 	}
 	x := exchange.New(m)
 	n.core.Arrive(x)
-	var gone <-chan struct{}
-	if c != nil {
-		gone = c.watch()
-		defer c.unwatch()
-	}
+	gone := c.watch()
+	defer c.unwatch()
 	select {
 	case a := <-x.Answer():
 		write(ctx, x, a)
@@ -203,6 +211,9 @@
 		m.Fields = append(m.Fields, f)
 		switch exchange.Lower(f.Name) {
 		case "x-request-id":
+			if m.ID != "" { // the host might read the other one
+				return m, "X-Request-ID is given twice"
+			}
 			m.ID = f.Value
 		case "x-priority-class":
 			if i, ok := n.classes[f.Value]; ok {
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -99,7 +99,7 @@
 		if !r.Start(s.core.Now()) {
 			return nil
 		}
-		s.early[r] = c
+		s.early[r] = c // from here on a call-off closes the connection
 		return request(r, s.core.Now())
 	})
 	s.mu.Lock()
@@ -108,6 +108,8 @@
 	switch {
 	case err == errNotSent:
 		return topazfall.Superseded, l, true
+	case err != nil && r.Ended(): // called off: its outcome is known
+		return 0, l, false
 	case err != nil:
 		log.Printf("at=relay id=%s n=%d host=%s written=%t error=%q", r.Exchange.ID, r.N, r.Host.ID, written, err)
 		if !written {
