Advise refused clients when to return, and refuse at once what nobody can take

Seen: Refuse.After was never set, so no refusal could carry Retry-After; and place() held a request that no worker may take until its deadline, also when every worker had been tried (balancer.go, case w == nil).

Now a refusal advises the least backlog among the buddies, within the site's longest advice; and a request is given up once all workers have been tried or its aim is lost by the time one could take it.

--- a/balancer.go
+++ b/balancer.go
@@ -111,6 +111,8 @@
 	switch {
 	case b.now >= r.due || len(r.tries) >= b.s.Allowed.Attempts || b.barred(r, nil):
 		b.giveUp(r)
+	case w == nil && b.hopeless(r):
+		b.giveUp(r)
 	case w == nil:
 		b.look(r, 4*b.startLag)
 	case !copies && b.mayRefuse(r) && 1-min(b.risk(r, w), 1) < 2*b.loss: // a late job makes another late
@@ -121,6 +123,17 @@
 	}
 }
 
+// hopeless tells of a request that no worker may take whether to hold it is in vain: all have been tried, or
+// its aim is lost by the time one could. The client is told at once, and may ask again.
+func (b *Balancer) hopeless(r *request) bool {
+	if float64(r.aim-b.now) < r.hint && r.class.LateWorth <= b.loss {
+		return true
+	}
+	return len(r.tries) > 0 && !slices.ContainsFunc(b.ranked, func(w *worker) bool {
+		return w.State == Ready && !r.tried(w) && (r.class.Kind == "" || r.class.Kind == w.Kind)
+	})
+}
+
 func (b *Balancer) look(r *request, after float64) {
 	b.timer(min(int64(after), r.due-b.now), r.id<<2|tokenLook)
 }
@@ -182,13 +195,26 @@
 
 func (b *Balancer) giveUp(r *request) {
 	if b.mayRefuse(r) {
-		b.do(Action{Kind: Refuse, Request: r.id})
+		b.do(Action{Kind: Refuse, Request: r.id, After: b.advice()})
 	} else {
 		b.do(Action{Kind: Fail, Request: r.id})
 	}
 	b.close(r)
 }
 
+// advice is how long a refused client should stay away: until the first buddy may have worked off what is
+// ahead of it now. A client that asks again sooner only finds the same.
+func (b *Balancer) advice() int64 {
+	if !b.s.Allowed.RetryAfter {
+		return 0
+	}
+	wait := float64(b.s.Allowed.MaxRetryAfter)
+	for _, w := range b.buddies {
+		wait = min(wait, b.backlog(w))
+	}
+	return int64(wait)
+}
+
 // sign takes a note that a job has begun or goes on: the surest evidence that its worker lives.
 func (b *Balancer) sign(e *Event) {
 	a := b.attempt(e)
