Let go of a message's body with the message; answer who half-closes

Seen on reading internal/dispatch: the timer of each relay held the relay, and by it the body, until the relay's deadline of up to 25 s (send, c.after). The timer now holds two numbers. Hosts that left the list are let go as well.

Seen on reading internal/north: a client that closes only its sending side got an empty 200, which no host made (message, case <-gone).

--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -70,19 +70,23 @@
 func (p *player) play(text string) {
 	text = remark.ReplaceAllString(text, "")
 	steps := step.FindAllStringSubmatchIndex(text, -1)
-	known := "a"
+	known, sockets := "a", "1024"
 	for i, s := range steps {
 		end := len(text)
 		if i+1 < len(steps) {
 			end = steps[i+1][0]
 		}
 		kind, name, block := text[s[2]:s[3]], text[s[4]:s[5]], text[s[1]:end]
-		if word, rest, _ := strings.Cut(name, " "); word == "known" {
+		switch word, rest, _ := strings.Cut(name, " "); word {
+		case "known":
 			known = rest
 			continue
+		case "sockets":
+			sockets = rest
+			continue
 		}
 		if p.program == nil {
-			p.start(known)
+			p.start(known, sockets)
 		}
 		switch kind {
 		case ">":
@@ -106,7 +110,7 @@
 
 func (p *player) noError(name string, err error) { require.NoError(p, err, name) }
 
-func (p *player) start(known string) {
+func (p *player) start(known, sockets string) {
 	for _, party := range "abd" {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		p.noError("listen", err)
@@ -124,7 +128,8 @@
 		hosts = append(hosts, p.fill(`{"host":"s-`+string(h)+`","dial":"{`+string(h)+`}","site":"hall","class":"m","block":0,"health":"up","share":1,"born_ms":0}`))
 	}
 	path := filepath.Join(p.TempDir(), "config.json")
-	p.noError("config", os.WriteFile(path, []byte(strings.ReplaceAll(p.fill(string(config)), `"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`)), 0o600))
+	told := strings.NewReplacer(`"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`, `"sockets":1024`, `"sockets":`+sockets)
+	p.noError("config", os.WriteFile(path, []byte(told.Replace(p.fill(string(config)))), 0o600))
 	p.program = exec.Command(os.Args[0])
 	p.program.Env = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0"}
 	var log strings.Builder
@@ -212,6 +217,8 @@
 	case "reset":
 		p.noError(rest, p.peer(rest).Conn.(*net.TCPConn).SetLinger(0))
 		p.noError(rest, p.peer(rest).Close())
+	case "half":
+		p.noError(rest, p.peer(rest).Conn.(*net.TCPConn).CloseWrite())
 	case "eof": // the program has closed the connection
 		_, err := p.peer(rest).in.ReadByte()
 		require.Error(p, err, rest)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -170,8 +170,13 @@
 func (c *Core) List(kind topazfall.EventKind, entries []Entry) {
 	c.ops <- func() {
 		if kind == topazfall.ListWhole || kind == topazfall.ListStale {
-			for _, h := range c.hosts {
-				h.SetClosed(true)
+			old := c.hosts
+			c.hosts = map[string]*exchange.Host{}
+			for _, e := range entries {
+				c.hosts[e.ID] = old[e.ID]
+			}
+			for _, h := range old {
+				h.SetClosed(true) // those still listed are opened again below
 			}
 		}
 		workers := make([]topazfall.Worker, len(entries))
@@ -185,6 +190,9 @@
 				c.hosts[e.ID] = h
 			}
 			h.SetClosed(e.State != topazfall.Ready)
+			if e.State == topazfall.Gone {
+				delete(c.hosts, e.ID)
+			}
 			workers[i] = e.Worker
 		}
 		c.feed(topazfall.Event{Kind: kind, List: workers})
@@ -267,10 +275,12 @@
 	}
 	r := x.Relay(h, now, due)
 	c.inHand.Add(1)
+	// Timers cannot be taken back: this one must not keep the message's body until its time comes.
+	number, n := x.Number, r.N
 	c.after(due, func() {
-		if !r.Done {
-			c.south.CallOff(r)
-			c.end(r, topazfall.Overdue, topazfall.NoLoad, nil)
+		if x := c.byNum[number]; x != nil && !x.Relays[n].Done {
+			c.south.CallOff(x.Relays[n])
+			c.end(x.Relays[n], topazfall.Overdue, topazfall.NoLoad, nil)
 		}
 	})
 	c.south.Send(r)
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,129 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazfall"
+	"topazfall/internal/exchange"
+)
+
+// side stands in for the south side and the inventory: it keeps what it is given.
+type side struct {
+	sent, off chan *exchange.Relay
+}
+
+func (s side) Send(r *exchange.Relay)    { s.sent <- r }
+func (s side) CallOff(r *exchange.Relay) { r.End(); s.off <- r }
+func (s side) Probe(*exchange.Host)      {}
+func (s side) Follow()                   {}
+func (s side) Fetch()                    {}
+
+func entry(id string, state topazfall.WorkerState) Entry {
+	return Entry{Addr: "127.0.0.1:1", Worker: topazfall.Worker{ID: id, Zone: "z", Kind: "k", State: state}}
+}
+
+func start(t *testing.T, hosts ...string) (*Core, side) {
+	c, err := New(topazfall.Settings{Dispatchers: 1, Zone: "z", Zones: []string{"z"}, Tick: 4000,
+		Classes: []topazfall.Class{{Name: "once", Deadline: 60e6, Aim: 60e6, Repeat: topazfall.Unsafe}},
+		Allowed: topazfall.Allowed{Attempts: 4, DialTimeout: 250e3, Cancel: true}})
+	require.NoError(t, err)
+	s := side{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}
+	go c.Run(s, s)
+	var entries []Entry
+	for _, h := range hosts {
+		entries = append(entries, entry(h, topazfall.Ready))
+	}
+	c.List(topazfall.ListStale, entries)
+	return c, s
+}
+
+func message(c *Core, id string, wait time.Duration) *exchange.Exchange {
+	return exchange.New(exchange.Message{ID: id, Tenant: -1, Due: c.Now() + wait.Microseconds()})
+}
+
+// A relay has one ending, whatever else is told of it; the first answer stands, and nothing is kept after.
+func TestOneEndingOneAnswer(t *testing.T) {
+	c, s := start(t, "h")
+	x := message(c, "1", time.Minute)
+	c.Arrive(x)
+	r := <-s.sent
+	require.True(t, r.Start(c.Now()))
+	for _, result := range []string{"first", "second"} {
+		c.Noted(Note{ID: "1", From: "h", State: Over, Outcome: topazfall.Completed, Result: []byte(result), Load: topazfall.NoLoad})
+	}
+	c.Ended(r, topazfall.Severed, topazfall.NoLoad)
+	c.Gone(x)
+	require.Equal(t, exchange.Answer{Verdict: exchange.Served, Body: []byte("first")}, <-x.Answer())
+	c.Sync()
+	c.Sync() // what the first found queued has been dealt with too
+	require.Zero(t, c.InHand())
+	require.Empty(t, s.off)
+	require.Empty(t, c.byID)
+	require.Empty(t, c.byNum)
+}
+
+// A dial may outlast a drain notice: the relay is not started any more, and the job goes elsewhere.
+func TestDialOutlastsDrainNotice(t *testing.T) {
+	for _, how := range []string{"draining", "gone", "not listed"} {
+		c, s := start(t, "h", "i")
+		c.Arrive(message(c, "1", time.Minute))
+		r := <-s.sent
+		other := map[string]string{"h": "i", "i": "h"}[r.Host.ID]
+		switch how {
+		case "draining":
+			c.List(topazfall.ListPatch, []Entry{entry(r.Host.ID, topazfall.Draining)})
+		case "gone":
+			c.List(topazfall.ListPatch, []Entry{entry(r.Host.ID, topazfall.Gone)})
+		case "not listed":
+			c.List(topazfall.ListWhole, []Entry{entry(other, topazfall.Ready)})
+		}
+		c.Sync()
+		require.False(t, r.Start(c.Now()), how)
+		c.Ended(r, topazfall.Superseded, topazfall.NoLoad)
+		r = <-s.sent
+		require.Equal(t, other, r.Host.ID, how)
+		require.True(t, r.Start(c.Now()), how)
+	}
+}
+
+// Nor is it started once it is called off, the message is over, or its time is up.
+func TestNoStartAfterTheEnd(t *testing.T) {
+	for name, end := range map[string]func(*exchange.Exchange, *exchange.Relay){
+		"called off": func(_ *exchange.Exchange, r *exchange.Relay) { r.End() },
+		"over":       func(x *exchange.Exchange, _ *exchange.Relay) { x.Finish(exchange.Answer{}) },
+		"late":       func(_ *exchange.Exchange, r *exchange.Relay) { r.Due = 5 },
+		"never":      func(*exchange.Exchange, *exchange.Relay) {},
+	} {
+		x := exchange.New(exchange.Message{ID: "1"})
+		r := x.Relay(&exchange.Host{}, 1, 10)
+		end(x, r)
+		require.Equal(t, name == "never", r.Start(5), name)
+		require.Equal(t, name == "never", r.End(), name)
+	}
+}
+
+// Without a word from the host the relay ends when its time is up, is called off, and the client is told.
+func TestOverdue(t *testing.T) {
+	c, s := start(t, "h")
+	x := message(c, "1", 50*time.Millisecond)
+	c.Arrive(x)
+	r := <-s.sent
+	require.Equal(t, exchange.TimedOut, (<-x.Answer()).Verdict)
+	require.Equal(t, r, <-s.off)
+	require.GreaterOrEqual(t, c.Now(), x.Due)
+}
+
+// A second message with an id in hand is not taken: a call-back could not tell the two apart.
+func TestIDInHand(t *testing.T) {
+	c, s := start(t, "h")
+	c.Arrive(message(c, "1", time.Minute))
+	<-s.sent
+	again := message(c, "1", time.Minute)
+	c.Arrive(again)
+	require.Equal(t, exchange.Twice, (<-again.Answer()).Verdict)
+	c.Sync()
+	require.Equal(t, int64(2), c.InHand(), "the first and its relay")
+}
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -176,9 +176,12 @@
 	case a := <-x.Answer():
 		write(ctx, x, a)
 	case <-gone:
+		// Should the client have closed one direction only, it still gets an answer, and no empty 200: that
+		// would be a result that no host made.
 		n.core.Gone(x)
 		log.Printf("at=gone id=%s", x.ID)
 		ctx.SetConnectionClose()
+		write(ctx, x, <-x.Answer())
 	}
 }
 
--- /dev/null
+++ b/internal/south/callback_test.go
@@ -0,0 +1,40 @@
+package south
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazfall"
+	"topazfall/internal/dispatch"
+)
+
+func TestParseNote(t *testing.T) {
+	n, known, err := parseNote([]byte(`{"id":"1","from":"s","state":"returned","load":{"pending":7,"x0":0.4,"odd":1}}`))
+	require.NoError(t, err)
+	require.True(t, known)
+	require.Equal(t, dispatch.Note{ID: "1", From: "s", State: dispatch.Over, Outcome: topazfall.Saturated,
+		Load: topazfall.Load{Queue: 7, Free: 0.4, Inflight: -1, Util: -1}}, n)
+
+	n, known, err = parseNote([]byte(`{"id":"1","from":"s","state":"running","share":0.25}`))
+	require.NoError(t, err)
+	require.True(t, known)
+	require.Equal(t, dispatch.Running, n.State)
+	require.Equal(t, 0.25, n.Share)
+
+	_, known, err = parseNote([]byte(`{"id":"1","from":"s","state":"paused"}`))
+	require.NoError(t, err, "a state of a later protocol is no fault")
+	require.False(t, known)
+	for _, text := range []string{``, `[]`, `{"id":1,"from":"s","state":"done"}`, `{"id":"1","from":"s"}`, `{"id":"1","from":"s","state":"done","result":"`} {
+		_, _, err := parseNote([]byte(text))
+		require.Error(t, err, text)
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	want := topazfall.Load{Queue: 2, Inflight: 7, Free: -1, Util: 0.61}
+	require.Equal(t, want, headerLoad([]byte("inflight=7, queue=2,util=0.61,odd,x0=none")))
+	require.Equal(t, want, bodyLoad([]byte(`{"inflight":7,"queue":2,"util":0.61}`)))
+	require.Equal(t, want, bodyLoad([]byte("inflight=7,queue=2,util=0.61")))
+	require.Equal(t, topazfall.NoLoad, headerLoad(nil))
+}
