--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -145,6 +145,9 @@
 		switch n.State {
 		case Started:
 			e.Kind = topazfall.JobStarted
+			if r.Begun == 0 {
+				r.Begun = c.Now()
+			}
 			c.feed(e)
 		case Running:
 			e.Kind = topazfall.JobProgress
@@ -299,7 +302,8 @@
 		c.finish(x, exchange.Answer{Verdict: exchange.Served, Body: result})
 	}
 	now := c.Now()
-	log.Printf("at=relay id=%s n=%d host=%s outcome=%s took_us=%d", x.ID, r.N, r.Host.ID, outcomes[o], now-r.Sent)
+	log.Printf("at=relay id=%s n=%d host=%s outcome=%s took_us=%d begun_us=%d", x.ID, r.N, r.Host.ID, outcomes[o],
+		now-r.Sent, max(r.Begun-r.Sent, 0))
 	c.feed(topazfall.Event{Kind: topazfall.AttemptDone, Request: x.Number, Attempt: r.N, Worker: r.Host.ID,
 		Outcome: o, Took: now - r.Sent, Final: x.Over(), Load: l})
 	c.forget(x)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -98,6 +98,7 @@
 	N        int
 	Host     *Host
 	Sent     int64
+	Begun    int64 // when the host said that it runs, 0 before
 	Due      int64 // when the dispatcher stops waiting for it
 	Outcome  topazfall.Outcome
 	Done     bool // Outcome is known; the dispatch goroutine's
