--- a/balancer_test.go
+++ b/balancer_test.go
@@ -839,3 +839,25 @@
 		}
 	}
 }
+
+// On sockets, where a timer can ring at once, a job whose aim was lost spent four attempts in 100 microseconds.
+func TestNoTimerUnderATick(t *testing.T) {
+	s := settings()
+	r := newRig(t, s, fleet(6)...)
+	r.arrive(safe)
+	r.id++
+	acts := r.on(Event{Kind: Arrival, Request: r.id, Class: safe, Tenant: -1, Due: r.now + 50e3, Hint: 200e3})
+	r.sends(acts)
+	n := 0
+	for _, a := range acts {
+		if a.Kind == SetTimer {
+			n++
+			if a.After < s.Tick {
+				t.Errorf("a timer of %d, tick %d", a.After, s.Tick)
+			}
+		}
+	}
+	if n != 2 {
+		t.Errorf("%d timers, want a look soon and one for the aim", n)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -74,8 +74,11 @@
 type table struct{ p, tails, fresh [regions][columns]float64 }
 
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
+
+// timer asks to be woken. A tick is the least time in which anything can be heard of what was just sent: a
+// shorter timer, as where an aim is lost already, would only spend the attempts of a request in a row.
 func (b *Balancer) timer(after int64, token uint64) {
-	b.do(Action{Kind: SetTimer, After: max(after, 1), Token: token})
+	b.do(Action{Kind: SetTimer, After: max(after, b.s.Tick, 1), Token: token})
 }
 
 // attempt finds the attempt that an event is about, if it is still out.
