Count a client's wait from its first byte; let no odd entry hold up the list

Seen on reading, against PROTOCOL: - north.read took the arrival when the body had been read. A body that comes slowly gave the message more time than its client has; testdata/slow.txt got a 504 from the deadline of a relay that nobody waited for. - inventory.parse refused a whole list for one entry with an unknown health, and asked for the same changes again every 150 ms: a drain notice in the same list would never have been heard. Such a host now gets nothing new and the rest counts; after an unreadable answer the whole list is fetched. - An answer whose client does not read held its goroutine for ever: 10 s now.

Checked: testdata/inventory.txt and slow.txt, race detector over all packages.

--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -63,7 +63,7 @@
 }
 
 var (
-	step   = regexp.MustCompile(`(?m)^([<>!]) (.*)\n`)
+	step   = regexp.MustCompile(`(?m)^([<>+!]) (.*)\n`)
 	remark = regexp.MustCompile(`(?m)^# .*\n`)
 )
 
@@ -92,6 +92,9 @@
 		case ">":
 			_, err := p.peer(name).Write([]byte(wireForm(block)))
 			p.noError(name, err)
+		case "+": // more of a body
+			_, err := io.WriteString(p.peer(name), strings.TrimRight(block, "\n"))
+			p.noError(name, err)
 		case "<":
 			want := strings.ReplaceAll(regexp.QuoteMeta(strings.TrimRight(block, "\n")), `\*`, `[^\n]*`)
 			got := p.message(name)
--- a/internal/dispatch/clock.go
+++ b/internal/dispatch/clock.go
@@ -10,7 +10,10 @@
 func NewClock() Clock { return Clock{time.Now()} }
 
 // Now is the time.
-func (c Clock) Now() int64 { return c.start.UnixMicro() + time.Since(c.start).Microseconds() }
+func (c Clock) Now() int64 { return c.Of(time.Now()) }
+
+// Of converts a time that was read from the system's clock.
+func (c Clock) Of(t time.Time) int64 { return c.start.UnixMicro() + t.Sub(c.start).Microseconds() }
 
 // At converts a time of this clock to one that deadlines of connections take.
 func (c Clock) At(us int64) time.Time {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -122,6 +122,7 @@
 	}
 	l, err := parse(resp.Body())
 	if err != nil {
+		w.known = false // what changed is lost; the whole list makes up for it
 		return err
 	}
 	switch {
@@ -149,8 +150,8 @@
 var states = map[string]topazfall.WorkerState{
 	"up": topazfall.Ready, "draining": topazfall.Draining, "removed": topazfall.Gone}
 
-// parse reads a list and translates it into the module's terms. A list with an entry that makes no sense
-// is no list: to leave the entry out would be to say that the host is gone, or still there.
+// parse reads a list and translates it into the module's terms. One odd entry must not hold up the news of
+// all the others: a host of which the list says something unknown, or no address, gets nothing new.
 func parse(text []byte) (list, error) {
 	var f struct {
 		Seq   *int64 `json:"seq"`
@@ -172,14 +173,17 @@
 	if f.Seq == nil {
 		return list{}, fmt.Errorf("no seq")
 	}
-	l := list{seq: *f.Seq, whole: f.Whole, entries: make([]dispatch.Entry, len(f.Hosts))}
-	for i, h := range f.Hosts {
+	l := list{seq: *f.Seq, whole: f.Whole}
+	for _, h := range f.Hosts {
 		state, ok := states[h.Health]
-		if !ok || h.Host == "" || h.Dial == "" && state != topazfall.Gone {
-			return list{}, fmt.Errorf("hosts[%d]: host %q dial %q health %q", i, h.Host, h.Dial, h.Health)
+		if !ok || h.Host == "" || h.Dial == "" && state == topazfall.Ready {
+			log.Printf("at=inventory odd=entry host=%q dial=%q health=%q", h.Host, h.Dial, h.Health)
+			state = topazfall.Draining
+		}
+		if h.Host != "" {
+			l.entries = append(l.entries, dispatch.Entry{Addr: h.Dial, Worker: topazfall.Worker{ID: h.Host, Zone: h.Site,
+				Kind: h.Class, Cell: h.Block, State: state, Weight: h.Share, StartedAt: h.Born * 1000}})
 		}
-		l.entries[i] = dispatch.Entry{Addr: h.Dial, Worker: topazfall.Worker{ID: h.Host, Zone: h.Site, Kind: h.Class,
-			Cell: h.Block, State: state, Weight: h.Share, StartedAt: h.Born * 1000}}
 	}
 	return l, nil
 }
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -46,6 +46,9 @@
 func track(nc net.Conn, state fasthttp.ConnState) {
 	if c, ok := nc.(*conn); ok {
 		c.idle.Store(state == fasthttp.StateIdle)
+		if state == fasthttp.StateActive {
+			c.first = time.Now()
+		}
 	}
 }
 
@@ -73,6 +76,7 @@
 type conn struct {
 	net.Conn
 	l       *listener
+	first   time.Time   // when the first byte of the latest request came; the serving goroutine's
 	client  atomic.Bool // it has brought a message
 	idle    atomic.Bool // it is between requests
 	ahead   [1]byte
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -24,6 +24,7 @@
 	largestHeader = 16 << 10
 	longestWait   = time.Hour
 	readTime      = 10 * time.Second // for one message, from its first byte
+	writeTime     = 10 * time.Second // for an answer that its client does not read
 	idleTime      = 2 * time.Minute
 	lead          = 5000 // microseconds by which an answer leaves before the client's own deadline
 )
@@ -65,7 +66,7 @@
 	n.server = &fasthttp.Server{
 		Handler: n.handle, ErrorHandler: malformed, Logger: log.Default(),
 		Concurrency: o.Clients + o.Hosts, MaxRequestBodySize: largestBody, ReadBufferSize: largestHeader,
-		ReadTimeout: readTime, IdleTimeout: idleTime, CloseOnShutdown: true,
+		ReadTimeout: readTime, WriteTimeout: writeTime, IdleTimeout: idleTime, CloseOnShutdown: true,
 		// What goes on to a host goes on as it came.
 		DisableHeaderNamesNormalizing: true, DisablePreParseMultipartForm: true,
 		ConnState: track, NoDefaultServerHeader: true, NoDefaultContentType: true, NoDefaultDate: true,
@@ -154,12 +155,12 @@
 
 // message takes in one message and writes its final answer.
 func (n *Side) message(ctx *fasthttp.RequestCtx) {
-	m, fault := n.read(&ctx.Request)
+	c := ctx.Conn().(*conn)
+	m, fault := n.read(&ctx.Request, n.core.Of(c.first))
 	if fault != "" {
 		say(ctx, fasthttp.StatusBadRequest, fault)
 		return
 	}
-	c := ctx.Conn().(*conn)
 	c.client.Store(true)
 	// Beyond the clients' share, connections are kept for the hosts: a call-back that finds none is an
 	// answer lost.
@@ -204,10 +205,11 @@
 	log.Printf("at=answer id=%s class=%d tenant=%d status=%d after_us=%d", x.ID, x.Class, x.Tenant, ctx.Response.StatusCode(), a.After)
 }
 
-// read copies a message out of a request; fault says what is wrong with it.
-func (n *Side) read(r *fasthttp.Request) (m exchange.Message, fault string) {
+// read copies a message that arrived at that time out of a request; fault says what is wrong with it. The
+// client's wait began before the first byte came, so that a slow body takes from it.
+func (n *Side) read(r *fasthttp.Request, arrived int64) (m exchange.Message, fault string) {
 	m = exchange.Message{Method: string(r.Header.Method()), Path: string(r.Header.RequestURI()),
-		Arrived: n.core.Now(), Class: -1, Tenant: -1, Slots: 1, Body: append([]byte(nil), r.Body()...)}
+		Arrived: arrived, Class: -1, Tenant: -1, Slots: 1, Body: append([]byte(nil), r.Body()...)}
 	wait := time.Duration(-1)
 	for name, value := range r.Header.All() {
 		f := exchange.Field{Name: string(name), Value: string(value)}
