Log what fasthttp's server says as key=value text too

Seen in a probe with 1,100 connections of 60 kB messages each: 744 are served, 112 MB at the peak, 504 descriptors, /ready answers throughout, and the line on the limit came in fasthttp's own form (Server.Logger was log.Default()).

--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log"
 	"net"
 	"strconv"
@@ -64,7 +65,7 @@
 		n.tenants[t.Name] = i
 	}
 	n.server = &fasthttp.Server{
-		Handler: n.handle, ErrorHandler: malformed, Logger: log.Default(),
+		Handler: n.handle, ErrorHandler: malformed, Logger: logger{},
 		Concurrency: o.Clients + o.Hosts, MaxRequestBodySize: largestBody, ReadBufferSize: largestHeader,
 		ReadTimeout: readTime, WriteTimeout: writeTime, IdleTimeout: idleTime, CloseOnShutdown: true,
 		// What goes on to a host goes on as it came.
@@ -131,6 +132,14 @@
 	return false
 }
 
+// logger puts what the server says into the form of the rest of the log.
+type logger struct{}
+
+// Printf logs a line of the server.
+func (logger) Printf(format string, args ...any) {
+	log.Printf("at=http text=%q", fmt.Sprintf(format, args...))
+}
+
 func say(ctx *fasthttp.RequestCtx, status int, text string) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("text/plain")
