--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -43,20 +43,54 @@
 			t.Parallel()
 			text, err := os.ReadFile(f)
 			require.NoError(t, err)
-			p := &player{T: t, parties: map[byte]net.Listener{}, conns: map[string]*peer{}, addr: fmt.Sprintf("127.1.0.%d:0", i+2)}
+			p := &player{T: t, parties: map[byte]*party{}, conns: map[string]*peer{}, addr: fmt.Sprintf("127.1.0.%d:0", i+2)}
 			p.play(string(text))
 		})
 	}
 }
 
+// peer is one connection. Of a host or of discovery it is the one that a message came on: which of several
+// kept connections the program takes depends on how fast it read an answer, and no test hangs on that.
 type peer struct {
 	net.Conn
-	in *bufio.Reader
+	in     *bufio.Reader
+	closed chan struct{} // of parties that are connected to: no more will come
+}
+
+type arrival struct {
+	from *peer
+	text string
+}
+
+type party struct {
+	net.Listener
+	arrivals chan arrival
+}
+
+// serve passes on the messages of all connections, in the order in which they came.
+func (p *party) serve() {
+	for {
+		nc, err := p.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			c := &peer{nc, bufio.NewReader(nc), make(chan struct{})}
+			defer close(c.closed)
+			for {
+				text, err := message(c.in)
+				if err != nil {
+					return
+				}
+				p.arrivals <- arrival{c, text}
+			}
+		}()
+	}
 }
 
 type player struct {
 	*testing.T
-	parties map[byte]net.Listener
+	parties map[byte]*party
 	conns   map[string]*peer
 	addr    string
 	program *exec.Cmd
@@ -70,7 +104,7 @@
 func (p *player) play(text string) {
 	text = remark.ReplaceAllString(text, "")
 	steps := step.FindAllStringSubmatchIndex(text, -1)
-	known, sockets := "a", "1024"
+	known, set := "a", []string{}
 	for i, s := range steps {
 		end := len(text)
 		if i+1 < len(steps) {
@@ -81,12 +115,12 @@
 		case "known":
 			known = rest
 			continue
-		case "sockets":
-			sockets = rest
+		case "set": // a setting, in place of the one in testdata/config.json
+			set = append(set, strings.Fields(rest)...)
 			continue
 		}
 		if p.program == nil {
-			p.start(known, sockets)
+			p.start(known, set)
 		}
 		switch kind {
 		case ">":
@@ -113,12 +147,13 @@
 
 func (p *player) noError(name string, err error) { require.NoError(p, err, name) }
 
-func (p *player) start(known, sockets string) {
-	for _, party := range "abd" {
+func (p *player) start(known string, set []string) {
+	for _, name := range "abd" {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		p.noError("listen", err)
 		p.Cleanup(func() { ln.Close() })
-		p.parties[byte(party)] = ln
+		p.parties[byte(name)] = &party{ln, make(chan arrival, 99)}
+		go p.parties[byte(name)].serve()
 	}
 	free, err := net.Listen("tcp", p.addr) // at an address of its own: nobody else takes the port meanwhile
 	p.noError("listen", err)
@@ -131,7 +166,7 @@
 		hosts = append(hosts, p.fill(`{"host":"s-`+string(h)+`","dial":"{`+string(h)+`}","site":"hall","class":"m","block":0,"health":"up","share":1,"born_ms":0}`))
 	}
 	path := filepath.Join(p.TempDir(), "config.json")
-	told := strings.NewReplacer(`"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`, `"sockets":1024`, `"sockets":`+sockets)
+	told := strings.NewReplacer(append(set, `"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`)...)
 	p.noError("config", os.WriteFile(path, []byte(told.Replace(p.fill(string(config)))), 0o600))
 	p.program = exec.Command(os.Args[0])
 	p.program.Env = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0"}
@@ -166,49 +201,63 @@
 	return strings.ReplaceAll(text, "{listen}", p.addr)
 }
 
-// peer is the connection of that name; a new name connects, or waits to be connected to.
+// peer is the connection of that name; a new name connects to the program.
 func (p *player) peer(name string) *peer {
 	c := p.conns[name]
 	if c == nil {
-		var nc net.Conn
-		var err error
-		if ln := p.parties[name[0]]; ln != nil {
-			ln.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
-			nc, err = ln.Accept()
-		} else {
-			nc, err = net.Dial("tcp", p.addr)
-		}
+		require.Nil(p, p.parties[name[0]], "%s: nothing came on it yet", name)
+		nc, err := net.Dial("tcp", p.addr)
 		p.noError(name, err)
 		p.Cleanup(func() { nc.Close() })
-		c = &peer{nc, bufio.NewReader(nc)}
+		c = &peer{Conn: nc, in: bufio.NewReader(nc)}
 		p.conns[name] = c
 	}
-	c.SetDeadline(time.Now().Add(patience))
 	return c
 }
 
-// message reads one message and returns it with plain line ends.
+// message waits for a message: of a party, the next on any of its connections, which then has that name.
 func (p *player) message(name string) string {
+	if party := p.parties[name[0]]; party != nil {
+		select {
+		case a := <-party.arrivals:
+			p.conns[name] = a.from
+			return a.text
+		case <-time.After(patience):
+			require.Fail(p, "nothing came", name)
+		}
+	}
 	c := p.peer(name)
-	in := textproto.NewReader(c.in)
+	c.SetReadDeadline(time.Now().Add(patience))
+	text, err := message(c.in)
+	p.noError(name, err)
+	return text
+}
+
+// message reads one message and returns it with plain line ends.
+func message(r *bufio.Reader) (string, error) {
+	in := textproto.NewReader(r)
 	var lines []string
 	length := 0
 	for {
 		line, err := in.ReadLine()
-		require.NoError(p, err, "%s after %q", name, lines)
+		if err != nil {
+			return "", err
+		}
 		lines = append(lines, line)
 		if line == "" {
 			break
 		}
 		if key, value, _ := strings.Cut(line, ": "); strings.EqualFold(key, "Content-Length") {
-			length, err = strconv.Atoi(value)
-			p.noError(name, err)
+			if length, err = strconv.Atoi(value); err != nil {
+				return "", err
+			}
 		}
 	}
 	body := make([]byte, length)
-	_, err := io.ReadFull(c.in, body)
-	p.noError(name, err)
-	return strings.TrimRight(strings.Join(lines, "\n")+"\n"+string(body), "\n")
+	if _, err := io.ReadFull(r, body); err != nil {
+		return "", err
+	}
+	return strings.TrimRight(strings.Join(lines, "\n")+"\n"+string(body), "\n"), nil
 }
 
 func (p *player) command(text string) {
@@ -223,7 +272,17 @@
 	case "half":
 		p.noError(rest, p.peer(rest).Conn.(*net.TCPConn).CloseWrite())
 	case "eof": // the program has closed the connection
-		_, err := p.peer(rest).in.ReadByte()
+		c := p.peer(rest)
+		if c.closed != nil {
+			select {
+			case <-c.closed:
+			case <-time.After(patience):
+				require.Fail(p, "not closed", rest)
+			}
+			return
+		}
+		c.SetReadDeadline(time.Now().Add(patience))
+		_, err := c.in.ReadByte()
 		require.Error(p, err, rest)
 		require.False(p, os.IsTimeout(err), rest)
 	case "down": // connections to the party are refused
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -268,16 +268,20 @@
 }
 
 func (c *Core) send(x *exchange.Exchange, h *exchange.Host, a *topazfall.Action) {
-	if x == nil || h == nil { // the module names only what it was given
-		log.Printf("at=send error=unknown request=%d worker=%s", a.Request, a.Worker)
+	if x == nil { // the module names only what it was given and has not ended
+		log.Printf("at=send error=%q request=%d", "no such message", a.Request)
 		return
 	}
 	now, due := c.Now(), x.Due
 	if a.After != 0 {
 		due = min(due, now+a.After)
 	}
-	r := x.Relay(h, now, due)
 	c.inHand.Add(1)
+	if h == nil { // the relay still counts and ends: else the message would wait for it in vain
+		c.end(x.Relay(&exchange.Host{ID: a.Worker}, now, due), topazfall.Superseded, topazfall.NoLoad, nil)
+		return
+	}
+	r := x.Relay(h, now, due)
 	// Timers cannot be taken back: this one must not keep the message's body until its time comes.
 	number, n := x.Number, r.N
 	c.after(due, func() {
