--- /dev/null
+++ b/internal/south/line_test.go
@@ -0,0 +1,55 @@
+package south
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"topazfall"
+	"topazfall/internal/dispatch"
+)
+
+// A connection is kept and used again while it is good; one that the host has closed is replaced before
+// anything is written to it; and the bound on connections holds.
+func TestConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	accepted := make(chan net.Conn, 9)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+			go func() {
+				var req fasthttp.Request
+				for in := bufio.NewReader(c); req.Read(in) == nil; {
+					c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+				}
+			}()
+		}
+	}()
+	core, err := dispatch.New(topazfall.Settings{Dispatchers: 1, Classes: []topazfall.Class{{Deadline: 1}}, Allowed: topazfall.Allowed{Attempts: 1}})
+	require.NoError(t, err)
+	s := New(core, Options{DialTimeout: time.Minute, ConnIdle: time.Hour, Conns: 1})
+	call := func() error { return s.call("GET", "/health", ln.Addr().String(), time.Minute, nil) }
+
+	require.NoError(t, call())
+	require.NoError(t, call())
+	first := <-accepted
+	require.Empty(t, accepted, "the second call used the first one's connection")
+
+	require.NoError(t, first.Close())
+	require.Eventually(t, func() bool { return call() == nil && len(accepted) == 1 }, time.Minute, time.Millisecond)
+	require.EqualValues(t, 1, s.conns.Load())
+
+	_, err = s.dial(ln.Addr().String())
+	require.ErrorIs(t, err, errTooMany)
+	require.EqualValues(t, 1, s.conns.Load(), "a dial that was not made is not counted")
+}
