--- a/balancer.go
+++ b/balancer.go
@@ -202,8 +202,9 @@
 	b.close(r)
 }
 
-// advice is how long a refused client should stay away: until the first buddy may have worked off what is
-// ahead of it now. A client that asks again sooner only finds the same.
+// advice is how long a refused client should stay away: until the first buddy may have worked off half of
+// what is ahead of it now. A client that asks again sooner only finds the same; one that waits for all of it
+// comes when others have been taken.
 func (b *Balancer) advice() int64 {
 	if !b.s.Allowed.RetryAfter {
 		return 0
@@ -212,7 +213,7 @@
 	for _, w := range b.buddies {
 		wait = min(wait, b.backlog(w))
 	}
-	return int64(wait)
+	return int64(wait / 2)
 }
 
 // sign takes a note that a job has begun or goes on: the surest evidence that its worker lives.
