End connections on which nothing ever came without writing a 408

Seen on reading fasthttp's serveConn: when the time for the first byte of a new connection is up, it writes an error response (ErrNothingRead with connRequestNum 1), and malformed() made it a 408. A client that keeps a spare connection and sends its message just then takes that for the answer.

conn.Read now ends such a connection as if it had been closed; a request that began and does not end is still told 408. Later idle times were silent already.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"io"
 	"log"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -92,14 +94,19 @@
 	return c.Conn.Close()
 }
 
-// Read gives the byte read ahead first.
+// Read gives the byte read ahead first. A connection on which nothing ever came ends without a word when its
+// time is up: the server would write a 408, which a client that sends just then takes for its answer.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.have && len(p) > 0 {
 		c.have = false
 		p[0] = c.ahead[0]
 		return 1, nil
 	}
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n == 0 && c.first.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) {
+		err = io.EOF
+	}
+	return n, err
 }
 
 // watch reads ahead until unwatch. The channel is closed when the client has closed the connection.
@@ -114,8 +121,7 @@
 		}
 		n, err := c.Conn.Read(c.ahead[:])
 		c.have = n > 0
-		var network net.Error
-		if err != nil && !(errors.As(err, &network) && network.Timeout()) {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			close(gone)
 		}
 	}()
