Take a replaced configuration at SIGHUP and move the watch of discovery

Now SIGHUP is caught before anything else starts. config.Reload reads the file without LB_DISCOVERY, and inventory.Move drops the call under way, closes the connection and asks the new address for the whole list; the old list holds till then. A file that cannot be used is logged and changes nothing.

Ruled out: that env and file differ after a restart (they agree there).

Test: testdata/reload.txt (the program dies in it without the change) and config.TestReload.

--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -38,6 +38,10 @@
 func run() error {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// A SIGHUP that nobody waits for would end the program, and lose what it has in hand. One place is enough:
+	// who reads the file after the last signal reads the latest.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -60,6 +64,7 @@
 	go core.Run(hosts, list)
 	known := list.Known(c.Known)
 	go list.Run()
+	go reload(hangups, list)
 	served := make(chan error, 1)
 	go func() { served <- clients.Serve() }()
 	if known == 0 {
@@ -97,6 +102,20 @@
 	return err
 }
 
+// reload takes a replaced configuration at each SIGHUP, also while the program is leaving. What can change
+// under load is where discovery is; a file that cannot be used changes nothing.
+func reload(hangups <-chan os.Signal, list *inventory.Watch) {
+	for range hangups {
+		c, err := config.Reload(os.Getenv)
+		if err != nil {
+			log.Printf("at=reload state=kept error=%q", err)
+			continue
+		}
+		log.Printf("at=reload state=taken discovery=%s", c.Discovery)
+		list.Move(c.Discovery)
+	}
+}
+
 // within keeps the runtime within the limits: it cannot see them by itself.
 func within(c *config.Config) {
 	if c.Cores > 0 {
--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -33,7 +33,7 @@
 // TestExchanges plays the recorded exchanges of testdata against the program. In a file, '> NAME' is
 // followed by bytes to send, '< NAME' by bytes to expect; a * stands for anything within a line, and
 // '! ' by a command. The first letter of a name is the party: c connects to the program, a and b are hosts, d
-// is discovery.
+// and e are discovery.
 func TestExchanges(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
@@ -94,6 +94,7 @@
 	conns   map[string]*peer
 	addr    string
 	program *exec.Cmd
+	config  string // the path of its configuration
 }
 
 var (
@@ -148,7 +149,7 @@
 func (p *player) noError(name string, err error) { require.NoError(p, err, name) }
 
 func (p *player) start(known string, set []string) {
-	for _, name := range "abd" {
+	for _, name := range "abde" {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		p.noError("listen", err)
 		p.Cleanup(func() { ln.Close() })
@@ -166,10 +167,11 @@
 		hosts = append(hosts, p.fill(`{"host":"s-`+string(h)+`","dial":"{`+string(h)+`}","site":"hall","class":"m","block":0,"health":"up","share":1,"born_ms":0}`))
 	}
 	path := filepath.Join(p.TempDir(), "config.json")
+	p.config = path
 	told := strings.NewReplacer(append(set, `"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`)...)
 	p.noError("config", os.WriteFile(path, []byte(told.Replace(p.fill(string(config)))), 0o600))
 	p.program = exec.Command(os.Args[0])
-	p.program.Env = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0"}
+	p.program.Env = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0", "LB_DISCOVERY=" + p.fill("{d}")}
 	var log strings.Builder
 	p.program.Stderr = &log
 	p.noError("start", p.program.Start())
@@ -289,6 +291,13 @@
 		p.noError(rest, p.parties[rest[0]].Close())
 	case "term":
 		p.noError(text, p.program.Process.Signal(syscall.SIGTERM))
+	case "reload": // the pairs replace text of the configuration, which the program is told to read again
+		told, err := os.ReadFile(p.config)
+		p.noError(text, err)
+		told = []byte(strings.NewReplacer(strings.Fields(p.fill(rest))...).Replace(string(told)))
+		p.noError(text, os.WriteFile(p.config+".new", told, 0o600))
+		p.noError(text, os.Rename(p.config+".new", p.config))
+		p.noError(text, p.program.Process.Signal(syscall.SIGHUP))
 	case "exit":
 		err := p.program.Wait()
 		require.Equal(p, rest, strconv.Itoa(p.program.ProcessState.ExitCode()), "%v", err)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,17 @@
 	return c, nil
 }
 
+// Reload reads the file again. Its address of discovery wins now: the environment is that of the start, and
+// cannot have followed a move.
+func Reload(env func(string) string) (Config, error) {
+	return Load(func(name string) string {
+		if name == "LB_DISCOVERY" {
+			return ""
+		}
+		return env(name)
+	})
+}
+
 func parse(text []byte, env func(string) string) (Config, error) {
 	var f struct {
 		Name      string `json:"name"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -26,6 +26,18 @@
 	require.Contains(t, string(c.Known), `"hosts"`)
 }
 
+// The environment still names the discovery of the start when the file has been replaced.
+func TestReload(t *testing.T) {
+	told := env(map[string]string{"LB_CONFIG": "../../example/config.json", "LB_DISCOVERY": "127.0.0.1:9", "LB_NAME": "n7"})
+	c, err := Load(told)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:9", c.Discovery)
+	c, err = Reload(told)
+	require.NoError(t, err)
+	require.Equal(t, "127.0.0.1:8500", c.Discovery)
+	require.Equal(t, "n7", c.Name)
+}
+
 func TestLoadSaysWhatIsWrong(t *testing.T) {
 	for text, want := range map[string]string{
 		`{"listen":"x"`:  "object",
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -3,10 +3,12 @@
 package inventory
 
 import (
+	"errors"
 	"fmt"
 	"log"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -22,21 +24,21 @@
 	backOff = 150 * time.Millisecond  // after a failed call; a watch goes on if the next call comes within 200 ms
 )
 
-// Watch follows the list at one discovery address.
+// Watch follows the list at one discovery address, which may move.
 type Watch struct {
-	client *fasthttp.HostClient
 	core   *dispatch.Core
+	client *agent
 	seq    int64
 	known  bool // there is a list that changes can be applied to
 	kick   chan bool
+	moves  chan string
 	tried  chan struct{}
 }
 
 // New returns a watch that tells core of the list.
 func New(addr string, core *dispatch.Core) *Watch {
-	return &Watch{core: core, kick: make(chan bool, 1), tried: make(chan struct{}), client: &fasthttp.HostClient{
-		Addr: addr, MaxConns: 2, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20,
-		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, grace) }}}
+	return &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1),
+		tried: make(chan struct{})}
 }
 
 // Follow asks for changes from now on, which the watch brings anyway; it only ends a back-off early.
@@ -52,6 +54,16 @@
 	}
 }
 
+// Move makes the watch go on at another address, at once; of several the last counts. It is called from one
+// goroutine at a time.
+func (w *Watch) Move(addr string) {
+	select {
+	case <-w.moves: // an earlier move that nobody has begun
+	default:
+	}
+	w.moves <- addr
+}
+
 // Tried is closed once a first call has ended, well or not.
 func (w *Watch) Tried() <-chan struct{} { return w.tried }
 
@@ -85,6 +97,9 @@
 			broken = false
 			continue
 		}
+		if err == errMoved {
+			continue
+		}
 		if !broken {
 			log.Printf("at=inventory state=broken seq=%d error=%q", w.seq, err)
 			w.core.List(topazfall.ListBroken, nil)
@@ -93,16 +108,25 @@
 		select {
 		case whole := <-w.kick:
 			w.known = w.known && !whole
+		case addr := <-w.moves:
+			w.move(addr)
 		case <-time.After(backOff):
 		}
 	}
 }
 
+var errMoved = errors.New("discovery has moved")
+
+// move drops the call under way: the old address may keep it waiting, and what it says is no news any more.
+// The list stays until the new address has sent a whole one: its versions need not go on from ours.
+func (w *Watch) move(addr string) {
+	log.Printf("at=inventory state=moved from=%s to=%s seq=%d", w.client.Addr, addr, w.seq)
+	w.client.close()
+	w.client, w.known = newAgent(addr), false
+}
+
 // call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for.
 func (w *Watch) call() error {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
 	select {
 	case whole := <-w.kick:
 		w.known = w.known && !whole
@@ -113,19 +137,26 @@
 		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 		limit += wait
 	}
-	req.SetRequestURI("http://" + w.client.Addr + path)
-	if err := w.client.DoTimeout(req, resp, limit); err != nil {
-		return err
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode())
+	answer := make(chan answer, 1) // what comes after a move is dropped with it
+	go func(a *agent) { answer <- a.get(path, limit) }(w.client)
+	select {
+	case addr := <-w.moves:
+		w.move(addr)
+		return errMoved
+	case a := <-answer:
+		return w.take(a)
 	}
-	l, err := parse(resp.Body())
-	if err != nil {
+}
+
+// take applies what discovery has answered.
+func (w *Watch) take(a answer) error {
+	l, err := a.list, a.err
+	if errors.As(err, &unreadable{}) {
 		w.known = false // what changed is lost; the whole list makes up for it
-		return err
 	}
 	switch {
+	case err != nil:
+		return err
 	case l.whole:
 		w.core.List(topazfall.ListWhole, l.entries)
 	case !w.known || l.seq < w.seq: // changes to a list that is not ours
@@ -141,6 +172,67 @@
 	return nil
 }
 
+// agent is discovery at one address.
+type agent struct {
+	fasthttp.HostClient
+	mu     sync.Mutex
+	conn   net.Conn // the latest
+	closed bool
+}
+
+func newAgent(addr string) *agent {
+	a := &agent{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 2, NoDefaultUserAgentHeader: true,
+		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20}}
+	a.Dial = func(addr string) (net.Conn, error) {
+		c, err := fasthttp.DialTimeout(addr, grace)
+		if err != nil {
+			return nil, err
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if a.conn = c; a.closed {
+			c.Close()
+		}
+		return c, nil
+	}
+	return a
+}
+
+// close ends the call under way and the connection.
+func (a *agent) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed = true; a.conn != nil {
+		a.conn.Close()
+	}
+}
+
+type answer struct {
+	list list
+	err  error
+}
+
+// unreadable is an answer that came and is no list.
+type unreadable struct{ error }
+
+func (a *agent) get(path string, limit time.Duration) answer {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + a.Addr + path)
+	if err := a.DoTimeout(req, resp, limit); err != nil {
+		return answer{err: err}
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return answer{err: fmt.Errorf("status %d", resp.StatusCode())}
+	}
+	l, err := parse(resp.Body())
+	if err != nil {
+		err = unreadable{err}
+	}
+	return answer{l, err}
+}
+
 type list struct {
 	seq     int64
 	whole   bool
