Let unproven connections go in time and first, and refuse ambiguous framing

Lines at fault: north.message counted all connections against the clients' share (n.ln.count() > o.Clients), read and idle limits of 10 s and 2 min, and fasthttp's 503 once Concurrency was reached. The requests that hosts answered with 400 six times each carried Content-Length beside Transfer-Encoding; fasthttp takes that, folded lines, odd names, versions and 'identity' silently, and makes of what follows the next request.

Now a connection is unproven until it brings a message or a call-back, has 2.5 s from its accepting for it, and goes first when places run out; the quiet proven go last. Only messages in hand count against the clients' share. Raw heads are checked (north/framing.go), the bytes read must be those of the one message, and an error ends its connection, half-closed first so that the error arrives. Large requests need places derived from the memory; fault lines are limited.

Ruled out: CPU (0.04 s in the worst second) and memory (13 of 64 MB).

--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -51,15 +51,18 @@
 	if err != nil {
 		return err
 	}
-	// Of the descriptors a half is for clients, a quarter for hosts' call-backs, a bit less for relays.
-	sockets := c.Sockets - 32
+	// Of the descriptors a quarter is for the hosts' connections, the rest for what connects to us: two thirds
+	// of that for messages in hand, which is more than the third that clients need, one for call-backs. A
+	// large request takes up to a quarter of a MiB, of which there may be a quarter of the memory.
+	sockets := max(c.Sockets-32, 8)
 	hosts := south.New(core, south.Options{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond,
 		ConnIdle: c.ConnIdle, Conns: sockets / 4})
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	clients := north.New(ln, core, hosts, &c.Settings, north.Options{Clients: sockets / 2, Hosts: sockets / 4})
+	clients := north.New(ln, core, hosts, &c.Settings, north.Options{
+		Conns: sockets * 3 / 4, Messages: sockets / 2, Large: max(c.MemoryMB, 32)})
 	list := inventory.New(c.Discovery, core)
 	go core.Run(hosts, list)
 	known := list.Known(c.Known)
--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -140,10 +140,10 @@
 	}
 }
 
-// wireForm ends the lines of a header with CR LF and leaves the body alone.
+// wireForm ends the lines of a header with CR LF and leaves the body alone, but for \r\n written out.
 func wireForm(block string) string {
 	head, body, _ := strings.Cut(strings.TrimRight(block, "\n")+"\n\n", "\n\n")
-	return strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + strings.TrimRight(body, "\n")
+	return strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + strings.ReplaceAll(strings.TrimRight(body, "\n"), `\r\n`, "\r\n")
 }
 
 func (p *player) noError(name string, err error) { require.NoError(p, err, name) }
@@ -301,6 +301,8 @@
 	case "exit":
 		err := p.program.Wait()
 		require.Equal(p, rest, strconv.Itoa(p.program.ProcessState.ExitCode()), "%v", err)
+	case "open":
+		p.peer(rest)
 	case "pause":
 		d, err := time.ParseDuration(rest)
 		p.noError(rest, err)
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -1,6 +1,7 @@
 package north
 
 import (
+	"container/list"
 	"errors"
 	"io"
 	"log"
@@ -14,98 +15,240 @@
 	"github.com/valyala/fasthttp"
 )
 
-// listener wraps what it accepts, so that a client's leaving is noticed while its message is in hand.
+const (
+	proveTime  = 2500 * time.Millisecond // from accepting a connection till it has brought something of use
+	lingerTime = time.Second             // for an error to arrive before its connection is closed
+	lingerMost = 1 << 20                 // bytes passed over meanwhile
+	largeFrom  = 16 << 10                // a request of more bytes needs a place among the large ones
+)
+
+// errCrowded ends the reading of a large request that finds no place.
+var errCrowded = errors.New("no place for a large request")
+
+// listener bounds the connections that are open at a time and decides which go first when there are too many.
+// Anyone can connect and say nothing, or ask for /ready and stay. So a connection is unproven until it has
+// brought a message or a call-back; it must do so in time, and it is the first to go. Proven ones may be quiet
+// for long: an unasked closing can cost the message that crosses it.
 type listener struct {
 	net.Listener
-	mu    sync.Mutex
-	conns map[*conn]bool
+	most  int          // connections at a time
+	large atomic.Int64 // places left for large requests
+	half  int64        // of those, what unproven connections leave to the others
+
+	mu       sync.Mutex
+	unproven *list.List // of *conn, the oldest first
+	proven   *list.List // the longest unused first
+}
+
+// listen bounds what comes in on ln to so many connections, and to memory for so many large requests.
+func listen(ln net.Listener, most, large int) *listener {
+	l := &listener{Listener: ln, most: most, half: int64(large / 2), unproven: list.New(), proven: list.New()}
+	l.large.Store(int64(large))
+	return l
 }
 
 // count is the number of open connections.
 func (l *listener) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns)
+	return l.unproven.Len() + l.proven.Len()
 }
 
 // closeIdle closes the connections of clients that have no message in hand. A message that crosses the
 // closing has not been read, and its client sends it again elsewhere.
 func (l *listener) closeIdle() {
 	l.mu.Lock()
-	var idle []*conn
-	for c := range l.conns {
-		if c.client.Load() && c.idle.Load() {
-			idle = append(idle, c)
+	defer l.mu.Unlock()
+	for e := l.proven.Front(); e != nil; {
+		c := e.Value.(*conn)
+		e = e.Next()
+		if c.client && c.idle {
+			l.drop(c)
 		}
 	}
-	l.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
-	}
 }
 
 // track follows what the server does with a connection.
 func track(nc net.Conn, state fasthttp.ConnState) {
-	if c, ok := nc.(*conn); ok {
-		c.idle.Store(state == fasthttp.StateIdle)
-		if state == fasthttp.StateActive {
-			c.first = time.Now()
-		}
+	c, ok := nc.(*conn)
+	if !ok {
+		return
+	}
+	if state == fasthttp.StateActive {
+		c.first, c.stray = time.Now(), c.got == 0
+	}
+	if state == fasthttp.StateIdle {
+		c.got = 0
+		c.free()
+	}
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.idle = state == fasthttp.StateIdle
+	if c.isProven && c.place != nil {
+		c.l.proven.MoveToBack(c.place)
 	}
 }
 
 // Accept goes on when descriptors run out for a moment: the server would end for good.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		nc, err := l.Listener.Accept()
 		if err == nil {
-			c := &conn{Conn: c, l: l}
-			l.mu.Lock()
-			l.conns[c] = true
-			l.mu.Unlock()
-			return c, nil
+			if c := l.admit(nc); c != nil {
+				return c, nil
+			}
+			continue
 		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ECONNABORTED) {
 			return nil, err
 		}
-		log.Printf("at=accept error=%q", err)
+		if faults.allow() {
+			log.Printf("at=accept error=%q", err)
+		}
 		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// conn is a connection of a client. A handler does not read, so it would not see the connection end: while
+// admit makes room for a new connection. Where all that are open are busy it is the new one that goes.
+func (l *listener) admit(nc net.Conn) *conn {
+	c := &conn{Conn: nc, l: l, accepted: time.Now()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unproven.Len()+l.proven.Len() >= l.most && !l.evict() {
+		nc.Close()
+		return nil
+	}
+	c.place = l.unproven.PushBack(c)
+	return c
+}
+
+// evict closes the oldest unproven connection, else the proven one that has been idle for longest: should a
+// message cross that, it has not been read.
+func (l *listener) evict() bool {
+	if e := l.unproven.Front(); e != nil {
+		l.drop(e.Value.(*conn))
+		return true
+	}
+	for e := l.proven.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); c.idle {
+			l.drop(c)
+			return true
+		}
+	}
+	return false
+}
+
+// drop closes a connection without further ado; l.mu is held.
+func (l *listener) drop(c *conn) {
+	l.leave(c)
+	c.Conn.Close()
+}
+
+func (l *listener) leave(c *conn) {
+	switch {
+	case c.place == nil:
+	case c.isProven:
+		l.proven.Remove(c.place)
+	default:
+		l.unproven.Remove(c.place)
+	}
+	c.place = nil
+}
+
+// conn is a connection from outside. A handler does not read, so it would not see the connection end: while
 // it waits, one byte is read ahead and kept for the next message.
 type conn struct {
 	net.Conn
-	l       *listener
-	first   time.Time   // when the first byte of the latest request came; the serving goroutine's
-	client  atomic.Bool // it has brought a message
-	idle    atomic.Bool // it is between requests
+	l        *listener
+	accepted time.Time
+
+	place    *list.Element // in a list of l; l.mu guards it and what follows
+	isProven bool
+	client   bool // it has brought a message
+	idle     bool // it is between requests
+
+	trusted atomic.Bool // as isProven
+	linger  atomic.Bool // an error is the last that is written
+	large   atomic.Bool // the request has a place among the large ones
+
+	first   time.Time // when the first byte of the latest request came; the serving goroutine's, as the rest
+	got     int       // bytes read since the last request ended
+	stray   bool      // the latest request began with bytes that came along with the one before
 	ahead   [1]byte
 	have    bool
 	stopped chan struct{}
 }
 
-// Close closes the connection; it may be called more than once.
+// prove notes that the connection has brought something of use.
+func (c *conn) prove(client bool) {
+	c.trusted.Store(true)
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.client = c.client || client
+	if c.isProven || c.place == nil {
+		return
+	}
+	c.l.unproven.Remove(c.place)
+	c.isProven, c.place = true, c.l.proven.PushBack(c)
+}
+
+// free gives the place of a large request back.
+func (c *conn) free() {
+	if c.large.Swap(false) {
+		c.l.large.Add(1)
+	}
+}
+
+// Close closes the connection; it may be called more than once. After an error, what the client is still
+// sending is passed over for a while: closing with bytes unread would reset the connection, and the error
+// could be lost with it. Meanwhile it is the first to go when others need the room.
 func (c *conn) Close() error {
+	if c.linger.Swap(false) {
+		c.l.mu.Lock()
+		if c.isProven && c.place != nil {
+			c.l.proven.Remove(c.place)
+			c.isProven, c.place = false, c.l.unproven.PushFront(c)
+		}
+		c.l.mu.Unlock()
+		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+			c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+			io.CopyN(io.Discard, c.Conn, lingerMost)
+		}
+	}
+	c.free()
 	c.l.mu.Lock()
-	delete(c.l.conns, c)
-	c.l.mu.Unlock()
+	defer c.l.mu.Unlock()
+	c.l.leave(c)
 	return c.Conn.Close()
 }
 
-// Read gives the byte read ahead first. A connection on which nothing ever came ends without a word when its
-// time is up: the server would write a 408, which a client that sends just then takes for its answer.
+// SetReadDeadline lets no deadline of the server's outlast the time in which a connection must prove good.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if end := c.accepted.Add(proveTime); !c.trusted.Load() && (t.IsZero() || t.After(end)) {
+		t = end
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Read gives the byte read ahead first.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.have && len(p) > 0 {
 		c.have = false
 		p[0] = c.ahead[0]
+		c.got++
 		return 1, nil
 	}
-	n, err := c.Conn.Read(p)
-	if n == 0 && c.first.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) {
-		err = io.EOF
+	if c.got >= largeFrom && !c.large.Load() {
+		if left := c.l.large.Add(-1); left < 0 || left < c.l.half && !c.trusted.Load() {
+			c.l.large.Add(1)
+			return 0, errCrowded
+		}
+		c.large.Store(true)
+	} else if c.got < largeFrom {
+		p = p[:min(len(p), largeFrom-c.got)]
 	}
+	n, err := c.Conn.Read(p)
+	c.got += n
 	return n, err
 }
 
@@ -128,9 +271,31 @@
 	return gone
 }
 
-// unwatch ends the reading ahead.
-func (c *conn) unwatch() {
+// unwatch ends the reading ahead. It tells whether the client has sent more before it had its answer.
+func (c *conn) unwatch() (more bool) {
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-c.stopped
 	c.Conn.SetReadDeadline(time.Time{})
+	return c.have
+}
+
+// limiter lets so many through a second. Whoever sends rubbish at full speed must not fill the log too.
+type limiter struct {
+	most int
+	mu   sync.Mutex
+	at   int64
+	n    int
+}
+
+// faults bounds what is logged of faults in what comes from outside.
+var faults = &limiter{most: 20}
+
+func (l *limiter) allow() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now().Unix(); now != l.at {
+		l.at, l.n = now, 0
+	}
+	l.n++
+	return l.n <= l.most
 }
--- a/internal/north/conn_test.go
+++ b/internal/north/conn_test.go
@@ -11,28 +11,125 @@
 	"github.com/valyala/fasthttp"
 )
 
-func pair(t *testing.T) (*listener, *conn, net.Conn) {
+func listening(t *testing.T, most, large int) *listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	l := &listener{Listener: ln, conns: map[*conn]bool{}}
-	client, err := net.Dial("tcp", ln.Addr().String())
+	return listen(ln, most, large)
+}
+
+func connect(t *testing.T, l *listener) (*conn, net.Conn) {
+	client, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(func() { client.Close() })
-	c, err := l.Accept()
+	nc, err := l.Listener.Accept()
 	require.NoError(t, err)
-	return l, c.(*conn), client
+	return l.admit(nc), client
 }
 
-// Nothing is written to who never asked; who began to ask is told that it took too long.
-func TestUnusedConnectionEndsSilently(t *testing.T) {
-	_, c, _ := pair(t)
-	c.SetReadDeadline(time.Unix(1, 0))
-	_, err := c.Read(make([]byte, 1))
+func pair(t *testing.T) (*listener, *conn, net.Conn) {
+	l := listening(t, 9, 9)
+	c, client := connect(t, l)
+	return l, c, client
+}
+
+func open(c *conn) bool { return c.place != nil }
+
+// Where all places are taken the unproven go, the oldest first; then the proven that is unused for longest.
+// Who is busy stays, and the new one has to go.
+func TestWhoGoesFirst(t *testing.T) {
+	l := listening(t, 3, 0)
+	proven, _ := connect(t, l)
+	proven.prove(true)
+	track(proven, fasthttp.StateIdle)
+	silent, _ := connect(t, l)
+	second, _ := connect(t, l)
+	third, _ := connect(t, l)
+	require.False(t, open(silent))
+	require.True(t, open(proven) && open(second) && open(third))
+	for _, c := range []*conn{third, second} { // hosts' connections are proven as well
+		c.prove(false)
+		track(c, fasthttp.StateIdle)
+	}
+	track(proven, fasthttp.StateActive)
+	track(proven, fasthttp.StateIdle)
+	fourth, _ := connect(t, l)
+	require.False(t, open(third))
+	require.True(t, open(proven) && open(second))
+	for _, c := range []*conn{proven, second, fourth} {
+		c.prove(true)
+		track(c, fasthttp.StateActive)
+	}
+	late, client := connect(t, l)
+	require.Nil(t, late)
+	_, err := client.Read(make([]byte, 1))
 	require.Equal(t, io.EOF, err)
-	track(c, fasthttp.StateActive)
-	_, err = c.Read(make([]byte, 1))
-	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.Equal(t, 3, l.count())
+}
+
+// No deadline of the server's keeps a connection open that has not proved good in time.
+func TestProvingTimeIsNotRenewed(t *testing.T) {
+	_, c, client := pair(t)
+	c.accepted = c.accepted.Add(-proveTime)
+	client.Write([]byte("x"))
+	for range 2 {
+		require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+		_, err := c.Read(make([]byte, 1))
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	}
+	c.prove(true)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Hour)))
+	_, err := c.Read(make([]byte, 1))
+	require.NoError(t, err)
+}
+
+// Large requests need a place, of which the unproven leave half to the others, and give it back.
+func TestPlacesForLargeRequests(t *testing.T) {
+	l := listening(t, 9, 2)
+	read := func() (*conn, error) {
+		c, client := connect(t, l)
+		_, err := client.Write(make([]byte, largeFrom+2))
+		require.NoError(t, err)
+		_, err = io.ReadFull(c, make([]byte, largeFrom+1)) // never more than up to the bound at once
+		return c, err
+	}
+	first, err := read()
+	require.NoError(t, err)
+	_, err = read()
+	require.Equal(t, errCrowded, err)
+	first.Close()
+	first.Close()
+	second, err := read()
+	require.NoError(t, err)
+	track(second, fasthttp.StateIdle)
+	require.Equal(t, int64(2), l.large.Load())
+}
+
+// A close after an error lets the client finish sending, so that no reset destroys the error; not for ever.
+func TestClosingAfterAnError(t *testing.T) {
+	_, c, client := pair(t)
+	c.linger.Store(true)
+	_, err := c.Write([]byte("error"))
+	require.NoError(t, err)
+	closed := make(chan error, 1)
+	go func() { closed <- c.Close() }()
+	_, err = client.Write(make([]byte, 100<<10))
+	require.NoError(t, err)
+	got, err := io.ReadAll(client)
+	require.NoError(t, err)
+	require.Equal(t, "error", string(got))
+	require.NoError(t, <-closed)
+}
+
+func TestLimiter(t *testing.T) {
+	l, allowed := &limiter{most: 5}, 0
+	for range 1000 {
+		if l.allow() {
+			allowed++
+		}
+	}
+	require.GreaterOrEqual(t, allowed, 5)
+	require.LessOrEqual(t, allowed, 50, "unless it took ten seconds")
 }
 
 // What the watch reads ahead belongs to the next message; an end of the watch is not the client's.
@@ -71,7 +168,7 @@
 	for _, client := range []bool{false, true} {
 		for _, state := range []fasthttp.ConnState{fasthttp.StateIdle, fasthttp.StateActive} {
 			l, c, _ := pair(t)
-			c.client.Store(client)
+			c.prove(client)
 			track(c, state)
 			l.closeIdle()
 			require.Equal(t, client && state == fasthttp.StateIdle, l.count() == 0)
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -37,8 +37,9 @@
 
 // Options bound what the north side uses.
 type Options struct {
-	Clients int // most connections that are served messages
-	Hosts   int // connections beyond those, for call-backs only
+	Conns    int // connections at a time
+	Messages int // messages in hand, each with its connection; the rest are for call-backs
+	Large    int // requests of more than 16 KiB that are read or in hand
 }
 
 // Side is the north side.
@@ -50,6 +51,7 @@
 	tenants map[string]int
 	server  *fasthttp.Server
 	ln      *listener
+	inHand  atomic.Int64
 	ready   atomic.Bool
 	leaving atomic.Bool
 	shut    atomic.Bool
@@ -57,7 +59,7 @@
 
 // New returns a north side that serves what comes in on ln: messages go to core and call-backs to back.
 func New(ln net.Listener, core *dispatch.Core, back CallBacks, s *topazfall.Settings, o Options) *Side {
-	n := &Side{core: core, back: back, o: o, ln: &listener{Listener: ln, conns: map[*conn]bool{}}, classes: map[string]int{}, tenants: map[string]int{}}
+	n := &Side{core: core, back: back, o: o, ln: listen(ln, o.Conns, o.Large), classes: map[string]int{}, tenants: map[string]int{}}
 	for i, c := range s.Classes {
 		n.classes[c.Name] = i
 	}
@@ -66,7 +68,8 @@
 	}
 	n.server = &fasthttp.Server{
 		Handler: n.handle, ErrorHandler: malformed, Logger: logger{},
-		Concurrency: o.Clients + o.Hosts, MaxRequestBodySize: largestBody, ReadBufferSize: largestHeader,
+		// The listener bounds the connections; one that it drops may take a moment to end.
+		Concurrency: 2*o.Conns + 16, ReduceMemoryUsage: true, MaxRequestBodySize: largestBody, ReadBufferSize: largestHeader,
 		ReadTimeout: readTime, WriteTimeout: writeTime, IdleTimeout: idleTime, CloseOnShutdown: true,
 		// What goes on to a host goes on as it came.
 		DisableHeaderNamesNormalizing: true, DisablePreParseMultipartForm: true,
@@ -95,10 +98,19 @@
 func (n *Side) Close(ctx context.Context) error { return n.server.ShutdownWithContext(ctx) }
 
 func (n *Side) handle(ctx *fasthttp.RequestCtx) {
+	c := ctx.Conn().(*conn)
+	fault := misframed(&ctx.Request, c.got)
+	if c.stray {
+		fault = "more than one message at a time"
+	}
+	if fault != "" {
+		reject(ctx, fasthttp.StatusBadRequest, fault)
+		return
+	}
 	switch path := string(ctx.Request.URI().PathOriginal()); path {
 	case "/api":
 		if n.method(ctx, fasthttp.MethodPost) {
-			n.message(ctx)
+			n.message(ctx, c)
 		}
 		if n.leaving.Load() {
 			ctx.SetConnectionClose()
@@ -108,9 +120,13 @@
 			return
 		}
 		if err := n.back.CallBack(ctx.Request.Body()); err != nil {
-			log.Printf("at=callback error=%q", err)
-			say(ctx, fasthttp.StatusBadRequest, "unreadable call-back")
+			if faults.allow() {
+				log.Printf("at=callback error=%q", err)
+			}
+			reject(ctx, fasthttp.StatusBadRequest, "unreadable call-back")
+			return
 		}
+		c.prove(false)
 	case "/ready":
 		if !n.method(ctx, fasthttp.MethodGet) {
 			return
@@ -119,7 +135,7 @@
 			say(ctx, fasthttp.StatusServiceUnavailable, "not ready")
 		}
 	default:
-		say(ctx, fasthttp.StatusNotFound, "no such path")
+		reject(ctx, fasthttp.StatusNotFound, "no such path")
 	}
 }
 
@@ -128,16 +144,19 @@
 		return true
 	}
 	ctx.Response.Header.Set("Allow", want)
-	say(ctx, fasthttp.StatusMethodNotAllowed, "only "+want+" here")
+	reject(ctx, fasthttp.StatusMethodNotAllowed, "only "+want+" here")
 	return false
 }
 
 // logger puts what the server says into the form of the rest of the log.
 type logger struct{}
 
-// Printf logs a line of the server.
+// Printf logs a line of the server, which may quote all that a client has sent.
 func (logger) Printf(format string, args ...any) {
-	log.Printf("at=http text=%q", fmt.Sprintf(format, args...))
+	if faults.allow() {
+		text := fmt.Sprintf(format, args...)
+		log.Printf("at=http text=%q", text[:min(len(text), 200)])
+	}
 }
 
 func say(ctx *fasthttp.RequestCtx, status int, text string) {
@@ -146,34 +165,46 @@
 	ctx.SetBodyString(text + "\n")
 }
 
+// reject answers what is no use, and ends its connection: whoever sent it may send more of the kind, and what
+// follows it in the same bytes must not be taken for a request.
+func reject(ctx *fasthttp.RequestCtx, status int, text string) {
+	say(ctx, status, text)
+	ctx.SetConnectionClose()
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.linger.Store(true)
+	}
+}
+
 // malformed answers what is no request at all, or too large a one.
 func malformed(ctx *fasthttp.RequestCtx, err error) {
 	var small *fasthttp.ErrSmallBuffer
 	var network net.Error
 	switch {
+	case errors.Is(err, errCrowded):
+		reject(ctx, fasthttp.StatusServiceUnavailable, "not taken")
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		say(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB")
+		reject(ctx, fasthttp.StatusRequestEntityTooLarge, "the body is over 64 KiB")
 	case errors.As(err, &small):
-		say(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is over 16 KiB")
+		reject(ctx, fasthttp.StatusRequestHeaderFieldsTooLarge, "the header is over 16 KiB")
 	case errors.As(err, &network) && network.Timeout():
-		say(ctx, fasthttp.StatusRequestTimeout, "the request took too long to come")
+		reject(ctx, fasthttp.StatusRequestTimeout, "the request took too long to come")
 	default:
-		say(ctx, fasthttp.StatusBadRequest, "malformed request")
+		reject(ctx, fasthttp.StatusBadRequest, "malformed request")
 	}
 }
 
 // message takes in one message and writes its final answer.
-func (n *Side) message(ctx *fasthttp.RequestCtx) {
-	c := ctx.Conn().(*conn)
+func (n *Side) message(ctx *fasthttp.RequestCtx, c *conn) {
 	m, fault := n.read(&ctx.Request, n.core.Of(c.first))
 	if fault != "" {
-		say(ctx, fasthttp.StatusBadRequest, fault)
+		reject(ctx, fasthttp.StatusBadRequest, fault)
 		return
 	}
-	c.client.Store(true)
+	c.prove(true)
+	defer n.inHand.Add(-1)
 	// Beyond the clients' share, connections are kept for the hosts: a call-back that finds none is an
 	// answer lost.
-	if n.shut.Load() || n.ln.count() > n.o.Clients {
+	if n.inHand.Add(1) > int64(n.o.Messages) || n.shut.Load() {
 		ctx.SetConnectionClose()
 		say(ctx, fasthttp.StatusServiceUnavailable, "not taken")
 		return
@@ -181,7 +212,6 @@
 	x := exchange.New(m)
 	n.core.Arrive(x)
 	gone := c.watch()
-	defer c.unwatch()
 	select {
 	case a := <-x.Answer():
 		write(ctx, x, a)
@@ -193,6 +223,10 @@
 		ctx.SetConnectionClose()
 		write(ctx, x, <-x.Answer())
 	}
+	if c.unwatch() { // it does not wait for answers; what it has sent ahead is not read
+		ctx.SetConnectionClose()
+		c.linger.Store(true)
+	}
 }
 
 func write(ctx *fasthttp.RequestCtx, x *exchange.Exchange, a exchange.Answer) {
@@ -209,7 +243,7 @@
 	case exchange.TimedOut:
 		say(ctx, fasthttp.StatusGatewayTimeout, "timed out")
 	case exchange.Twice:
-		say(ctx, fasthttp.StatusConflict, "a message with this id is in hand")
+		reject(ctx, fasthttp.StatusConflict, "a message with this id is in hand")
 	}
 	log.Printf("at=answer id=%s class=%d tenant=%d status=%d after_us=%d", x.ID, x.Class, x.Tenant, ctx.Response.StatusCode(), a.After)
 }
@@ -238,7 +272,7 @@
 				m.Tenant = i
 			}
 		case "x-timeout-ms":
-			if ms, err := strconv.ParseInt(f.Value, 10, 64); err == nil && ms <= longestWait.Milliseconds() {
+			if ms, err := strconv.ParseUint(f.Value, 10, 32); err == nil && int64(ms) <= longestWait.Milliseconds() {
 				wait = time.Duration(ms) * time.Millisecond
 			}
 		case "x-retried":
