Refuse known ids, rest hosts that fail jobs, end jobs that two hosts cannot use

Each 400 counted as a lost job of the host (balancer.judge), so that the price b.loss rose and the module refused good dispute-extracts within a millisecond.

Now ids are known for the next 4,096 messages; a 4xx is the outcome Unusable: two of them fail the job and blame no host, one of them blames the host if another serves the job. Two failed jobs in a row rest a host as dead ones rest, its errors enter the risk of unsafe jobs by the rule of succession, and rested hosts come back to the buddies at each pulse, not each T_p.

--- a/balancer.go
+++ b/balancer.go
@@ -166,6 +166,9 @@
 	switch {
 	case r.closed || e.Final || e.Outcome == Completed:
 		b.close(r)
+	case r.count(func(a *attempt) bool { return a.unusable }) > 1: // two workers agree: it is the job
+		b.do(Action{Kind: Fail, Request: r.id})
+		b.close(r)
 	case r.out == 0:
 		b.place(r)
 	default:
@@ -300,6 +303,9 @@
 	if w.Zone != b.s.Zone {
 		risk += b.s.CrossZone
 	}
+	if r.class.Repeat == Unsafe { // that it fails this one too, by the rule of succession
+		risk += float64(w.errors) / float64(w.errors+1)
+	}
 	return risk + b.backlog(w)/max(float64(r.class.Aim)+r.class.Stretch*r.hint, 1000)
 }
 
@@ -361,7 +367,26 @@
 
 // ---- what is observed of a worker ----
 
-func (w *worker) alive() { w.silent, w.failures, w.downUntil = 0, 0, 0 }
+func (w *worker) alive() {
+	if w.silent = 0; w.errors == 0 { // who begins jobs only to fail them stays at rest
+		w.failures, w.downUntil = 0, 0
+	}
+}
+
+// rest leaves a worker alone for a while, longer each time.
+func (b *Balancer) rest(w *worker) {
+	w.failures++
+	w.downUntil = b.now + int64(max(float64(b.s.Allowed.DialTimeout), b.jobTime))<<min(w.failures, 4)
+	b.refill()
+}
+
+// fault notes that a worker has failed a job that another may well serve. One such job is chance; from the
+// second in a row it rests: failing at once it always looks free, and would draw one job after the other.
+func (b *Balancer) fault(w *worker) {
+	if w.errors++; w.errors > 1 {
+		b.rest(w)
+	}
+}
 
 // backlog is the time until a new job would begin: the reported queue, the hints of own jobs that the
 // report cannot have seen, and not less than own jobs out there prove.
@@ -426,7 +451,21 @@
 	switch e.Outcome {
 	case Recalled, Superseded: // our own doing
 		return
+	case Unusable: // says nothing of the worker, unless another one can use it
+		a.unusable = true
+		return
+	case Errored: // whatever its backlog; what fails everywhere is blamed on the first only
+		if !a.r.failed {
+			b.fault(w)
+		}
+		a.r.failed = true
 	case Completed:
+		for _, o := range a.r.tries {
+			if o.unusable {
+				b.fault(o.w)
+			}
+		}
+		w.errors = 0
 		w.alive()
 		run := float64(b.now - max(a.started, a.sent))
 		b.jobTime += (run - b.jobTime) / 32
@@ -443,11 +482,8 @@
 	case Saturated:
 		w.held, w.heardAt = max(w.held, 4*w.kind.slots), b.now
 	case RefusedConn, Severed, Overdue:
-		if a.started == 0 { // it does not even begin jobs: rest it, longer each time
-			w.failures++
-			rest := max(float64(b.s.Allowed.DialTimeout), b.jobTime)
-			w.downUntil = b.now + int64(rest)<<min(w.failures, 4)
-			b.refill()
+		if a.started == 0 { // it does not even begin jobs
+			b.rest(w)
 		}
 	}
 	if lost > 0 {
@@ -536,6 +572,7 @@
 		b.do(Action{Kind: FollowList})
 	}
 	b.probe(b.pulse())
+	b.refill() // who has rested is a buddy again
 	if b.now < b.blendAt {
 		return
 	}
@@ -546,7 +583,6 @@
 	for _, w := range b.buddies {
 		w.blendWith(&w.kind.table)
 	}
-	b.refill()
 }
 
 // ---- the list of workers and the buddy set ----
@@ -584,6 +620,7 @@
 		b.workers[l.ID] = w
 	}
 	if l.StartedAt > w.StartedAt { // a new life: neither old distrust nor old backlog counts
+		w.errors = 0
 		w.alive()
 		w.held = -1
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -135,7 +135,7 @@
 
 // After each outcome: which classes may be sent again, and what the final answer may be.
 func TestAfterOutcome(t *testing.T) {
-	for o := Errored; o <= Superseded; o++ {
+	for o := Errored; o <= Unusable; o++ {
 		for class := safe; class <= celled; class++ {
 			r := newRig(t, settings(), fleet(6)...)
 			id, acts := r.arrive(class)
@@ -283,6 +283,71 @@
 	}
 }
 
+// A worker that begins every job and fails it at once always looks free. It gets a few that may be repeated, in
+// ever longer intervals, and hardly any other; when it serves again it gets its part.
+func TestFailingWorkerIsLeftAlone(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	bad, got, serves := "", map[int]int{}, false
+	play := func(rounds int) {
+		for i := range rounds {
+			r.now += 100e3
+			if i%20 == 0 {
+				r.on(Event{Kind: TimerDue, Token: tokenPulse})
+			}
+			class := []int{safe, unsafe}[i%2]
+			id, acts := r.arrive(class)
+			for n := 0; ; n++ {
+				w := r.sends(acts).Worker
+				if bad == "" {
+					bad = w
+				}
+				r.now += 2e3
+				r.on(Event{Kind: JobStarted, Request: id, Attempt: n, Worker: w})
+				r.now += 2e3
+				if w != bad {
+					r.done(id, n, w, Completed)
+					break
+				}
+				got[class]++
+				if serves {
+					r.done(id, n, w, Completed)
+					break
+				}
+				if acts = r.done(id, n, w, Errored); class == unsafe {
+					break
+				}
+			}
+		}
+	}
+	play(300)
+	if got[unsafe] > 1 || got[safe] < 2 || got[safe] > 12 {
+		t.Errorf("a worker that fails all got %d unsafe jobs and %d others", got[unsafe], got[safe])
+	}
+	serves, got = true, map[int]int{}
+	play(600)
+	if got[unsafe] < 3 {
+		t.Errorf("a worker that serves again got %v jobs", got)
+	}
+}
+
+// A job that two workers cannot use is at fault itself; where the second serves it, the first is.
+func TestUnusableJob(t *testing.T) {
+	for _, second := range []Outcome{Unusable, Completed} {
+		r := newRig(t, settings(), fleet(6)...)
+		id, acts := r.arrive(safe)
+		first := r.sends(acts).Worker
+		other := r.sends(r.done(id, 0, first, Unusable)).Worker
+		fails, _ := count(r.done(id, 1, other, second), Fail)
+		blamed := r.b.workers[first].errors
+		if want := map[Outcome]int{Unusable: 1}[second]; fails != want || blamed != 1-want || r.b.workers[other].errors > 0 {
+			t.Errorf("second says %v: %d failures, first blamed %d times", second, fails, blamed)
+		}
+		if len(r.b.requests) > 0 {
+			t.Errorf("second says %v: request kept", second)
+		}
+	}
+}
+
 func TestSecondCopyWhereAJobDoesNotBegin(t *testing.T) {
 	for class, want := range map[int]int{safe: 1, keyed: 1, unsafe: 0} {
 		r := newRig(t, settings(), fleet(6)...)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -44,6 +44,8 @@
 	number  uint64
 	byID    map[string]*exchange.Exchange
 	byNum   map[uint64]*exchange.Exchange
+	known   map[string]bool // ids of late, in hand or not
+	order   [remembered]string
 	hosts   map[string]*exchange.Host
 	events  []topazfall.Event
 	actions []topazfall.Action
@@ -57,7 +59,7 @@
 		return nil, err
 	}
 	return &Core{Clock: NewClock(), balancer: b, ops: make(chan func(), 1024), byID: map[string]*exchange.Exchange{},
-		byNum: map[uint64]*exchange.Exchange{}, hosts: map[string]*exchange.Host{}}, nil
+		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{}}, nil
 }
 
 // Run serves until the program ends.
@@ -82,15 +84,23 @@
 // InHand is the number of messages without a final answer, and of relays that have not ended.
 func (c *Core) InHand() int64 { return c.inHand.Load() }
 
-// Arrive takes in a message. It gets exactly one final answer.
+// remembered is how many ids are known: some minutes of them on a busy day, and a few hundred kB.
+const remembered = 4096
+
+// Arrive takes in a message. It gets exactly one final answer. An id is new with every message: one that is
+// known is of somebody else's, and a call-back could not tell the two apart. That holds for a while after the
+// first has ended as well, since hosts may still tell of it, and must not be asked to run it again.
 func (c *Core) Arrive(x *exchange.Exchange) {
 	c.inHand.Add(1)
 	c.ops <- func() {
-		if c.byID[x.ID] != nil {
+		if c.known[x.ID] || c.byID[x.ID] != nil {
 			c.finish(x, exchange.Answer{Verdict: exchange.Twice})
 			return
 		}
 		c.number++
+		oldest := &c.order[c.number%remembered]
+		delete(c.known, *oldest)
+		*oldest, c.known[x.ID] = x.ID, true
 		x.Number = c.number
 		c.byID[x.ID], c.byNum[x.Number] = x, x
 		c.feed(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
@@ -313,7 +323,7 @@
 	c.forget(x)
 }
 
-var outcomes = [...]string{"completed", "errored", "saturated", "overdue", "refused_conn", "severed", "recalled", "superseded"}
+var outcomes = [...]string{"completed", "errored", "saturated", "overdue", "refused_conn", "severed", "recalled", "superseded", "unusable"}
 
 func (c *Core) finish(x *exchange.Exchange, a exchange.Answer) bool {
 	if x == nil || !x.Finish(a) {
@@ -333,8 +343,6 @@
 			return
 		}
 	}
-	if c.byID[x.ID] == x { // by now the id may be another's
-		delete(c.byID, x.ID)
-	}
+	delete(c.byID, x.ID)
 	delete(c.byNum, x.Number)
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -116,14 +117,30 @@
 	require.GreaterOrEqual(t, c.Now(), x.Due)
 }
 
-// A second message with an id in hand is not taken: a call-back could not tell the two apart.
-func TestIDInHand(t *testing.T) {
+// A second message with a known id is not taken, and does the first no harm whichever way either ends: a
+// call-back could not tell the two apart, and a host must not be asked to run the job again.
+func TestKnownID(t *testing.T) {
 	c, s := start(t, "h")
-	c.Arrive(message(c, "1", time.Minute))
+	first := message(c, "1", time.Minute)
+	c.Arrive(first)
 	<-s.sent
-	again := message(c, "1", time.Minute)
-	c.Arrive(again)
-	require.Equal(t, exchange.Twice, (<-again.Answer()).Verdict)
-	c.Sync()
+	again := func() {
+		x := message(c, "1", time.Minute)
+		c.Arrive(x)
+		require.Equal(t, exchange.Twice, (<-x.Answer()).Verdict)
+		c.Gone(x)
+		c.Sync()
+	}
+	again()
 	require.Equal(t, int64(2), c.InHand(), "the first and its relay")
+	c.Noted(Note{ID: "1", From: "h", State: Over, Outcome: topazfall.Completed, Load: topazfall.NoLoad})
+	require.Equal(t, exchange.Served, (<-first.Answer()).Verdict)
+	again()
+	for i := range remembered {
+		c.Arrive(message(c, strconv.Itoa(2+i), 0))
+	}
+	c.Sync()
+	require.Len(t, c.known, remembered)
+	require.False(t, c.known["1"])
+	require.Empty(t, s.sent)
 }
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -125,6 +125,9 @@
 		return topazfall.Saturated, l, true
 	default:
 		log.Printf("at=relay id=%s n=%d host=%s status=%d", r.Exchange.ID, r.N, r.Host.ID, status)
+		if status/100 == 4 && status != 408 && status != 429 { // the host means the message, not itself
+			return topazfall.Unusable, l, true
+		}
 		return topazfall.Errored, l, true
 	}
 }
--- a/random_test.go
+++ b/random_test.go
@@ -173,7 +173,7 @@
 		w.feed(e)
 		return
 	}
-	e.Kind, e.Outcome = AttemptDone, Outcome(w.rng.Intn(int(Superseded)+1))
+	e.Kind, e.Outcome = AttemptDone, Outcome(w.rng.Intn(int(Unusable)+1))
 	if w.now >= r.due {
 		e.Outcome = Overdue
 	}
@@ -277,7 +277,7 @@
 			id, acts := r.arrive(i % 5)
 			text += fmt.Sprintln(acts)
 			if n, a := count(acts, Send); n > 0 && i%3 > 0 {
-				text += fmt.Sprintln(r.done(id, 0, a.Worker, Outcome(i%8)))
+				text += fmt.Sprintln(r.done(id, 0, a.Worker, Outcome(i%9)))
 			}
 			if i%40 == 0 {
 				text += fmt.Sprintln(r.on(Event{Kind: TimerDue, Token: tokenPulse}))
--- a/state.go
+++ b/state.go
@@ -36,6 +36,7 @@
 	tries    []*attempt
 	out      int // attempts without an outcome
 	closed   bool
+	failed   bool // a worker has failed at it
 }
 
 type attempt struct {
@@ -44,6 +45,7 @@
 	w                      *worker
 	sent, started          int64
 	done, notRun, recalled bool
+	unusable               bool // its worker said that of the job
 }
 
 type worker struct {
@@ -58,6 +60,7 @@
 	silent    int64      // first send since the last sign of life
 	lastTry   int64
 	failures  int
+	errors    int // jobs failed since the last that was served
 	downUntil int64
 	coldTurn  int64
 	coldSpent float64
@@ -102,6 +105,15 @@
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.w == w })
 }
 
+func (r *request) count(which func(*attempt) bool) (n int) {
+	for _, a := range r.tries {
+		if which(a) {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *worker) count(which func(*attempt) bool) (n float64) {
 	for _, a := range w.own {
 		if which(a) {
--- a/topazfall.go
+++ b/topazfall.go
@@ -152,6 +152,7 @@
 	Severed               // the connection broke
 	Recalled              // cancelled by the dispatcher
 	Superseded            // never sent
+	Unusable              // the worker answered that the job itself cannot be used
 	ProbeFailed           // of probes only: anything but Completed
 	numOfOutcomes = int(ProbeFailed) + 1
 )
