Leave broken workers out of the price of late jobs; use every turn at cold ones

A probe of what the module believes when it gives up: the price b.loss rose with each job that a severed connection lost, though no queue was to blame (judge), and the four hosts stood free but barred for 8 s (maySend, coldShare): with two dispatchers who both have all workers as buddies every third turn was nobody's, as sharers were counted one too many where the division leaves no rest.

Now severed and refused connections stay out of the price (not out of the tables), and sharers are rounded up only. The budget of a turn is as it was. The log says how long an answer took and what was hinted.

--- a/balancer.go
+++ b/balancer.go
@@ -356,7 +356,8 @@
 	if w.coldTurn != turn {
 		w.coldTurn, w.coldSpent = turn, 0
 	}
-	sharers := int64(1 + len(b.buddies)*b.s.Dispatchers/max(len(b.ranked), 1))
+	ranked := max(len(b.ranked), 1)
+	sharers := int64(max((len(b.buddies)*b.s.Dispatchers+ranked-1)/ranked, 1))
 	if turn%sharers != int64(b.s.Me)%sharers || !slices.Contains(b.buddies, w) {
 		return 0
 	}
@@ -493,7 +494,9 @@
 	if lost > 0 {
 		w.sample(a.region, columns-1)
 	}
-	b.loss += (lost - b.loss) / 16
+	if e.Outcome != Severed && e.Outcome != RefusedConn { // a broken worker, not a queue, is to blame
+		b.loss += (lost - b.loss) / 16
+	}
 	b.report(w, e.Load)
 }
 
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -215,14 +215,14 @@
 	gone := c.watch()
 	select {
 	case a := <-x.Answer():
-		write(ctx, x, a)
+		write(ctx, x, a, c.first)
 	case <-gone:
 		// Should the client have closed one direction only, it still gets an answer, and no empty 200: that
 		// would be a result that no host made.
 		n.core.Gone(x)
 		log.Printf("at=gone id=%s", x.ID)
 		ctx.SetConnectionClose()
-		write(ctx, x, <-x.Answer())
+		write(ctx, x, <-x.Answer(), c.first)
 	}
 	if c.unwatch() { // it does not wait for answers; what it has sent ahead is not read
 		ctx.SetConnectionClose()
@@ -230,7 +230,7 @@
 	}
 }
 
-func write(ctx *fasthttp.RequestCtx, x *exchange.Exchange, a exchange.Answer) {
+func write(ctx *fasthttp.RequestCtx, x *exchange.Exchange, a exchange.Answer, arrived time.Time) {
 	switch a.Verdict {
 	case exchange.Served:
 		ctx.SetBody(a.Body)
@@ -246,7 +246,8 @@
 	case exchange.Twice:
 		reject(ctx, fasthttp.StatusConflict, "a message with this id is in hand")
 	}
-	log.Printf("at=answer id=%s class=%d tenant=%d status=%d after_us=%d", x.ID, x.Class, x.Tenant, ctx.Response.StatusCode(), a.After)
+	log.Printf("at=answer id=%s class=%d tenant=%d status=%d after_us=%d took_us=%d hint_us=%d", x.ID, x.Class, x.Tenant,
+		ctx.Response.StatusCode(), a.After, time.Since(arrived).Microseconds(), x.Hint)
 }
 
 // read copies a message that arrived at that time out of a request; fault says what is wrong with it. The
