--- a/balancer.go
+++ b/balancer.go
@@ -286,7 +286,7 @@
 			}
 			// The running time counts a fifth beside the risk: it spreads more than hints tell, and a slow
 			// worker may make a long job late that it begins at once.
-			if risk := int((b.risk(r, w)) * grain); risk < least {
+			if risk := int((b.risk(r, w) + b.share(r, r.hint*w.pace)/5) * grain); risk < least {
 				best, least = w, risk
 			}
 		}
