Doubt the hint before withdrawing a job that waits, while most begin at once

The aim counts twice the true work: if the hint is too low, by half or less, the job would still have been in time.

Now such a job gets the time of its hint more, as long as most sends begin at once (ready over 0.4, as for third tries); in overload nothing changes.

Test: TestWithdrawalDoubtsTheHint.

--- a/balancer.go
+++ b/balancer.go
@@ -150,6 +150,7 @@
 	if b.s.TellsStart { // whether it has begun: soon, and when its aim is about to be lost
 		b.look(r, 3*b.startLag)
 		b.look(r, float64(r.aim-b.now)-r.hint*w.pace)
+		b.look(r, float64(r.aim-b.now)-r.hint*w.pace+r.hint)
 	}
 }
 
@@ -257,7 +258,13 @@
 			newest = a
 		}
 	}
-	if float64(r.aim-b.now) < r.hint*newest.w.pace && r.class.LateWorth < b.loss {
+	// If its hint is too low by half its aim is later than it looks. While most jobs begin at once it is in
+	// nobody's way, and gets that time too.
+	doubt := 0.0
+	if b.ready > 0.4 {
+		doubt = r.hint
+	}
+	if float64(r.aim-b.now)+doubt < r.hint*newest.w.pace && r.class.LateWorth < b.loss {
 		b.giveUp(r)
 		return
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -662,6 +662,22 @@
 	}
 }
 
+// The aim rests on a rough hint: while most jobs begin at once, a job gets the time of its hint beyond it.
+func TestWithdrawalDoubtsTheHint(t *testing.T) {
+	for _, ready := range []float64{0.9, 0.1} {
+		for _, late := range []int64{100e3, 300e3} { // beyond the last moment at which it can be in time
+			r := newRig(t, settings(), fleet(6)...)
+			id, _ := r.arrive(unsafe)
+			r.b.loss, r.b.ready = 0.9, ready
+			r.now += 500e3 + 2*200e3 - 200e3 + late
+			failed, _ := count(r.on(Event{Kind: TimerDue, Token: id<<2 | tokenLook}), Fail)
+			if want := ready < 0.4 || late > 200e3; want != (failed > 0) {
+				t.Errorf("ready %v, %d after the aim is lost: %d failed", ready, late, failed)
+			}
+		}
+	}
+}
+
 func TestOldEvidenceAges(t *testing.T) {
 	r := newRig(t, settings(), fleet(6)...)
 	w := r.b.buddies[0]
@@ -1017,7 +1033,7 @@
 			}
 		}
 	}
-	if n != 2 {
-		t.Errorf("%d timers, want a look soon and one for the aim", n)
+	if n != 3 {
+		t.Errorf("%d timers, want a look soon and two for the aim", n)
 	}
 }
