Bound connections by the memory too, and the log lines of repeated ids

Seen by reckoning: 1,024 descriptors allow 744 connections from outside; read slowly, each holds a buffer of 16 KiB and its stack, 18 MB, and large requests 8 MB more: too near to 32 MB (cmd/topazfall/main.go took the descriptors only). A repeated id was logged at the speed at which it came (north.write).

Now bounds derives all from both limits.

--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -51,18 +51,14 @@
 	if err != nil {
 		return err
 	}
-	// Of the descriptors a quarter is for the hosts' connections, the rest for what connects to us: two thirds
-	// of that for messages in hand, which is more than the third that clients need, one for call-backs. A
-	// large request takes up to a quarter of a MiB, of which there may be a quarter of the memory.
-	sockets := max(c.Sockets-32, 8)
+	out, in := bounds(&c)
 	hosts := south.New(core, south.Options{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond,
-		ConnIdle: c.ConnIdle, Conns: sockets / 4})
+		ConnIdle: c.ConnIdle, Conns: out})
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
 	}
-	clients := north.New(ln, core, hosts, &c.Settings, north.Options{
-		Conns: sockets * 3 / 4, Messages: sockets / 2, Large: max(c.MemoryMB, 32)})
+	clients := north.New(ln, core, hosts, &c.Settings, in)
 	list := inventory.New(c.Discovery, core)
 	go core.Run(hosts, list)
 	known := list.Known(c.Known)
@@ -119,6 +115,19 @@
 	}
 }
 
+// bounds derives what may be open and in hand from the limits. Of the descriptors a quarter is for connections
+// to hosts, the rest for what connects to us: two thirds of that for messages in hand, which is more than the
+// third that clients need, one for call-backs. A connection that is read takes some 25 kB, so that a crowd of
+// them may have less than half of the memory; a large request takes a quarter of a MiB, all a quarter of it.
+func bounds(c *config.Config) (out int, in north.Options) {
+	sockets, memory := max(c.Sockets-32, 8), c.MemoryMB
+	if memory <= 0 {
+		memory = 1 << 10 // as good as unlimited
+	}
+	conns := min(sockets*3/4, max(memory*16, 6))
+	return sockets / 4, north.Options{Conns: conns, Messages: conns * 2 / 3, Large: memory}
+}
+
 // within keeps the runtime within the limits: it cannot see them by itself.
 func within(c *config.Config) {
 	if c.Cores > 0 {
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -246,6 +246,9 @@
 	case exchange.Twice:
 		reject(ctx, fasthttp.StatusConflict, "a message with this id is in hand")
 	}
+	if a.Verdict == exchange.Twice && !faults.allow() { // whoever repeats ids can do so at any speed
+		return
+	}
 	log.Printf("at=answer id=%s class=%d tenant=%d status=%d after_us=%d took_us=%d hint_us=%d", x.ID, x.Class, x.Tenant,
 		ctx.Response.StatusCode(), a.After, time.Since(arrived).Microseconds(), x.Hint)
 }
