Second address for operators: readiness and figures from atomic counters

Now internal/manage serves /-/ready and /-/metrics on a listener of its own with 12 places, from the counters of internal/figures: ends are counted in dispatch.finish and at the door in north, attempts at their last byte in south.talk, the avoided workers by asking the module five times a second. Ids that are known and unusable requests are no jobs and are not counted.

--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -16,7 +16,9 @@
 
 	"topazfall/internal/config"
 	"topazfall/internal/dispatch"
+	"topazfall/internal/figures"
 	"topazfall/internal/inventory"
+	"topazfall/internal/manage"
 	"topazfall/internal/north"
 	"topazfall/internal/south"
 )
@@ -24,6 +26,7 @@
 const (
 	firstNews = 2 * time.Second        // how long to wait for discovery where no host is known
 	lateComes = 600 * time.Millisecond // after SIGTERM connections still come for up to 0.4 s
+	again     = 100 * time.Millisecond // between tries for an address that is taken
 	settle    = 50 * time.Millisecond  // for what was being read when the taking in ended
 )
 
@@ -47,13 +50,15 @@
 		return err
 	}
 	within(&c)
-	core, err := dispatch.New(c.Settings)
+	counts := &figures.Figures{}
+	core, err := dispatch.New(c.Settings, counts)
 	if err != nil {
 		return err
 	}
 	out, in := bounds(&c)
+	in.Figures = counts
 	hosts := south.New(core, south.Options{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond,
-		ConnIdle: c.ConnIdle, Conns: out})
+		ConnIdle: c.ConnIdle, Conns: out, Figures: counts})
 	ln, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		return err
@@ -63,7 +68,10 @@
 	go core.Run(hosts, list)
 	known := list.Known(c.Known)
 	go list.Run()
-	go reload(hangups, list)
+	go reload(hangups, list, counts)
+	if c.Management != "" {
+		serveOperators(c.Management, clients.Ready, counts)
+	}
 	served := make(chan error, 1)
 	go func() { served <- clients.Serve() }()
 	if known == 0 {
@@ -103,24 +111,44 @@
 
 // reload takes a replaced configuration at each SIGHUP, also while the program is leaving. What can change
 // under load is where discovery is; a file that cannot be used changes nothing.
-func reload(hangups <-chan os.Signal, list *inventory.Watch) {
+func reload(hangups <-chan os.Signal, list *inventory.Watch, counts *figures.Figures) {
 	for range hangups {
 		c, err := config.Reload(os.Getenv)
 		if err != nil {
+			counts.HangupsFailed.Add(1)
 			log.Printf("at=reload state=kept error=%q", err)
 			continue
 		}
 		log.Printf("at=reload state=taken discovery=%s", c.Discovery)
 		list.Move(c.Discovery)
+		counts.HangupsTaken.Add(1)
 	}
 }
 
+// serveOperators serves the second address. That it cannot be had now is no reason to serve no clients.
+func serveOperators(addr string, ready func() bool, counts *figures.Figures) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		log.Printf("at=manage listen=%s error=%q", addr, err)
+	}
+	go func() {
+		for ; err != nil; ln, err = net.Listen("tcp", addr) {
+			time.Sleep(again)
+		}
+		log.Printf("at=manage listen=%s", addr)
+		log.Printf("at=manage state=ended error=%q", manage.Serve(ln, ready, counts))
+	}()
+}
+
+// reserved are the descriptors of the log, the listeners, discovery and the runtime, and the second address's.
+const reserved = 24 + manage.Places
+
 // bounds derives what may be open and in hand from the limits. Of the descriptors a quarter is for connections
 // to hosts, the rest for what connects to us: two thirds of that for messages in hand, which is more than the
 // third that clients need, one for call-backs. A connection that is read takes some 25 kB, so that a crowd of
 // them may have less than half of the memory; a large request takes a quarter of a MiB, all a quarter of it.
 func bounds(c *config.Config) (out int, in north.Options) {
-	sockets, memory := max(c.Sockets-32, 8), c.MemoryMB
+	sockets, memory := max(c.Sockets-reserved, 8), c.MemoryMB
 	if memory <= 0 {
 		memory = 1 << 10 // as good as unlimited
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 // Config is what one dispatcher is told at its start.
 type Config struct {
 	Name, Listen, Discovery string
+	Management              string // the second address; empty for none
 	Cores                   float64
 	MemoryMB, Sockets       int
 	Known                   []byte // the list of hosts as last had, in discovery's form; may be empty
@@ -22,7 +23,7 @@
 	ConnIdle                time.Duration // a host closes a connection once it has been idle for so long
 }
 
-// Load reads the file that LB_CONFIG names. LB_NAME, LB_LISTEN and LB_DISCOVERY overrule what it says.
+// Load reads the file that LB_CONFIG names. LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_MANAGEMENT overrule what it says.
 func Load(env func(string) string) (Config, error) {
 	path := env("LB_CONFIG")
 	if path == "" {
@@ -55,6 +56,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Manage    string `json:"management"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -72,7 +74,7 @@
 		return Config{}, fmt.Errorf("seed %q is no hexadecimal number", f.Seed)
 	}
 	c := Config{Name: first(env("LB_NAME"), f.Name), Listen: first(env("LB_LISTEN"), f.Listen),
-		Discovery: first(env("LB_DISCOVERY"), f.Discovery), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		Discovery: first(env("LB_DISCOVERY"), f.Discovery), Management: first(env("LB_MANAGEMENT"), f.Manage), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
 		Sockets: f.Limits.Sockets, Known: f.Known, ConnIdle: time.Duration(f.Settings.Allowed.ConnIdle) * time.Microsecond}
 	if c.Listen == "" || c.Discovery == "" {
 		return Config{}, errors.New("listen and discovery must be given")
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -10,6 +10,7 @@
 
 	"topazfall"
 	"topazfall/internal/exchange"
+	"topazfall/internal/figures"
 )
 
 // South carries relays to hosts. Its methods return at once.
@@ -39,6 +40,7 @@
 	inventory Inventory
 	ops       chan func()
 	inHand    atomic.Int64
+	figures   *figures.Figures
 
 	// The dispatch goroutine's own from here on.
 	number  uint64
@@ -52,13 +54,16 @@
 	timers  timers
 }
 
-// New returns a core for these settings.
-func New(s topazfall.Settings) (*Core, error) {
+// New returns a core for these settings that counts in f.
+func New(s topazfall.Settings, f *figures.Figures) (*Core, error) {
 	b, err := topazfall.New(s)
 	if err != nil {
 		return nil, err
 	}
-	return &Core{Clock: NewClock(), balancer: b, ops: make(chan func(), 1024), byID: map[string]*exchange.Exchange{},
+	for _, k := range s.Classes {
+		f.AddClasses(k.Name)
+	}
+	return &Core{Clock: NewClock(), balancer: b, ops: make(chan func(), 1024), figures: f, byID: map[string]*exchange.Exchange{},
 		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{}}, nil
 }
 
@@ -66,6 +71,7 @@
 func (c *Core) Run(south South, inventory Inventory) {
 	c.south, c.inventory = south, inventory
 	alarm := newAlarm()
+	c.look()
 	for {
 		alarm.set(c.timers.next(), c.Now())
 		select {
@@ -81,6 +87,14 @@
 	}
 }
 
+// lookTime is how often the module is asked whom it avoids: that changes with time as well, without an event.
+const lookTime = 200_000
+
+func (c *Core) look() {
+	c.figures.Ejected.Store(int64(c.balancer.Avoided(c.Now())))
+	c.after(c.Now()+lookTime, c.look)
+}
+
 // InHand is the number of messages without a final answer, and of relays that have not ended.
 func (c *Core) InHand() int64 { return c.inHand.Load() }
 
@@ -92,6 +106,7 @@
 // first has ended as well, since hosts may still tell of it, and must not be asked to run it again.
 func (c *Core) Arrive(x *exchange.Exchange) {
 	c.inHand.Add(1)
+	c.figures.Outstanding.Add(1)
 	c.ops <- func() {
 		if c.known[x.ID] || c.byID[x.ID] != nil {
 			c.finish(x, exchange.Answer{Verdict: exchange.Twice})
@@ -208,6 +223,7 @@
 			}
 			workers[i] = e.Worker
 		}
+		c.figures.Discovered.Store(int64(len(c.hosts)))
 		c.feed(topazfall.Event{Kind: kind, List: workers})
 	}
 }
@@ -330,9 +346,17 @@
 		return false
 	}
 	c.inHand.Add(-1)
+	c.figures.Outstanding.Add(-1)
+	if e, ok := endings[a.Verdict]; ok {
+		c.figures.End(x.Class, e)
+	}
 	return true
 }
 
+// endings says how a verdict counts. A message that was not taken is no job.
+var endings = map[exchange.Verdict]figures.Ending{exchange.Served: figures.Succeeded, exchange.Refused: figures.Declined,
+	exchange.Failed: figures.Aborted, exchange.TimedOut: figures.Aborted}
+
 // forget drops an exchange that owes and awaits nothing any more.
 func (c *Core) forget(x *exchange.Exchange) {
 	if x == nil || !x.Over() {
--- /dev/null
+++ b/internal/figures/figures.go
@@ -0,0 +1,90 @@
+// Package figures holds what the program counts of itself. The parts write, the second address reads: all are
+// atomics, so that a reader never waits for the load it asks about.
+package figures
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// Ending is how a job ended for its client.
+type Ending int
+
+// The endings.
+const (
+	Succeeded Ending = iota
+	Declined
+	Aborted
+	endings
+)
+
+var names = [endings]string{"succeeded", "declined", "aborted"}
+
+// Figures are the counts of one process. The zero value counts no class yet.
+type Figures struct {
+	Outstanding, Discovered, Ejected      atomic.Int64 // as they are now
+	Forwards, HangupsTaken, HangupsFailed atomic.Int64 // since the start; the latter are files read at SIGHUP
+
+	mu      sync.Mutex // of those who add classes
+	classes atomic.Pointer[[]*class]
+}
+
+type class struct {
+	name  string
+	ended [endings]atomic.Int64
+}
+
+// AddClasses makes classes count from now on, each by the place in which it was first named. A class that is known
+// keeps its place and its counts; one that is no longer used keeps its line.
+func (f *Figures) AddClasses(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*class
+	if old := f.classes.Load(); old != nil {
+		all = slices.Clone(*old)
+	}
+	for _, name := range names {
+		if !slices.ContainsFunc(all, func(c *class) bool { return c.name == name }) {
+			all = append(all, &class{name: name})
+		}
+	}
+	f.classes.Store(&all)
+}
+
+// End counts a job of the class at that place.
+func (f *Figures) End(class int, e Ending) {
+	if all := f.classes.Load(); all != nil && class >= 0 && class < len(*all) {
+		(*all)[class].ended[e].Add(1)
+	}
+}
+
+// escape does what the format asks of a label's value, and no more.
+var escape = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
+// Write writes all figures in the text exposition format.
+func (f *Figures) Write(w io.Writer) {
+	var all []*class
+	if p := f.classes.Load(); p != nil {
+		all = *p
+	}
+	for e, name := range names {
+		fmt.Fprintf(w, "# TYPE app_%s_total counter\n", name)
+		for _, c := range all {
+			fmt.Fprintf(w, "app_%s_total{service=\"%s\"} %d\n", name, escape.Replace(c.name), c.ended[e].Load())
+		}
+	}
+	for _, v := range []struct {
+		name, kind string
+		value      *atomic.Int64
+	}{
+		{"forwards_total", "counter", &f.Forwards}, {"outstanding", "gauge", &f.Outstanding},
+		{"discovered", "gauge", &f.Discovered}, {"ejected", "gauge", &f.Ejected},
+		{"sighup_applied_total", "counter", &f.HangupsTaken}, {"sighup_rejected_total", "counter", &f.HangupsFailed},
+	} {
+		fmt.Fprintf(w, "# TYPE app_%s %s\napp_%s %d\n", v.name, v.kind, v.name, v.value.Load())
+	}
+}
--- /dev/null
+++ b/internal/figures/figures_test.go
@@ -0,0 +1,50 @@
+package figures
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// All classes show 0 from the start. A class that went keeps its line and its place, one that came has its own.
+func TestClassesKeepTheirLines(t *testing.T) {
+	f := &Figures{}
+	f.End(0, Declined) // nobody's
+	f.AddClasses("lookup", "report")
+	f.End(1, Succeeded)
+	f.End(1, Succeeded)
+	f.AddClasses("report", `n"é`)
+	f.End(2, Aborted)
+	f.End(3, Aborted)
+	f.End(-1, Aborted)
+	f.Forwards.Add(4)
+	f.Outstanding.Add(5)
+	var text strings.Builder
+	f.Write(&text)
+	require.Equal(t, `# TYPE app_succeeded_total counter
+app_succeeded_total{service="lookup"} 0
+app_succeeded_total{service="report"} 2
+app_succeeded_total{service="n\"é"} 0
+# TYPE app_declined_total counter
+app_declined_total{service="lookup"} 0
+app_declined_total{service="report"} 0
+app_declined_total{service="n\"é"} 0
+# TYPE app_aborted_total counter
+app_aborted_total{service="lookup"} 0
+app_aborted_total{service="report"} 0
+app_aborted_total{service="n\"é"} 1
+# TYPE app_forwards_total counter
+app_forwards_total 4
+# TYPE app_outstanding gauge
+app_outstanding 5
+# TYPE app_discovered gauge
+app_discovered 0
+# TYPE app_ejected gauge
+app_ejected 0
+# TYPE app_sighup_applied_total counter
+app_sighup_applied_total 0
+# TYPE app_sighup_rejected_total counter
+app_sighup_rejected_total 0
+`, text.String())
+}
--- /dev/null
+++ b/internal/manage/manage_test.go
@@ -0,0 +1,64 @@
+package manage
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazfall/internal/figures"
+)
+
+func serve(t *testing.T, ready bool) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go Serve(ln, func() bool { return ready }, &figures.Figures{})
+	return ln.Addr().String()
+}
+
+func open(t *testing.T, addr, text string) net.Conn {
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+	return c
+}
+
+// call makes one call and reads until the program closes the connection.
+func call(t *testing.T, addr, line string) string {
+	c := open(t, addr, line+" HTTP/1.1\r\nHost: x\r\n\r\n")
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	text, err := io.ReadAll(c)
+	require.NoError(t, err)
+	return string(text)
+}
+
+func TestCalls(t *testing.T) {
+	addr := serve(t, true)
+	require.Contains(t, call(t, addr, "GET /-/ready"), "HTTP/1.1 200 OK")
+	require.Contains(t, call(t, serve(t, false), "GET /-/ready"), "HTTP/1.1 503 ")
+	require.Regexp(t, `(?s)^HTTP/1.1 200 OK.*\napp_outstanding 0\n`, call(t, addr, "GET /-/metrics"))
+	require.Contains(t, call(t, addr, "GET /metrics"), "HTTP/1.1 404 ")
+	require.Contains(t, call(t, addr, "POST /-/metrics"), "HTTP/1.1 405 ")
+}
+
+// More silent and half-spoken callers than there are places keep nobody out, and are not kept for long either.
+func TestSilentCallers(t *testing.T) {
+	addr := serve(t, true)
+	var silent []net.Conn
+	for range Places {
+		silent = append(silent, open(t, addr, ""), open(t, addr, "GET /-/rea"))
+	}
+	require.Contains(t, call(t, addr, "GET /-/ready"), "HTTP/1.1 200 OK")
+	for _, c := range silent {
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		_, err := io.Copy(io.Discard, c)
+		if e, ok := err.(net.Error); ok {
+			require.False(t, e.Timeout())
+		}
+	}
+}
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -18,6 +18,7 @@
 	"topazfall"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/exchange"
+	"topazfall/internal/figures"
 )
 
 const (
@@ -40,6 +41,7 @@
 	Conns    int // connections at a time
 	Messages int // messages in hand, each with its connection; the rest are for call-backs
 	Large    int // requests of more than 16 KiB that are read or in hand
+	Figures  *figures.Figures
 }
 
 // Side is the north side.
@@ -88,6 +90,9 @@
 // Leave makes every further answer the last on its connection. All that comes is still served.
 func (n *Side) Leave() { n.leaving.Store(true) }
 
+// Ready tells whether clients are taken.
+func (n *Side) Ready() bool { return n.ready.Load() && !n.leaving.Load() }
+
 // Shut ends the taking in: idle clients are sent elsewhere, and what still comes is refused before anything
 // is done for it. Call-backs are taken as before.
 func (n *Side) Shut() {
@@ -132,7 +137,7 @@
 		if !n.method(ctx, fasthttp.MethodGet) {
 			return
 		}
-		if !n.ready.Load() || n.leaving.Load() {
+		if !n.Ready() {
 			say(ctx, fasthttp.StatusServiceUnavailable, "not ready")
 		}
 	default:
@@ -206,6 +211,7 @@
 	// Beyond the clients' share, connections are kept for the hosts: a call-back that finds none is an
 	// answer lost.
 	if n.inHand.Add(1) > int64(n.o.Messages) || n.shut.Load() {
+		n.o.Figures.End(m.Class, figures.Declined)
 		ctx.SetConnectionClose()
 		say(ctx, fasthttp.StatusServiceUnavailable, "not taken")
 		return
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -18,6 +18,7 @@
 	"topazfall"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/exchange"
+	"topazfall/internal/figures"
 )
 
 // Options bound what the south side uses.
@@ -25,6 +26,7 @@
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // the hosts' idle limit
 	Conns       int           // most connections at a time
+	Figures     *figures.Figures
 }
 
 const (
@@ -97,7 +99,7 @@
 	l = topazfall.NoLoad
 	out := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(out)
-	written, err := s.talk(r.Host.Addr, s.fresh(r), out, s.core.At(r.Due), time.Time{}, func(c net.Conn) []byte {
+	written, err := s.talk(r.Host.Addr, s.fresh(r), true, out, s.core.At(r.Due), time.Time{}, func(c net.Conn) []byte {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !r.Start(s.core.Now()) {
@@ -147,7 +149,7 @@
 
 // talk makes one call on a connection to addr: it writes what compose returns, once, and reads the answer.
 // written tells whether the last byte was handed to the connection: before that nothing can have run.
-func (s *Side) talk(addr string, fresh bool, out *fasthttp.Response, writeBy, readBy time.Time,
+func (s *Side) talk(addr string, fresh, relay bool, out *fasthttp.Response, writeBy, readBy time.Time,
 	compose func(net.Conn) []byte) (written bool, err error) {
 	client := s.client(addr)
 	cc, err := client.AcquireConn(0, false)
@@ -169,6 +171,9 @@
 	c.SetWriteDeadline(writeBy)
 	c.SetReadDeadline(readBy)
 	n, err := c.Write(bytes)
+	if relay && n == len(bytes) {
+		s.o.Figures.Forwards.Add(1)
+	}
 	in := client.AcquireReader(c)
 	defer client.ReleaseReader(in)
 	if err == nil {
@@ -253,9 +258,9 @@
 		return []byte(method + " " + path + " HTTP/1.1\r\nHost: " + addr + "\r\n\r\n")
 	}
 	fresh := s.wary()
-	written, err := s.talk(addr, fresh, out, by, by, compose)
+	written, err := s.talk(addr, fresh, false, out, by, by, compose)
 	if err != nil && written && !fresh && s.wary() {
-		_, err = s.talk(addr, true, out, by, by, compose)
+		_, err = s.talk(addr, true, false, out, by, by, compose)
 	}
 	if err != nil {
 		log.Printf("at=call method=%s path=%s addr=%s error=%q", method, path, addr, err)
--- a/state.go
+++ b/state.go
@@ -101,6 +101,16 @@
 	return -1
 }
 
+// Avoided is how many of the listed workers get nothing new at that time.
+func (b *Balancer) Avoided(now int64) (n int) {
+	for _, w := range b.ranked {
+		if now < w.downUntil || w.State != Ready {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *request) tried(w *worker) bool {
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.w == w })
 }
