Replace the running process: hand over the listener, idle clients and what was learned

Now a process that finds another at its socket is handed the listening descriptor, the list, known ids and the module's memory; the old one accepts nothing from its yes on, and passes each connection on as soon as it is between requests. Call-backs reach either. Bounds are shared out.

Ruled out as the rest of the loss: the door, ids refused, call-backs not taken (none in the logs). Not ruled out: SIGKILL 3.7 s after SIGTERM ends what is in hand longer; all four old ones were killed so. That is next.

Tests: replace.txt, internal/takeover.

--- a/balancer.go
+++ b/balancer.go
@@ -52,6 +52,8 @@
 		b.timerDue(e.Token)
 	case ListPatch, ListWhole, ListStale, ListBroken:
 		b.list(e)
+	case Replaced:
+		b.replaced = e.Amount > 0
 	}
 	return b.out
 }
@@ -363,8 +365,8 @@
 }
 
 // coldShare is the work this dispatcher may still send to a cold worker. Those who share the worker take
-// turns of the fall time by number, so that they do not add up. A window can touch two turns and hints
-// err, hence the quarter of the budget.
+// turns of the fall time by number, so that they do not add up; who is replaced leaves the other its turns.
+// A window can touch two turns and hints err, hence the quarter of the budget.
 func (b *Balancer) coldShare(w *worker) float64 {
 	c := &b.s.Contract
 	turn := b.now / max(c.FallTime, 1)
@@ -373,7 +375,7 @@
 	}
 	ranked := max(len(b.ranked), 1)
 	sharers := int64(max((len(b.buddies)*b.s.Dispatchers+ranked-1)/ranked, 1))
-	if turn%sharers != int64(b.s.Me)%sharers || !slices.Contains(b.buddies, w) {
+	if turn%sharers != int64(b.s.Me)%sharers || b.replaced || !slices.Contains(b.buddies, w) {
 		return 0
 	}
 	warm := c.ColdFrom + (1-c.ColdFrom)*float64(b.now-w.StartedAt)/float64(max(c.RampTime, 1))
--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,6 +22,7 @@
 	"topazfall/internal/manage"
 	"topazfall/internal/north"
 	"topazfall/internal/south"
+	"topazfall/internal/takeover"
 )
 
 const (
@@ -49,7 +51,10 @@
 	if err != nil {
 		return err
 	}
-	within(&c)
+	if c.Cores > 0 {
+		runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
+	}
+	within(&c, 1)
 	counts := &figures.Figures{}
 	core, err := dispatch.New(c.Settings, counts)
 	if err != nil {
@@ -59,21 +64,35 @@
 	in.Figures = counts
 	hosts := south.New(core, south.Options{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond,
 		ConnIdle: c.ConnIdle, Conns: out, Figures: counts})
-	ln, err := net.Listen("tcp", c.Listen)
+	var takes atomic.Pointer[north.Side]
+	if c.Management != "" {
+		serveOperators(c.Management, func() bool { n := takes.Load(); return n != nil && n.Ready() }, counts)
+	}
+	path := takeover.Path(c.Name, c.Listen)
+	ln, old, from, err := enter(path, c.Listen, signals)
 	if err != nil {
 		return err
 	}
 	clients := north.New(ln, core, hosts, &c.Settings, in)
 	list := inventory.New(c.Discovery, core)
+	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
+	clients.Others(place.tell)
 	go core.Run(hosts, list)
-	known := list.Known(c.Known)
+	known := 0
+	if from != nil {
+		known = list.Inherit(from.List)
+		core.Inherit(from.Core)
+	}
+	if known == 0 {
+		known = list.Known(c.Known)
+	}
 	go list.Run()
 	go reload(hangups, list, counts)
-	if c.Management != "" {
-		serveOperators(c.Management, clients.Ready, counts)
-	}
 	served := make(chan error, 1)
-	go func() { served <- clients.Serve() }()
+	serve := func() { served <- clients.Serve() }
+	if old == nil {
+		go serve()
+	}
 	if known == 0 {
 		select {
 		case <-list.Tried():
@@ -81,7 +100,13 @@
 		}
 	}
 	core.Sync()
+	if old != nil {
+		place.succeed(old)
+		go serve() // not before: the old one still accepts
+	}
 	clients.SetReady()
+	takes.Store(clients)
+	go place.wait()
 	log.Printf("at=main state=ready name=%s listen=%s known=%d", c.Name, c.Listen, known)
 	select {
 	case err := <-served:
@@ -89,16 +114,7 @@
 	case s := <-signals:
 		log.Printf("at=main state=leaving signal=%s in_hand=%d", s, core.InHand())
 	}
-	// All that comes is served while clients can still be sent here. What came later could be cut off by
-	// the kill that follows, and would be lost; so it is refused. What is in hand is finished, and as its
-	// call-backs need the listener, that stays open to the last.
-	clients.Leave()
-	time.Sleep(lateComes)
-	clients.Shut()
-	time.Sleep(settle)
-	for core.InHand() > 0 || hosts.Busy() {
-		time.Sleep(5 * time.Millisecond)
-	}
+	place.leave()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	err = clients.Close(ctx)
@@ -140,8 +156,9 @@
 	}()
 }
 
-// reserved are the descriptors of the log, the listeners, discovery and the runtime, and the second address's.
-const reserved = 24 + manage.Places
+// reserved are the descriptors of the log, the listeners, discovery, the runtime and the second address, for two
+// processes, as when one replaces the other.
+const reserved = 2 * (13 + manage.Places)
 
 // bounds derives what may be open and in hand from the limits. Of the descriptors a quarter is for connections
 // to hosts, the rest for what connects to us: two thirds of that for messages in hand, which is more than the
@@ -156,12 +173,9 @@
 	return sockets / 4, north.Options{Conns: conns, Messages: conns * 2 / 3, Large: memory}
 }
 
-// within keeps the runtime within the limits: it cannot see them by itself.
-func within(c *config.Config) {
-	if c.Cores > 0 {
-		runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
-	}
+// within keeps the runtime within the limit on memory, or a share of it: it cannot see that by itself.
+func within(c *config.Config, share float64) {
 	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4)
+		debug.SetMemoryLimit(int64(float64(int64(c.MemoryMB)<<20) * 3 / 4 * share))
 	}
 }
--- a/cmd/topazfall/main_test.go
+++ b/cmd/topazfall/main_test.go
@@ -21,5 +21,5 @@
 		}
 	}
 	_, in := bounds(&config.Config{Sockets: 1024})
-	require.Equal(t, 741, in.Conns, "no limit on memory is given")
+	require.Equal(t, 736, in.Conns, "no limit on memory is given")
 }
--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -95,6 +95,8 @@
 	addr    string
 	manage  string // the second address
 	program *exec.Cmd
+	old     *exec.Cmd // the one that program has replaced
+	told    []string  // the environment of the program
 	config  string // the path of its configuration
 }
 
@@ -168,18 +170,8 @@
 	p.config = path
 	told := strings.NewReplacer(append(set, `"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`)...)
 	p.noError("config", os.WriteFile(path, []byte(told.Replace(p.fill(string(config)))), 0o600))
-	p.program = exec.Command(os.Args[0])
-	p.program.Env = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0", "LB_DISCOVERY=" + p.fill("{d}")}
-	var log strings.Builder
-	p.program.Stderr = &log
-	p.noError("start", p.program.Start())
-	p.Cleanup(func() {
-		p.program.Process.Kill()
-		p.program.Wait()
-		if p.Failed() {
-			p.Log(log.String())
-		}
-	})
+	p.told = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0", "LB_DISCOVERY=" + p.fill("{d}"), "TMPDIR=" + p.TempDir()}
+	p.run()
 	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
 		require.True(p, time.Now().Before(end), "the program is not ready")
 		if c, err := net.Dial("tcp", p.addr); err == nil {
@@ -193,6 +185,23 @@
 	}
 }
 
+// run starts the program.
+func (p *player) run() {
+	program := exec.Command(os.Args[0])
+	program.Env = append(p.told, "LB_MANAGEMENT="+p.manage)
+	var log strings.Builder
+	program.Stderr = &log
+	p.noError("start", program.Start())
+	p.Cleanup(func() {
+		program.Process.Kill()
+		program.Wait()
+		if p.Failed() {
+			p.Log(log.String())
+		}
+	})
+	p.program, p.old = program, p.program
+}
+
 // free finds a port, at an address of the test's own: nobody else takes it meanwhile.
 func (p *player) free(addr string) string {
 	ln, err := net.Listen("tcp", addr)
@@ -285,6 +294,15 @@
 	return strings.TrimRight(strings.Join(lines, "\n")+"\n"+string(body), "\n"), nil
 }
 
+// which takes "old" off what is said of a process.
+func (p *player) which(rest *string) *exec.Cmd {
+	if word, more, _ := strings.Cut(*rest, " "); word == "old" {
+		*rest = more
+		return p.old
+	}
+	return p.program
+}
+
 func (p *player) command(text string) {
 	word, rest, _ := strings.Cut(text, " ")
 	switch word {
@@ -312,8 +330,12 @@
 		require.False(p, os.IsTimeout(err), rest)
 	case "down": // connections to the party are refused
 		p.noError(rest, p.parties[rest[0]].Close())
-	case "term":
-		p.noError(text, p.program.Process.Signal(syscall.SIGTERM))
+	case "term": // "old" for the one that was replaced, as with exit
+		p.noError(text, p.which(&rest).Process.Signal(syscall.SIGTERM))
+	case "replace": // another process is started beside this one, and takes clients
+		p.manage = p.free(strings.Split(p.addr, ":")[0] + ":0")
+		p.run()
+		require.Eventually(p, func() bool { return strings.HasPrefix(p.ask("/-/ready"), "HTTP/1.1 200") }, patience, 5*time.Millisecond)
 	case "reload": // the pairs replace text of the configuration, which the program is told to read again
 		told, err := os.ReadFile(p.config)
 		p.noError(text, err)
@@ -322,8 +344,9 @@
 		p.noError(text, os.Rename(p.config+".new", p.config))
 		p.noError(text, p.program.Process.Signal(syscall.SIGHUP))
 	case "exit":
-		err := p.program.Wait()
-		require.Equal(p, rest, strconv.Itoa(p.program.ProcessState.ExitCode()), "%v", err)
+		program := p.which(&rest)
+		err := program.Wait()
+		require.Equal(p, rest, strconv.Itoa(program.ProcessState.ExitCode()), "%v", err)
 	case "same": // two names of one connection
 		a, b, _ := strings.Cut(rest, " ")
 		require.Same(p, p.peer(a), p.peer(b))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -112,10 +112,7 @@
 			c.finish(x, exchange.Answer{Verdict: exchange.Twice})
 			return
 		}
-		c.number++
-		oldest := &c.order[c.number%remembered]
-		delete(c.known, *oldest)
-		*oldest, c.known[x.ID] = x.ID, true
+		c.remember(x.ID)
 		x.Number = c.number
 		c.byID[x.ID], c.byNum[x.Number] = x, x
 		c.feed(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
@@ -160,26 +157,36 @@
 
 // Noted takes a call-back. It may come before the host's answer to the relay, come again, or be about an
 // earlier life of this dispatcher: it counts only for a relay that is still out at the host it comes from.
-func (c *Core) Noted(n Note) {
+func (c *Core) Noted(n Note) { c.ops <- func() { c.note(n) } }
+
+// Take is Noted, and tells whether the message is in hand here.
+func (c *Core) Take(n Note) bool {
+	taken := make(chan bool, 1)
 	c.ops <- func() {
-		r := c.find(n.ID, n.From)
-		if r == nil {
-			return
-		}
-		e := topazfall.Event{Request: r.Exchange.Number, Attempt: r.N, Worker: r.Host.ID, Amount: n.Share}
-		switch n.State {
-		case Started:
-			e.Kind = topazfall.JobStarted
-			if r.Begun == 0 {
-				r.Begun = c.Now()
-			}
-			c.feed(e)
-		case Running:
-			e.Kind = topazfall.JobProgress
-			c.feed(e)
-		case Over:
-			c.end(r, n.Outcome, n.Load, n.Result)
+		taken <- c.byID[n.ID] != nil
+		c.note(n)
+	}
+	return <-taken
+}
+
+func (c *Core) note(n Note) {
+	r := c.find(n.ID, n.From)
+	if r == nil {
+		return
+	}
+	e := topazfall.Event{Request: r.Exchange.Number, Attempt: r.N, Worker: r.Host.ID, Amount: n.Share}
+	switch n.State {
+	case Started:
+		e.Kind = topazfall.JobStarted
+		if r.Begun == 0 {
+			r.Begun = c.Now()
 		}
+		c.feed(e)
+	case Running:
+		e.Kind = topazfall.JobProgress
+		c.feed(e)
+	case Over:
+		c.end(r, n.Outcome, n.Load, n.Result)
 	}
 }
 
@@ -235,6 +242,63 @@
 	}
 }
 
+// Legacy is what another process needs to go on in this one's place.
+type Legacy struct {
+	Known  []string // ids, the oldest first
+	Memory topazfall.Memory
+}
+
+// Legacy returns what there is now.
+func (c *Core) Legacy() Legacy {
+	l := make(chan Legacy, 1)
+	c.ops <- func() {
+		out := Legacy{Memory: c.balancer.Memory()}
+		for i := range uint64(remembered) {
+			if id := c.order[(c.number+1+i)%remembered]; id != "" {
+				out.Known = append(out.Known, id)
+			}
+		}
+		l <- out
+	}
+	return <-l
+}
+
+// Inherit goes on with a legacy. The list that it speaks of must have come before.
+func (c *Core) Inherit(l Legacy) {
+	c.Learn(l.Known)
+	c.Sync() // the list is with the module
+	c.ops <- func() { c.balancer.Inherit(l.Memory) }
+}
+
+// Learn makes ids known that another process has had.
+func (c *Core) Learn(ids []string) {
+	c.ops <- func() {
+		for _, id := range ids {
+			if !c.known[id] {
+				c.remember(id)
+			}
+		}
+	}
+}
+
+func (c *Core) remember(id string) {
+	c.number++
+	oldest := &c.order[c.number%remembered]
+	delete(c.known, *oldest)
+	*oldest, c.known[id] = id, true
+}
+
+// Replaced tells whether another process takes the new messages.
+func (c *Core) Replaced(by bool) {
+	c.ops <- func() {
+		e := topazfall.Event{Kind: topazfall.Replaced}
+		if by {
+			e.Amount = 1
+		}
+		c.feed(e)
+	}
+}
+
 // Sync returns when all that was told before has been dealt with.
 func (c *Core) Sync() {
 	done := make(chan struct{})
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"log"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -33,6 +35,16 @@
 	kick   chan bool
 	moves  chan string
 	tried  chan struct{}
+
+	mu   sync.Mutex
+	last Legacy
+}
+
+// Legacy is the list as it was last had, and where.
+type Legacy struct {
+	Discovery string
+	Seq       int64
+	Hosts     map[string]dispatch.Entry
 }
 
 // New returns a watch that tells core of the list.
@@ -77,11 +89,47 @@
 		log.Printf("at=inventory known=unreadable error=%q", err)
 		return 0
 	}
-	w.seq, w.known = l.seq, true
-	w.core.List(topazfall.ListStale, l.entries)
+	w.tell(topazfall.ListStale, l)
 	return len(l.entries)
 }
 
+// Legacy returns the list for another process to go on with.
+func (w *Watch) Legacy() Legacy {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	l := w.last
+	l.Hosts = maps.Clone(l.Hosts)
+	return l
+}
+
+// Inherit starts from another process's list. Where that had it from another address, the versions need not be the
+// same, and the whole list is asked for. It comes before Run.
+func (w *Watch) Inherit(l Legacy) int {
+	if len(l.Hosts) == 0 {
+		return 0
+	}
+	w.tell(topazfall.ListStale, list{seq: l.Seq, entries: slices.Collect(maps.Values(l.Hosts))})
+	w.known = l.Discovery == w.client.Addr
+	return len(l.Hosts)
+}
+
+// tell hands the list, or changes to it, on, and keeps them.
+func (w *Watch) tell(kind topazfall.EventKind, l list) {
+	w.core.List(kind, l.entries)
+	w.seq, w.known = l.seq, true
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if kind != topazfall.ListPatch || w.last.Hosts == nil {
+		w.last.Hosts = map[string]dispatch.Entry{}
+	}
+	for _, e := range l.entries {
+		if w.last.Hosts[e.ID] = e; e.State == topazfall.Gone {
+			delete(w.last.Hosts, e.ID)
+		}
+	}
+	w.last.Discovery, w.last.Seq = w.client.Addr, l.seq
+}
+
 // Run watches until the program ends.
 func (w *Watch) Run() {
 	broken := false
@@ -158,17 +206,16 @@
 	case err != nil:
 		return err
 	case l.whole:
-		w.core.List(topazfall.ListWhole, l.entries)
+		w.tell(topazfall.ListWhole, l)
 	case !w.known || l.seq < w.seq: // changes to a list that is not ours
 		w.known = false
 		return fmt.Errorf("changes up to %d do not follow %d", l.seq, w.seq)
 	default:
-		w.core.List(topazfall.ListPatch, l.entries)
+		w.tell(topazfall.ListPatch, l)
 	}
 	if len(l.entries) > 0 {
 		log.Printf("at=inventory seq=%d whole=%t entries=%d", l.seq, l.whole, len(l.entries))
 	}
-	w.seq, w.known = l.seq, true
 	return nil
 }
 
--- a/internal/manage/manage.go
+++ b/internal/manage/manage.go
@@ -14,7 +14,7 @@
 )
 
 // Places is how many connections may be open here at a time.
-const Places = 12
+const Places = 8
 
 const callTime = time.Second // for a call to come, and for its answer to be read
 
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -31,22 +31,124 @@
 // for long: an unasked closing can cost the message that crosses it.
 type listener struct {
 	net.Listener
-	most  int          // connections at a time
 	large atomic.Int64 // places left for large requests
-	half  int64        // of those, what unproven connections leave to the others
+	half  atomic.Int64 // of those, what unproven connections leave to the others
+
+	// Once set, a connection goes there as soon as it is between requests. It is not closed for its client then.
+	elsewhere atomic.Pointer[func(Kept) error]
 
 	mu       sync.Mutex
-	unproven *list.List // of *conn, the oldest first
-	proven   *list.List // the longest unused first
+	most     int           // connections at a time
+	places   int           // for large requests, taken or not
+	resumed  chan struct{} // while nothing is accepted
+	unproven *list.List    // of *conn, the oldest first
+	proven   *list.List    // the longest unused first
 }
 
 // listen bounds what comes in on ln to so many connections, and to memory for so many large requests.
 func listen(ln net.Listener, most, large int) *listener {
-	l := &listener{Listener: ln, most: most, half: int64(large / 2), unproven: list.New(), proven: list.New()}
-	l.large.Store(int64(large))
+	l := &listener{Listener: ln, unproven: list.New(), proven: list.New()}
+	l.bound(most, large)
 	return l
 }
 
+// bound sets the bounds anew. What is over them ends by itself, or when its place is wanted.
+func (l *listener) bound(most, large int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.large.Add(int64(large - l.places))
+	l.half.Store(int64(large / 2))
+	l.most, l.places = most, large
+}
+
+// pause stops the accepting, until resume. What waits to be accepted is for whoever else listens on the socket.
+func (l *listener) pause() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if d, ok := l.Listener.(interface{ SetDeadline(time.Time) error }); ok && l.resumed == nil {
+		l.resumed = make(chan struct{})
+		d.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+func (l *listener) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.resumed != nil {
+		l.Listener.(interface{ SetDeadline(time.Time) error }).SetDeadline(time.Time{})
+		close(l.resumed)
+		l.resumed = nil
+	}
+}
+
+// Close ends the listening, also while it is paused.
+func (l *listener) Close() error {
+	l.resume()
+	return l.Listener.Close()
+}
+
+// trim closes unproven connections until no more than so many are open, or none is left.
+func (l *listener) trim(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.unproven.Front(); e != nil && l.unproven.Len()+l.proven.Len() > most; e = l.unproven.Front() {
+		l.drop(e.Value.(*conn))
+	}
+}
+
+// Kept is a connection between two requests, for another process to go on with.
+type Kept struct {
+	Conn           syscall.Conn
+	Proven, Client bool
+}
+
+// passOn makes all connections go elsewhere, each as soon as it is between requests.
+func (l *listener) passOn(to func(Kept) error) {
+	l.elsewhere.Store(&to)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, some := range []*list.List{l.unproven, l.proven} {
+		for e := some.Front(); e != nil; e = e.Next() {
+			// Its goroutine waits for a first byte, and now wakes in Read. A busy one must not be woken: it reads
+			// a request, or waits for its client to leave, and comes to Read by itself.
+			if c := e.Value.(*conn); c.idle {
+				c.Conn.SetReadDeadline(time.Unix(1, 0))
+			}
+		}
+	}
+}
+
+// passed hands c over if it is between requests and is to go. The other process has it then: what closes here is
+// no more than our end of it.
+func (c *conn) passed() bool {
+	to := c.l.elsewhere.Load()
+	if to == nil || c.got > 0 || c.linger.Load() {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	c.l.mu.Lock()
+	k := Kept{Conn: sc, Proven: c.isProven, Client: c.client}
+	c.l.mu.Unlock()
+	return (*to)(k) == nil
+}
+
+// busy is the number of connections that have begun a request without its end.
+func (l *listener) busy() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, some := range []*list.List{l.unproven, l.proven} {
+		for e := some.Front(); e != nil; e = e.Next() {
+			if !e.Value.(*conn).idle {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // count is the number of open connections.
 func (l *listener) count() int {
 	l.mu.Lock()
@@ -99,6 +201,15 @@
 			}
 			continue
 		}
+		l.mu.Lock()
+		resumed := l.resumed
+		l.mu.Unlock()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if resumed != nil {
+				<-resumed
+			}
+			continue
+		}
 		if !errors.Is(err, syscall.EMFILE) && !errors.Is(err, syscall.ENFILE) && !errors.Is(err, syscall.ECONNABORTED) {
 			return nil, err
 		}
@@ -111,7 +222,7 @@
 
 // admit makes room for a new connection. Where all that are open are busy it is the new one that goes.
 func (l *listener) admit(nc net.Conn) *conn {
-	c := &conn{Conn: nc, l: l, accepted: time.Now()}
+	c := &conn{Conn: nc, l: l, accepted: time.Now(), idle: true}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.unproven.Len()+l.proven.Len() >= l.most && !l.evict() {
@@ -173,6 +284,7 @@
 
 	first   time.Time // when the first byte of the latest request came; the serving goroutine's, as the rest
 	got     int       // bytes read since the last request ended
+	kept    bool      // it came from another process, and may be quiet
 	stray   bool      // the latest request began with bytes that came along with the one before
 	ahead   [1]byte
 	have    bool
@@ -222,8 +334,12 @@
 	return c.Conn.Close()
 }
 
-// SetReadDeadline lets no deadline of the server's outlast the time in which a connection must prove good.
+// SetReadDeadline lets no deadline of the server's outlast the time in which a connection must prove good. The
+// server takes one that came from another process for new, and would wait for its first byte as it does for that.
 func (c *conn) SetReadDeadline(t time.Time) error {
+	if c.kept {
+		c.kept, t = false, time.Now().Add(idleTime)
+	}
 	if end := c.accepted.Add(proveTime); !c.trusted.Load() && (t.IsZero() || t.After(end)) {
 		t = end
 	}
@@ -239,7 +355,7 @@
 		return 1, nil
 	}
 	if c.got >= largeFrom && !c.large.Load() {
-		if left := c.l.large.Add(-1); left < 0 || left < c.l.half && !c.trusted.Load() {
+		if left := c.l.large.Add(-1); left < 0 || left < c.l.half.Load() && !c.trusted.Load() {
 			c.l.large.Add(1)
 			return 0, errCrowded
 		}
@@ -247,8 +363,14 @@
 	} else if c.got < largeFrom {
 		p = p[:min(len(p), largeFrom-c.got)]
 	}
+	if c.passed() {
+		return 0, io.EOF
+	}
 	n, err := c.Conn.Read(p)
 	c.got += n
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.passed() {
+		return 0, io.EOF
+	}
 	return n, err
 }
 
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -33,7 +33,7 @@
 
 // CallBacks takes what hosts tell of jobs.
 type CallBacks interface {
-	CallBack(body []byte) error
+	CallBack(body []byte) (taken bool, err error)
 }
 
 // Options bound what the north side uses.
@@ -55,14 +55,18 @@
 	server  *fasthttp.Server
 	ln      *listener
 	inHand  atomic.Int64
+	most    atomic.Int64 // of inHand
 	ready   atomic.Bool
 	leaving atomic.Bool
+	others  atomic.Pointer[func(body []byte) error]
 	shut    atomic.Bool
+	passing atomic.Bool // connections go to another process, and are not closed
 }
 
 // New returns a north side that serves what comes in on ln: messages go to core and call-backs to back.
 func New(ln net.Listener, core *dispatch.Core, back CallBacks, s *topazfall.Settings, o Options) *Side {
 	n := &Side{core: core, back: back, o: o, ln: listen(ln, o.Conns, o.Large), classes: map[string]int{}, once: map[int]bool{}, tenants: map[string]int{}}
+	n.most.Store(int64(o.Messages))
 	for i, c := range s.Classes {
 		n.classes[c.Name], n.once[i] = i, c.Repeat == topazfall.Unsafe
 	}
@@ -93,6 +97,58 @@
 // Ready tells whether clients are taken.
 func (n *Side) Ready() bool { return n.ready.Load() && !n.leaving.Load() }
 
+// SetBounds changes the bounds of the options.
+func (n *Side) SetBounds(o Options) {
+	n.most.Store(int64(o.Messages))
+	n.ln.bound(o.Conns, o.Large)
+}
+
+// Others sets whom a call-back goes to whose message is not in hand here. An error says that it could not be told.
+func (n *Side) Others(tell func(body []byte) error) { n.others.Store(&tell) }
+
+// Conns is the number of open connections, Busy that of those which have begun a request.
+func (n *Side) Conns() int { return n.ln.count() }
+
+// Busy is described with Conns.
+func (n *Side) Busy() int { return n.ln.busy() }
+
+// Pause leaves the accepting to another process on the same socket, and closes unproven connections beyond so many.
+func (n *Side) Pause(most int) {
+	n.ln.pause()
+	n.ln.trim(most)
+}
+
+// Resume accepts again.
+func (n *Side) Resume() { n.ln.resume() }
+
+// PassOn hands every connection to another process as soon as it is between requests. It ends the taking in, but not
+// that of what has begun to come.
+func (n *Side) PassOn(to func(Kept) error) {
+	n.passing.Store(true)
+	n.shut.Store(false)
+	n.leaving.Store(true)
+	n.ln.passOn(to)
+}
+
+// KeepOn ends the handing over.
+func (n *Side) KeepOn() {
+	n.passing.Store(false)
+	n.ln.elsewhere.Store(nil)
+}
+
+// Adopt goes on with a connection of another process.
+func (n *Side) Adopt(nc net.Conn, proven, client bool) {
+	c := n.ln.admit(nc)
+	if c == nil {
+		return
+	}
+	if proven {
+		c.prove(client)
+		c.kept = true
+	}
+	n.server.ServeConn(c)
+}
+
 // Shut ends the taking in: idle clients are sent elsewhere, and what still comes is refused before anything
 // is done for it. Call-backs are taken as before.
 func (n *Side) Shut() {
@@ -118,14 +174,15 @@
 		if n.method(ctx, fasthttp.MethodPost) {
 			n.message(ctx, c)
 		}
-		if n.leaving.Load() {
+		if n.leaving.Load() && !n.passing.Load() {
 			ctx.SetConnectionClose()
 		}
 	case "/v1/job-events":
 		if !n.method(ctx, fasthttp.MethodPost) {
 			return
 		}
-		if err := n.back.CallBack(ctx.Request.Body()); err != nil {
+		taken, err := n.back.CallBack(ctx.Request.Body())
+		if err != nil {
 			if faults.allow() {
 				log.Printf("at=callback error=%q", err)
 			}
@@ -133,6 +190,11 @@
 			return
 		}
 		c.prove(false)
+		if others := n.others.Load(); !taken && others != nil {
+			if err := (*others)(ctx.Request.Body()); err != nil { // the host tells it again
+				say(ctx, fasthttp.StatusServiceUnavailable, "not taken")
+			}
+		}
 	case "/ready":
 		if !n.method(ctx, fasthttp.MethodGet) {
 			return
@@ -210,7 +272,7 @@
 	defer n.inHand.Add(-1)
 	// Beyond the clients' share, connections are kept for the hosts: a call-back that finds none is an
 	// answer lost.
-	if n.inHand.Add(1) > int64(n.o.Messages) || n.shut.Load() {
+	if n.inHand.Add(1) > n.most.Load() || n.shut.Load() {
 		n.o.Figures.End(m.Class, figures.Declined)
 		ctx.SetConnectionClose()
 		say(ctx, fasthttp.StatusServiceUnavailable, "not taken")
--- a/internal/south/callback.go
+++ b/internal/south/callback.go
@@ -12,13 +12,14 @@
 	"topazfall/internal/dispatch"
 )
 
-// CallBack takes the body of one call-back. The error says why it cannot be read.
-func (s *Side) CallBack(body []byte) error {
+// CallBack takes the body of one call-back and tells whether its message is in hand here. The error says why it
+// cannot be read.
+func (s *Side) CallBack(body []byte) (taken bool, err error) {
 	n, known, err := parseNote(body)
-	if err == nil && known {
-		s.core.Noted(n)
+	if err != nil || !known { // a state that says nothing here says nothing anywhere
+		return err == nil, err
 	}
-	return err
+	return s.core.Take(n), nil
 }
 
 // ends translates the states that end a job into the module's outcomes.
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -41,6 +41,7 @@
 	core  *dispatch.Core
 	o     Options
 	conns atomic.Int64
+	most  atomic.Int64 // of conns
 	side  atomic.Int64 // calls other than relays that are under way
 	burnt atomic.Int64 // when a kept connection was last found dead, on the core's clock
 
@@ -51,9 +52,14 @@
 
 // New returns a south side that reports to core.
 func New(core *dispatch.Core, o Options) *Side {
-	return &Side{core: core, o: o, clients: map[string]*fasthttp.HostClient{}, early: map[*exchange.Relay]net.Conn{}}
+	s := &Side{core: core, o: o, clients: map[string]*fasthttp.HostClient{}, early: map[*exchange.Relay]net.Conn{}}
+	s.SetConns(o.Conns)
+	return s
 }
 
+// SetConns changes the bound on connections. Those over it end by themselves.
+func (s *Side) SetConns(most int) { s.most.Store(int64(most)) }
+
 var errTooMany = errors.New("too many connections")
 
 // client keeps the connections to one address. The newest is used first, so that the rest fall idle; they
@@ -72,7 +78,7 @@
 
 // dial opens a connection, within the bound that the limit on descriptors sets.
 func (s *Side) dial(addr string) (net.Conn, error) {
-	if s.conns.Add(1) > int64(s.o.Conns) {
+	if s.conns.Add(1) > s.most.Load() {
 		s.conns.Add(-1)
 		return nil, errTooMany
 	}
--- /dev/null
+++ b/internal/takeover/takeover_test.go
@@ -0,0 +1,119 @@
+package takeover
+
+import (
+	"io"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func ends(t *testing.T) (a, b *Link) {
+	path := t.TempDir() + "/s"
+	ln, err := Listen(path)
+	require.NoError(t, err)
+	defer ln.Close()
+	a, err = Dial(path)
+	require.NoError(t, err)
+	c, err := ln.AcceptUnix()
+	require.NoError(t, err)
+	b = New(c)
+	t.Cleanup(func() { a.Close(); b.Close() })
+	return a, b
+}
+
+// A descriptor belongs to the frame that it was sent with, whatever was said before and after; the bytes of its
+// connection, and the connection itself, outlive the sender's end of it.
+func TestDescriptorsComeWithTheirFrames(t *testing.T) {
+	a, b := ends(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	client, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	defer client.Close()
+	served, err := ln.Accept()
+	require.NoError(t, err)
+	_, err = io.WriteString(client, "unread")
+	require.NoError(t, err)
+
+	long := strings.Repeat("x", 300<<10)
+	go func() {
+		a.Send('1', []byte(long), nil)
+		a.Send('2', []byte("with"), served.(*net.TCPConn))
+		a.Send('3', nil, nil)
+		served.Close()
+	}()
+	for _, want := range []struct{ kind, body string }{{"1", long}, {"2", "with"}, {"3", ""}} {
+		f, err := b.Next()
+		require.NoError(t, err)
+		require.Equal(t, want.kind, string(f.Kind))
+		require.Equal(t, want.body, string(f.Body))
+		require.Equal(t, want.kind == "2", f.File != nil)
+		if f.File != nil {
+			nc, err := net.FileConn(f.File)
+			require.NoError(t, err)
+			f.File.Close()
+			got := make([]byte, 6)
+			_, err = io.ReadFull(nc, got)
+			require.NoError(t, err)
+			require.Equal(t, "unread", string(got))
+			nc.Close()
+		}
+	}
+	_, err = io.ReadAll(client)
+	require.NoError(t, err, "closed in order")
+}
+
+func TestQuestions(t *testing.T) {
+	a, b := ends(t)
+	go a.Run(func(Frame) {}, func([]byte) bool { return false })
+	go b.Run(func(Frame) {}, func(body []byte) bool { return string(body) == "mine" })
+	for text, want := range map[string]bool{"mine": true, "other": false} {
+		got, err := a.Ask([]byte(text), time.Minute)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+	}
+}
+
+// Who asks a process that ends is told so, and not left waiting.
+func TestTheEndAnswersQuestions(t *testing.T) {
+	a, b := ends(t)
+	go a.Run(func(Frame) {}, nil)
+	go b.Run(func(Frame) {}, func([]byte) bool { b.Close(); return true })
+	_, err := a.Ask([]byte("x"), time.Minute)
+	require.Error(t, err)
+	_, err = a.Ask([]byte("x"), time.Minute)
+	require.Error(t, err)
+}
+
+// A file that a killed process has left is no process, and does not stand in the way; a living one's place is taken,
+// and its own listener's end leaves the newcomer's file alone.
+func TestStaleFile(t *testing.T) {
+	path := t.TempDir() + "/s"
+	old, err := Listen(path)
+	require.NoError(t, err)
+	old.Close()
+	_, err = os.Stat(path)
+	require.NoError(t, err)
+	_, err = Dial(path)
+	require.Error(t, err)
+	first, err := Listen(path)
+	require.NoError(t, err)
+	second, err := Listen(path)
+	require.NoError(t, err)
+	defer second.Close()
+	first.Close()
+	l, err := Dial(path)
+	require.NoError(t, err)
+	l.Close()
+}
+
+func TestPath(t *testing.T) {
+	require.NotEqual(t, Path("n1", "127.0.0.1:1"), Path("n1", "127.0.0.1:2"))
+	require.NotEqual(t, Path("n/1", "a"), Path("n_1", "a"))
+	require.Less(t, len(Path(strings.Repeat("../", 99), "a"))-len(os.TempDir()), 28)
+}
--- /dev/null
+++ b/memory.go
@@ -0,0 +1,72 @@
+package topazfall
+
+// Memory is what a balancer has learned, for the one that goes on in its place. Its form is of no concern outside.
+type Memory struct {
+	JobTime, Least, StartLag, Loss, Ready, MeanHeld float64
+	CommonAt                                        int64
+	Patience                                        map[string]int64 // by class
+	Kinds                                           map[string]KindMemory
+	Workers                                         map[string]WorkerMemory
+}
+
+// KindMemory is what was learned of a kind of worker.
+type KindMemory struct {
+	Slots, Pace float64
+	Table       [regions][columns]float64
+}
+
+// WorkerMemory is what was learned of one worker. Held counts the jobs of the one who learned it too: to another
+// they are jobs like anybody's.
+type WorkerMemory struct {
+	Held, Pace, ColdSpent      float64
+	HeardAt, ColdTurn          int64
+	Silent, LastTry, DownUntil int64
+	Failures, Errors           int
+	Table                      [regions][columns]float64
+}
+
+// Memory returns what the balancer has learned.
+func (b *Balancer) Memory() Memory {
+	m := Memory{JobTime: b.jobTime, Least: b.least, StartLag: b.startLag, Loss: b.loss, Ready: b.ready, MeanHeld: b.meanHeld,
+		CommonAt: b.commonAt, Patience: map[string]int64{}, Kinds: map[string]KindMemory{}, Workers: map[string]WorkerMemory{}}
+	for i, c := range b.s.Classes {
+		m.Patience[c.Name] = b.patience[i]
+	}
+	for name, k := range b.kinds {
+		m.Kinds[name] = KindMemory{k.slots, k.pace, k.p}
+	}
+	for _, w := range b.ranked {
+		m.Workers[w.ID] = WorkerMemory{Held: w.held + float64(len(w.own)), Pace: w.pace, ColdSpent: w.coldSpent,
+			HeardAt: w.heardAt, ColdTurn: w.coldTurn, Silent: w.silent, LastTry: w.lastTry, DownUntil: w.downUntil,
+			Failures: w.failures, Errors: w.errors, Table: w.p}
+	}
+	return m
+}
+
+// Inherit makes a balancer that has decided nothing yet go on with what another has learned, of the workers that its
+// list names already. What makes no sense is left as it was.
+func (b *Balancer) Inherit(m Memory) {
+	if m.JobTime <= 0 || m.Least <= 0 || m.StartLag <= 0 {
+		return
+	}
+	b.jobTime, b.least, b.startLag, b.loss, b.ready = m.JobTime, m.Least, m.StartLag, m.Loss, m.Ready
+	b.meanHeld, b.commonAt = m.MeanHeld, m.CommonAt
+	for i, c := range b.s.Classes {
+		b.patience[i] = m.Patience[c.Name]
+	}
+	for name, l := range m.Kinds {
+		if k := b.kinds[name]; k != nil && l.Slots >= 1 && l.Pace > 0 {
+			k.slots, k.pace, k.p = l.Slots, l.Pace, l.Table
+			k.blendWith(nil) // for the tails
+		}
+	}
+	for _, w := range b.ranked {
+		if l, ok := m.Workers[w.ID]; ok && l.Pace > 0 {
+			w.held, w.pace, w.coldSpent, w.heardAt, w.coldTurn = l.Held, l.Pace, l.ColdSpent, l.HeardAt, l.ColdTurn
+			w.silent, w.lastTry, w.downUntil, w.failures, w.errors = l.Silent, l.LastTry, l.DownUntil, l.Failures, l.Errors
+			w.p = l.Table
+			w.blendWith(nil)
+		}
+	}
+	b.refill()
+}
--- a/topazfall.go
+++ b/topazfall.go
@@ -178,6 +178,7 @@
 	ListStale                    // List: all entries as last held before a restart
 	ListBroken                   // a list call failed or the subscription broke
 	PeerMessage                  // From, Data
+	Replaced                     // Amount: 1 from when another process takes the new jobs, 0 if it does no more
 )
 
 // Event is one thing that happened at the dispatcher. The balancer keeps no reference to it or its list.
