Hand messages in hand over to the replacing process with their clients' connections

Now the dispatch goroutine sends exchange, relays, attempts and client in one frame and lets go; the module drops the request at one end (HandedOver) and goes on with it at the other (Resumed). Found by running the test under load: a call-back that asks the old process while the message is on its way to the new one was dropped and answered 200; who gets no for an answer now looks again.

--- a/balancer.go
+++ b/balancer.go
@@ -52,8 +52,8 @@
 		b.timerDue(e.Token)
 	case ListPatch, ListWhole, ListStale, ListBroken:
 		b.list(e)
-	case Replaced:
-		b.replaced = e.Amount > 0
+	case HandedOver, Resumed, Replaced:
+		b.succession(e)
 	}
 	return b.out
 }
@@ -73,9 +73,21 @@
 }
 
 func (b *Balancer) arrive(e *Event) {
-	if b.requests[e.Request] != nil || e.Class < 0 || e.Class >= len(b.s.Classes) {
+	r := b.open(e)
+	if r == nil {
+		return
+	}
+	if r.class.Repeat == Unsafe && b.probe(int64(b.jobTime)) { // its choice is final: worth a fresh look
+		b.look(r, float64(b.s.Tick))
 		return
 	}
+	b.place(r)
+}
+
+func (b *Balancer) open(e *Event) *request {
+	if b.requests[e.Request] != nil || e.Class < 0 || e.Class >= len(b.s.Classes) {
+		return nil
+	}
 	c := &b.s.Classes[e.Class]
 	r := &request{id: e.Request, class: c, due: e.Due, hint: float64(min(max(e.Hint, 0), 1e12))}
 	if r.work = r.hint; r.work == 0 {
@@ -86,11 +98,7 @@
 	b.patience[e.Class] = max(b.patience[e.Class], r.due-b.now)
 	r.aim = min(r.due, r.due-b.patience[e.Class]+c.Aim+int64(c.Stretch*r.hint))
 	b.requests[r.id] = r
-	if c.Repeat == Unsafe && b.probe(int64(b.jobTime)) { // its choice is final: worth a fresh look
-		b.look(r, float64(b.s.Tick))
-		return
-	}
-	b.place(r)
+	return r
 }
 
 // probe asks the buddies not heard of for so long, where reports come only so. It tells whether it did.
@@ -149,7 +157,12 @@
 	}
 	w.coldSpent += r.work
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
-	if b.s.TellsStart { // whether it has begun: soon, and when its aim is about to be lost
+	b.follow(r, w)
+}
+
+// follow looks whether a job has begun: soon, and when its aim is about to be lost.
+func (b *Balancer) follow(r *request, w *worker) {
+	if b.s.TellsStart {
 		b.look(r, 3*b.startLag)
 		b.look(r, float64(r.aim-b.now)-r.hint*w.pace)
 		b.look(r, float64(r.aim-b.now)-r.hint*w.pace+r.hint)
--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -97,7 +97,7 @@
 	program *exec.Cmd
 	old     *exec.Cmd // the one that program has replaced
 	told    []string  // the environment of the program
-	config  string // the path of its configuration
+	config  string    // the path of its configuration
 }
 
 var (
@@ -277,6 +277,9 @@
 		if err != nil {
 			return "", err
 		}
+		if strings.HasPrefix(line, "Date: ") { // who goes on with another process's message sends one
+			continue
+		}
 		lines = append(lines, line)
 		if line == "" {
 			break
--- a/cmd/topazfall/replace.go
+++ b/cmd/topazfall/replace.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bytes"
+	"encoding/gob"
 	"errors"
 	"log"
 	"net"
@@ -9,8 +11,6 @@
 	"syscall"
 	"time"
 
-	jsoniter "github.com/json-iterator/go"
-
 	"topazfall/internal/config"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/inventory"
@@ -26,7 +26,7 @@
 	ready      byte = 'r' // of the new one: it accepts from now on
 	holding    byte = 'k' // what the old one still has of the limits
 	known      byte = 'i' // ids, once more, when the old one leaves
-	connection byte = 'c' // which comes with it
+	connection byte = 'c' // which comes with it, and the message in hand on it if there is one
 )
 
 const (
@@ -42,6 +42,24 @@
 	Core dispatch.Legacy
 }
 
+// kept is what comes with a connection.
+type kept struct {
+	Proven, Client, More bool
+	Begun                *dispatch.Begun
+}
+
+// encode and decode have the form in which the two processes speak. It keeps strings as the bytes that they are, which
+// JSON would not do for what clients have sent.
+func encode(v any) []byte {
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(v); err != nil { // a type that cannot be encoded: found by the tests
+		log.Printf("at=takeover error=%q", err)
+	}
+	return b.Bytes()
+}
+
+func decode(body []byte, v any) error { return gob.NewDecoder(bytes.NewReader(body)).Decode(v) }
+
 // held is what an old process says of the limits: the connections that it has, with those of the ones before it, and
 // the share that it leaves of what cannot be counted so.
 type held struct {
@@ -110,7 +128,7 @@
 		return nil, nil, err
 	}
 	from := &legacy{}
-	if err := jsoniter.Unmarshal(f.Body, from); err != nil { // of another version perhaps: what counts has come
+	if err := decode(f.Body, from); err != nil { // of another version perhaps: what counts has come
 		log.Printf("at=takeover legacy=unreadable error=%q", err)
 		from = &legacy{}
 	}
@@ -154,8 +172,7 @@
 	s.hosts.SetConns(max(int(float64(out)*mine.Share), 1))
 	within(s.c, mine.Share)
 	if s.takes {
-		body, _ := jsoniter.Marshal(held{Conns: s.clients.Conns() + mine.Conns, Share: mine.Share})
-		s.young.Send(holding, body, nil)
+		s.young.Send(holding, encode(held{Conns: s.clients.Conns() + mine.Conns, Share: mine.Share}), nil)
 	}
 }
 
@@ -189,18 +206,19 @@
 	switch f.Kind {
 	case holding:
 		s.mu.Lock()
-		if jsoniter.Unmarshal(f.Body, &s.has) == nil {
+		if decode(f.Body, &s.has) == nil {
 			s.share()
 		}
 		s.mu.Unlock()
 		first()
 	case known:
 		var ids []string
-		if jsoniter.Unmarshal(f.Body, &ids) == nil {
+		if decode(f.Body, &ids) == nil {
 			s.core.Learn(ids)
 		}
 	case connection:
-		if f.File == nil || len(f.Body) < 2 {
+		var k kept
+		if f.File == nil || decode(f.Body, &k) != nil {
 			break
 		}
 		nc, err := net.FileConn(f.File)
@@ -212,7 +230,11 @@
 		s.has.Conns = max(s.has.Conns-1, 0)
 		s.share()
 		s.mu.Unlock()
-		go s.clients.Adopt(nc, f.Body[0] == 1, f.Body[1] == 1)
+		if k.Begun != nil {
+			s.clients.Continue(nc, *k.Begun, k.More)
+			break
+		}
+		go s.clients.Adopt(nc, k.Proven, k.Client)
 	}
 	if f.File != nil {
 		f.File.Close()
@@ -254,10 +276,7 @@
 	s.share()
 	s.mu.Unlock()
 	log.Printf("at=takeover young=here")
-	body, err := jsoniter.Marshal(legacy{s.list.Legacy(), s.core.Legacy()})
-	if err == nil {
-		err = l.Send(state, body, s.ln.(syscall.Conn))
-	}
+	err := l.Send(state, encode(legacy{s.list.Legacy(), s.core.Legacy()}), s.ln.(syscall.Conn))
 	if err == nil {
 		err = l.Run(s.fromYoung, func(body []byte) bool { return s.answer(body, l) })
 	}
@@ -320,7 +339,16 @@
 	return taken
 }
 
+// ask brings a call-back to all others but one. If none has its message that may have been on its way here, and have
+// crossed the question: it came before the answer, and is here now.
 func (s *succession) ask(body []byte, except *takeover.Link) (taken bool, err error) {
+	if taken, err = s.askOthers(body, except); !taken && err == nil {
+		taken, _ = s.hosts.CallBack(body)
+	}
+	return taken, err
+}
+
+func (s *succession) askOthers(body []byte, except *takeover.Link) (taken bool, err error) {
 	s.mu.Lock()
 	links := [...]*takeover.Link{s.old, s.young}
 	s.mu.Unlock()
@@ -347,21 +375,13 @@
 	if !takes {
 		return false
 	}
-	ids, err := jsoniter.Marshal(s.core.Legacy().Known)
-	if err == nil {
-		l.Send(known, ids, nil)
-	}
-	s.clients.PassOn(func(k north.Kept) error { return l.Send(connection, []byte{flag(k.Proven), flag(k.Client)}, k.Conn) })
+	l.Send(known, encode(s.core.Legacy().Known), nil)
+	s.clients.PassOn(func(k north.Kept) error {
+		return l.Send(connection, encode(kept{k.Proven, k.Client, k.More, k.Begun}), k.Conn)
+	})
 	return true
 }
 
-func flag(b bool) byte {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // linked tells whether the process before this one is still there, and whether the one after it accepts.
 func (s *succession) linked() (old, young bool) {
 	s.mu.Lock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -6,6 +6,7 @@
 import (
 	"container/heap"
 	"log"
+	"slices"
 	"sync/atomic"
 
 	"topazfall"
@@ -36,6 +37,7 @@
 type Core struct {
 	Clock
 	balancer  *topazfall.Balancer
+	classes   []topazfall.Class // by index
 	south     South
 	inventory Inventory
 	ops       chan func()
@@ -63,7 +65,7 @@
 	for _, k := range s.Classes {
 		f.AddClasses(k.Name)
 	}
-	return &Core{Clock: NewClock(), balancer: b, ops: make(chan func(), 1024), figures: f, byID: map[string]*exchange.Exchange{},
+	return &Core{Clock: NewClock(), balancer: b, classes: s.Classes, ops: make(chan func(), 1024), figures: f, byID: map[string]*exchange.Exchange{},
 		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{}}, nil
 }
 
@@ -267,7 +269,96 @@
 func (c *Core) Inherit(l Legacy) {
 	c.Learn(l.Known)
 	c.Sync() // the list is with the module
-	c.ops <- func() { c.balancer.Inherit(l.Memory) }
+	c.ops <- func() { c.balancer.Inherit(c.Now(), l.Memory) }
+}
+
+// Begun is a message in hand that goes from one process to another.
+type Begun struct {
+	exchange.Message
+	ClassName string
+	Relays    []BegunRelay
+	Tries     []topazfall.Try
+}
+
+// BegunRelay is one of its relays.
+type BegunRelay struct {
+	Host, Addr       string
+	Sent, Begun, Due int64
+	Outcome          topazfall.Outcome
+	Done             bool
+}
+
+// HandOver gives a message in hand away by means of to, and tells whether it is gone. One that is over is not, nor one
+// of which a relay is still between here and its host. As to is called from the dispatch goroutine, all that is told of
+// the message comes either before it or finds it no more.
+func (c *Core) HandOver(x *exchange.Exchange, to func(Begun) error) bool {
+	gone := make(chan bool, 1)
+	c.ops <- func() { gone <- c.handOver(x, to) }
+	return <-gone
+}
+
+func (c *Core) handOver(x *exchange.Exchange, to func(Begun) error) bool {
+	if x.Over() || c.byNum[x.Number] != x {
+		return false
+	}
+	b := Begun{Message: x.Message, ClassName: c.classes[x.Class].Name, Tries: c.balancer.Tries(x.Number)}
+	for _, r := range x.Relays {
+		if !r.Done && !r.Accepted() {
+			return false
+		}
+		b.Relays = append(b.Relays, BegunRelay{r.Host.ID, r.Host.Addr, r.Sent, r.Begun, r.Due, r.Outcome, r.Done})
+	}
+	if len(b.Tries) != len(b.Relays) || to(b) != nil { // what is queued for the module comes first
+		return false
+	}
+	c.finish(x, exchange.Answer{Verdict: exchange.Moved})
+	for _, r := range x.Relays {
+		if !r.Done {
+			r.Done = true
+			c.inHand.Add(-1)
+		}
+	}
+	c.feed(topazfall.Event{Kind: topazfall.HandedOver, Request: x.Number})
+	c.forget(x)
+	log.Printf("at=moved id=%s to=young", x.ID)
+	return true
+}
+
+// Resume goes on with a message that another process has begun. It gets its final answer here.
+func (c *Core) Resume(b Begun) *exchange.Exchange {
+	x := exchange.New(b.Message)
+	c.inHand.Add(1)
+	c.figures.Outstanding.Add(1)
+	c.ops <- func() {
+		x.Class = slices.IndexFunc(c.classes, func(k topazfall.Class) bool { return k.Name == b.ClassName })
+		if c.byID[x.ID] != nil || x.Class < 0 {
+			log.Printf("at=moved id=%s class=%q error=%q", x.ID, b.ClassName, "in hand already, or of no known class")
+			c.finish(x, exchange.Answer{Verdict: exchange.Failed})
+			return
+		}
+		c.remember(x.ID)
+		x.Number = c.number
+		c.byID[x.ID], c.byNum[x.Number] = x, x
+		for _, old := range b.Relays {
+			h := c.hosts[old.Host]
+			if h == nil || h.Addr != old.Addr {
+				h = &exchange.Host{ID: old.Host, Addr: old.Addr}
+			}
+			r := x.Relay(h, old.Sent, old.Due)
+			r.Begun, r.Outcome, r.Done = old.Begun, old.Outcome, old.Done
+			r.Resume()
+			if r.Done {
+				r.End()
+				continue
+			}
+			c.inHand.Add(1)
+			c.watch(r)
+		}
+		c.feed(topazfall.Event{Kind: topazfall.Resumed, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
+			Due: x.Due, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry, Tries: b.Tries})
+		log.Printf("at=moved id=%s from=old relays=%d", x.ID, len(b.Relays))
+	}
+	return x
 }
 
 // Learn makes ids known that another process has had.
@@ -372,15 +463,20 @@
 		return
 	}
 	r := x.Relay(h, now, due)
-	// Timers cannot be taken back: this one must not keep the message's body until its time comes.
-	number, n := x.Number, r.N
-	c.after(due, func() {
+	c.watch(r)
+	c.south.Send(r)
+}
+
+// watch ends a relay when its time is up. Timers cannot be taken back: this one must not keep the message's body until
+// its time comes.
+func (c *Core) watch(r *exchange.Relay) {
+	number, n := r.Exchange.Number, r.N
+	c.after(r.Due, func() {
 		if x := c.byNum[number]; x != nil && !x.Relays[n].Done {
 			c.south.CallOff(x.Relays[n])
 			c.end(x.Relays[n], topazfall.Overdue, topazfall.NoLoad, nil)
 		}
 	})
-	c.south.Send(r)
 }
 
 // end gives a relay its one outcome. The first to be served answers the client.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,6 +41,7 @@
 	Failed
 	TimedOut // failed, for want of time
 	Twice    // a message with this id is in hand already
+	Moved    // no answer: another process goes on with the message
 )
 
 // Answer is the final answer to a message.
@@ -104,6 +105,7 @@
 	Outcome  topazfall.Outcome
 	Done     bool // Outcome is known; the dispatch goroutine's
 	stage    atomic.Int32
+	accepted atomic.Bool
 }
 
 // Relay adds a relay to the exchange.
@@ -119,6 +121,19 @@
 	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && r.stage.CompareAndSwap(waiting, started)
 }
 
+// Accept notes that the host has taken the job: from here on its call-backs tell the rest, and no connection is bound
+// to the relay any more.
+func (r *Relay) Accept() { r.accepted.Store(true) }
+
+// Accepted tells whether the host has taken the job.
+func (r *Relay) Accepted() bool { return r.accepted.Load() }
+
+// Resume makes a relay of one that another process has begun and its host has taken.
+func (r *Relay) Resume() {
+	r.stage.Store(started)
+	r.Accept()
+}
+
 // Ended tells that the relay is closed.
 func (r *Relay) Ended() bool { return r.stage.Load() == ended }
 
--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"topazfall/internal/dispatch"
 )
 
 const (
@@ -36,6 +38,7 @@
 
 	// Once set, a connection goes there as soon as it is between requests. It is not closed for its client then.
 	elsewhere atomic.Pointer[func(Kept) error]
+	going     chan struct{} // closed then
 
 	mu       sync.Mutex
 	most     int           // connections at a time
@@ -47,7 +50,7 @@
 
 // listen bounds what comes in on ln to so many connections, and to memory for so many large requests.
 func listen(ln net.Listener, most, large int) *listener {
-	l := &listener{Listener: ln, unproven: list.New(), proven: list.New()}
+	l := &listener{Listener: ln, going: make(chan struct{}), unproven: list.New(), proven: list.New()}
 	l.bound(most, large)
 	return l
 }
@@ -100,13 +103,17 @@
 type Kept struct {
 	Conn           syscall.Conn
 	Proven, Client bool
+	Begun          *dispatch.Begun // the message in hand on it; nil for none
+	More           bool            // its client has sent more before the answer
 }
 
 // passOn makes all connections go elsewhere, each as soon as it is between requests.
 func (l *listener) passOn(to func(Kept) error) {
-	l.elsewhere.Store(&to)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.elsewhere.Swap(&to) == nil {
+		close(l.going)
+	}
 	for _, some := range []*list.List{l.unproven, l.proven} {
 		for e := some.Front(); e != nil; e = e.Next() {
 			// Its goroutine waits for a first byte, and now wakes in Read. A busy one must not be woken: it reads
@@ -118,6 +125,21 @@
 	}
 }
 
+// keepOn ends the handing over.
+func (l *listener) keepOn() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.elsewhere.Swap(nil) != nil {
+		l.going = make(chan struct{})
+	}
+}
+
+func (l *listener) goes() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.going
+}
+
 // passed hands c over if it is between requests and is to go. The other process has it then: what closes here is
 // no more than our end of it.
 func (c *conn) passed() bool {
@@ -125,8 +147,8 @@
 	if to == nil || c.got > 0 || c.linger.Load() {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
+	sc := c.socket()
+	if sc == nil {
 		return false
 	}
 	c.l.mu.Lock()
@@ -135,6 +157,11 @@
 	return (*to)(k) == nil
 }
 
+func (c *conn) socket() syscall.Conn {
+	sc, _ := c.Conn.(syscall.Conn)
+	return sc
+}
+
 // busy is the number of connections that have begun a request without its end.
 func (l *listener) busy() (n int) {
 	l.mu.Lock()
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -3,6 +3,7 @@
 package north
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -28,7 +29,8 @@
 	readTime      = 10 * time.Second // for one message, from its first byte
 	writeTime     = 10 * time.Second // for an answer that its client does not read
 	idleTime      = 2 * time.Minute
-	lead          = 5000 // microseconds by which an answer leaves before the client's own deadline
+	moveTime      = 20 * time.Millisecond // between tries to hand a message over
+	lead          = 5000                  // microseconds by which an answer leaves before the client's own deadline
 )
 
 // CallBacks takes what hosts tell of jobs.
@@ -133,7 +135,7 @@
 // KeepOn ends the handing over.
 func (n *Side) KeepOn() {
 	n.passing.Store(false)
-	n.ln.elsewhere.Store(nil)
+	n.ln.keepOn()
 }
 
 // Adopt goes on with a connection of another process.
@@ -280,22 +282,90 @@
 	}
 	x := exchange.New(m)
 	n.core.Arrive(x)
-	gone := c.watch()
-	select {
-	case a := <-x.Answer():
-		write(ctx, x, a, c.first)
-	case <-gone:
-		// Should the client have closed one direction only, it still gets an answer, and no empty 200: that
-		// would be a result that no host made.
-		n.core.Gone(x)
-		log.Printf("at=gone id=%s", x.ID)
-		ctx.SetConnectionClose()
-		write(ctx, x, <-x.Answer(), c.first)
+	if !n.conclude(ctx, c, x, false) { // nothing of it may be written here
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	}
+}
+
+// conclude waits for the final answer to a message and puts it into ctx. It tells whether there is one: if not,
+// another process goes on with the message and its connection.
+func (n *Side) conclude(ctx *fasthttp.RequestCtx, c *conn, x *exchange.Exchange, more bool) bool {
+	gone, going, retry := c.watch(), n.ln.goes(), (<-chan time.Time)(nil)
+	for answered := false; !answered; {
+		select {
+		case a := <-x.Answer():
+			write(ctx, x, a, c.first)
+			answered = true
+			continue
+		case <-gone:
+			// Should the client have closed one direction only, it still gets an answer, and no empty 200: that
+			// would be a result that no host made.
+			n.core.Gone(x)
+			log.Printf("at=gone id=%s", x.ID)
+			ctx.SetConnectionClose()
+			write(ctx, x, <-x.Answer(), c.first)
+			answered = true
+			continue
+		case <-going:
+		case <-retry:
+		}
+		more = c.unwatch() || more
+		if n.handOver(c, x, more) {
+			return false
+		}
+		// Its host has not answered yet, or the final answer is there: the next round will tell.
+		gone, going, retry = c.watch(), nil, time.After(moveTime)
 	}
-	if c.unwatch() { // it does not wait for answers; what it has sent ahead is not read
+	if c.unwatch() || more { // it does not wait for answers; what it has sent ahead is not read
 		ctx.SetConnectionClose()
 		c.linger.Store(true)
 	}
+	return true
+}
+
+func (n *Side) handOver(c *conn, x *exchange.Exchange, more bool) bool {
+	to, sc := n.ln.elsewhere.Load(), c.socket()
+	return to != nil && sc != nil && n.core.HandOver(x, func(b dispatch.Begun) error {
+		return (*to)(Kept{Conn: sc, Proven: true, Client: true, Begun: &b, More: more})
+	})
+}
+
+// Continue goes on with a message that another process has begun, and with its connection.
+func (n *Side) Continue(nc net.Conn, b dispatch.Begun, more bool) {
+	x := n.core.Resume(b) // first: what comes over the link next may be about it
+	go func() {
+		c := n.ln.admit(nc)
+		if c == nil { // all places are taken by busy connections
+			n.core.Gone(x)
+			return
+		}
+		track(c, fasthttp.StateActive)
+		c.prove(true)
+		c.first = n.core.At(x.Arrived)
+		n.inHand.Add(1)
+		defer n.inHand.Add(-1)
+		var ctx fasthttp.RequestCtx
+		ctx.Init2(c, logger{}, true)
+		ctx.Response.Header.SetNoDefaultContentType(true)
+		if !n.conclude(&ctx, c, x, more) {
+			c.Close()
+			return
+		}
+		c.SetWriteDeadline(time.Now().Add(writeTime))
+		w := bufio.NewWriter(c)
+		err := ctx.Response.Write(w)
+		if err == nil {
+			err = w.Flush()
+		}
+		if err != nil || ctx.Response.ConnectionClose() {
+			c.Close()
+			return
+		}
+		track(c, fasthttp.StateIdle)
+		c.kept = true
+		n.server.ServeConn(c)
+	}()
 }
 
 func write(ctx *fasthttp.RequestCtx, x *exchange.Exchange, a exchange.Answer, arrived time.Time) {
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -129,6 +129,7 @@
 		}
 		return topazfall.Severed, l, true
 	case out.StatusCode() == fasthttp.StatusAccepted:
+		r.Accept()
 		return 0, l, false
 	}
 	l = headerLoad(out.Header.Peek("X-Server-Load"))
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -117,7 +117,6 @@
 			return err // nothing was written
 		}
 		var sent error
-		// Not by way of os.File: its Fd would make the socket block, also for the one who has it now.
 		err = raw.Control(func(fd uintptr) { n, _, sent = l.c.WriteMsgUnix(head[:headSize], syscall.UnixRights(int(fd)), nil) })
 		if err != nil {
 			return err
--- a/memory.go
+++ b/memory.go
@@ -1,5 +1,7 @@
 package topazfall
 
+import "slices"
+
 // Memory is what a balancer has learned, for the one that goes on in its place. Its form is of no concern outside.
 type Memory struct {
 	JobTime, Least, StartLag, Loss, Ready, MeanHeld float64
@@ -43,12 +45,75 @@
 	return m
 }
 
+// succession takes what happens between this balancer and another in whose place it goes on, or that goes on in its own.
+func (b *Balancer) succession(e *Event) {
+	switch e.Kind {
+	case HandedOver:
+		b.drop(b.requests[e.Request])
+	case Resumed:
+		b.resume(e)
+	case Replaced:
+		b.replaced = e.Amount > 0
+	}
+}
+
+// Tries is what is known of the attempts of a request, for the balancer that goes on with it.
+func (b *Balancer) Tries(request uint64) (tries []Try) {
+	if r := b.requests[request]; r != nil {
+		for _, a := range r.tries {
+			tries = append(tries, Try{a.w.ID, a.sent, a.started, a.heard, a.done, a.notRun, a.recalled, a.unusable})
+		}
+	}
+	return tries
+}
+
+// drop lets go of a request that another balancer goes on with: nothing is called off.
+func (b *Balancer) drop(r *request) {
+	if r == nil {
+		return
+	}
+	r.closed = true
+	delete(b.requests, r.id)
+	for _, a := range r.tries {
+		a.w.own = slices.DeleteFunc(a.w.own, func(o *attempt) bool { return o == a })
+	}
+}
+
+// resume goes on with a request that another balancer has begun.
+func (b *Balancer) resume(e *Event) {
+	r := b.open(e)
+	if r == nil {
+		return
+	}
+	for _, t := range e.Tries {
+		if b.workers[t.Worker] == nil { // it has left the list: nothing goes there, but what is there may come back
+			b.entry(&Worker{ID: t.Worker, State: Gone})
+		}
+		w := b.workers[t.Worker]
+		a := &attempt{r: r, n: len(r.tries), region: b.region(w), w: w, sent: t.Sent, started: t.Started, heard: t.Heard,
+			done: t.Done, notRun: t.NotRun, recalled: t.Recalled, unusable: t.Unusable}
+		r.tries = append(r.tries, a)
+		if !a.done {
+			r.out++
+			w.own = append(w.own, a)
+			if a.sent < b.heir { // it was counted among the others' jobs there
+				w.held = max(w.held-1, -w.kind.slots)
+			}
+			b.follow(r, w)
+		}
+	}
+	if r.out == 0 {
+		b.place(r)
+	}
+}
+
 // Inherit makes a balancer that has decided nothing yet go on with what another has learned, of the workers that its
 // list names already. What makes no sense is left as it was.
-func (b *Balancer) Inherit(m Memory) {
+func (b *Balancer) Inherit(now int64, m Memory) {
 	if m.JobTime <= 0 || m.Least <= 0 || m.StartLag <= 0 {
 		return
 	}
+	b.heir = now
 	b.jobTime, b.least, b.startLag, b.loss, b.ready = m.JobTime, m.Least, m.StartLag, m.Loss, m.Ready
 	b.meanHeld, b.commonAt = m.MeanHeld, m.CommonAt
 	for i, c := range b.s.Classes {
--- /dev/null
+++ b/memory_test.go
@@ -0,0 +1,89 @@
+package topazfall
+
+import "testing"
+
+// A request goes from one balancer to another as it stands: what may have run is not sent again, what never ran may
+// be refused, nothing is called off, and the first owes nothing any more.
+func TestRequestGoesToAnotherBalancer(t *testing.T) {
+	old := newRig(t, settings(), fleet(6)...)
+	id, acts := old.arrive(unsafe)
+	first := old.sends(acts).Worker
+	second := old.sends(old.done(id, 0, first, RefusedConn)).Worker
+	old.on(Event{Kind: JobStarted, Request: id, Attempt: 1, Worker: second})
+
+	young := newRig(t, settings(), fleet(6)...)
+	young.b.Inherit(young.now, old.b.Memory())
+	tries := old.b.Tries(id)
+	if acts := old.on(Event{Kind: HandedOver, Request: id}); len(acts) > 0 || len(old.b.requests) > 0 {
+		t.Errorf("the old one wants %+v and holds %d", acts, len(old.b.requests))
+	}
+	for _, w := range old.b.ranked {
+		if len(w.own) > 0 {
+			t.Errorf("%s still has %d", w.ID, len(w.own))
+		}
+	}
+	acts = young.on(Event{Kind: Resumed, Request: 77, Class: unsafe, Tenant: -1, Due: young.now + 10e6, Hint: 200e3, Tries: tries})
+	if n, _ := count(acts, Send); n > 0 {
+		t.Errorf("sent again: %+v", acts)
+	}
+	if w := young.b.workers[second]; len(w.own) != 1 || w.own[0].started != young.now {
+		t.Errorf("the job at %s is not known", second)
+	}
+	if n, _ := count(young.done(77, 1, second, Severed), Fail); n != 1 {
+		t.Error("what may have run must fail")
+	}
+}
+
+// A worker that has left the list since keeps its job, and gets nothing new.
+func TestResumedAtAGoneWorker(t *testing.T) {
+	r := newRig(t, settings(), fleet(2)...)
+	r.on(Event{Kind: Resumed, Request: 7, Class: safe, Tenant: -1, Due: r.now + 10e6, Hint: 200e3,
+		Tries: []Try{{Worker: "left", Sent: r.now - 1}}})
+	if acts := r.done(7, 0, "left", Saturated); r.sends(acts).Worker == "left" {
+		t.Error("a worker that is not listed gets a job")
+	}
+}
+
+// What was learned goes on: who rests, rests; what a cold worker was sent counts; jobs of the old one are backlog.
+func TestInherit(t *testing.T) {
+	s := settings()
+	s.Dispatchers = 1
+	workers := fleet(6)
+	old := newRig(t, s, workers...)
+	cold := workers[0]
+	cold.StartedAt = old.now - 1
+	old.on(Event{Kind: ListPatch, List: []Worker{cold}})
+	old.b.workers["w0"].coldTurn, old.b.workers["w0"].coldSpent = old.now/s.Contract.FallTime, 123
+	old.b.workers["w1"].downUntil = old.now + 5e6
+	id, acts := old.arrive(unsafe)
+	busy := old.sends(acts).Worker
+	old.on(Event{Kind: JobStarted, Request: id, Worker: busy})
+
+	workers[0] = cold
+	young := newRig(t, s, workers...)
+	if young.b.Avoided(young.now) != 0 {
+		t.Error("a new one avoids nobody")
+	}
+	before := young.b.backlog(young.b.workers[busy])
+	young.b.Inherit(young.now, old.b.Memory())
+	if n := young.b.Avoided(young.now); n != 1 {
+		t.Errorf("%d are avoided", n)
+	}
+	if a, b := young.b.coldShare(young.b.workers["w0"]), old.b.coldShare(old.b.workers["w0"]); a != b {
+		t.Errorf("cold share %v, %v before", a, b)
+	}
+	if after := young.b.backlog(young.b.workers[busy]); after < before {
+		t.Errorf("backlog %v, %v without the memory", after, before)
+	}
+	if old.b.coldShare(old.b.workers["w0"]) <= 0 {
+		t.Fatal("nothing is left to leave to another")
+	}
+	old.on(Event{Kind: Replaced, Amount: 1})
+	if old.b.coldShare(old.b.workers["w0"]) > 0 {
+		t.Error("one that is replaced leaves cold workers to the other")
+	}
+	young.b.Inherit(young.now, Memory{})
+	if young.b.jobTime <= 0 || young.b.Avoided(young.now) != 1 {
+		t.Error("an empty memory is no memory")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -21,6 +21,7 @@
 	patience []int64 // the longest time to a deadline seen, by class
 	loss     float64 // share of the worth lost on late jobs
 	unheard  bool    // the list service failed us
+	heir     int64   // when it took over what another had learned
 	replaced bool    // another process takes the new jobs
 	ready    float64 // share of late sends that began at once
 	blendAt  int64
--- a/topazfall.go
+++ b/topazfall.go
@@ -178,6 +178,8 @@
 	ListStale                    // List: all entries as last held before a restart
 	ListBroken                   // a list call failed or the subscription broke
 	PeerMessage                  // From, Data
+	HandedOver                   // Request: another process goes on with it
+	Resumed                      // as Arrival, and Tries: a request that another process has begun
 	Replaced                     // Amount: 1 from when another process takes the new jobs, 0 if it does no more
 )
 
@@ -202,6 +204,14 @@
 	List    []Worker
 	From    int
 	Data    []byte
+	Tries   []Try
+}
+
+// Try is what is known of one attempt of a request that goes from one balancer to another.
+type Try struct {
+	Worker                           string
+	Sent, Started, Heard             int64
+	Done, NotRun, Recalled, Unusable bool
 }
 
 // ActionKind names what the dispatcher is to do.
