Take new settings at SIGHUP: checked whole, taken whole or not at all

Now config compares a file with the one in force: each key must be there, of the same kind, and the module must find the figures possible. The module takes settings as an event; classes keep their indices, messages in hand their class, unless the new one is stricter. north swaps one table.

--- a/balancer.go
+++ b/balancer.go
@@ -22,7 +22,7 @@
 
 // New returns a balancer for one dispatcher, or an error that names the setting that cannot work.
 func New(s Settings) (*Balancer, error) {
-	if err := s.check(); err != nil {
+	if err := s.Check(); err != nil {
 		return nil, err
 	}
 	job := float64(s.Classes[0].Deadline) / 10 // until jobs tell better
@@ -52,7 +52,7 @@
 		b.timerDue(e.Token)
 	case ListPatch, ListWhole, ListStale, ListBroken:
 		b.list(e)
-	case HandedOver, Resumed, Replaced:
+	case HandedOver, Resumed, Replaced, NewSettings:
 		b.succession(e)
 	}
 	return b.out
--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -62,8 +62,7 @@
 	}
 	out, in := bounds(&c)
 	in.Figures = counts
-	hosts := south.New(core, south.Options{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond,
-		ConnIdle: c.ConnIdle, Conns: out, Figures: counts})
+	hosts := south.New(core, south.Options{Times: times(&c), Conns: out, Figures: counts})
 	var takes atomic.Pointer[north.Side]
 	if c.Management != "" {
 		serveOperators(c.Management, func() bool { n := takes.Load(); return n != nil && n.Ready() }, counts)
@@ -87,7 +86,7 @@
 		known = list.Known(c.Known)
 	}
 	go list.Run()
-	go reload(hangups, list, counts)
+	go place.reload(hangups, counts)
 	served := make(chan error, 1)
 	serve := func() { served <- clients.Serve() }
 	if old == nil {
@@ -125,19 +124,28 @@
 	return err
 }
 
-// reload takes a replaced configuration at each SIGHUP, also while the program is leaving. What can change
-// under load is where discovery is; a file that cannot be used changes nothing.
-func reload(hangups <-chan os.Signal, list *inventory.Watch, counts *figures.Figures) {
+// times are the limits in time that the configuration sets for connections to hosts.
+func times(c *config.Config) south.Times {
+	return south.Times{DialTimeout: time.Duration(c.Settings.Allowed.DialTimeout) * time.Microsecond, ConnIdle: c.ConnIdle}
+}
+
+// reload takes a replaced configuration at each SIGHUP, also while the program is leaving: its settings and its address
+// of discovery, all or nothing. Addresses of our own, the name and the limits are those of the start.
+func (s *succession) reload(hangups <-chan os.Signal, counts *figures.Figures) {
+	now := s.c
 	for range hangups {
-		c, err := config.Reload(os.Getenv)
+		c, err := now.Reload(os.Getenv)
 		if err != nil {
 			counts.HangupsFailed.Add(1)
 			log.Printf("at=reload state=kept error=%q", err)
 			continue
 		}
-		log.Printf("at=reload state=taken discovery=%s", c.Discovery)
-		list.Move(c.Discovery)
+		now = &c
+		s.clients.Renew(&c.Settings, s.core.Renew(c.Settings)) // the core first: no class may come that it does not know
+		s.hosts.SetTimes(times(now))
+		s.list.Move(c.Discovery)
 		counts.HangupsTaken.Add(1)
+		log.Printf("at=reload state=taken discovery=%s classes=%d", c.Discovery, len(c.Settings.Classes))
 	}
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,7 +33,7 @@
 	c, err := Load(told)
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:9", c.Discovery)
-	c, err = Reload(told)
+	c, err = c.Reload(told)
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:8500", c.Discovery)
 	require.Equal(t, "n7", c.Name)
@@ -53,3 +54,50 @@
 	_, err := Load(env(nil))
 	require.ErrorContains(t, err, "LB_CONFIG")
 }
+
+// A file is taken whole or not at all, and the error names what is wrong with it.
+func TestReloadChecksTheWholeFile(t *testing.T) {
+	text, err := os.ReadFile("../../example/config.json")
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	told := env(map[string]string{"LB_CONFIG": path})
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(string(text))
+	c, err := Load(told)
+	require.NoError(t, err)
+	with := func(old, now string) string {
+		require.Contains(t, string(text), old)
+		return strings.Replace(string(text), old, now, 1)
+	}
+	for file, want := range map[string]string{
+		"":                                                    "",
+		string(text[:len(text)/2]):                            "",
+		string(text) + "x":                                    "",
+		"null":                                                "listen",
+		with(`"settings"`, `"Settings2"`):                     "settings is missing",
+		with(`"send_cap": 6`, `"other": 6`):                   "settings.allowed.send_cap is missing",
+		with(`"send_cap": 6`, `"send_cap": 0`):                "Attempts",
+		with(`"send_cap": 6`, `"send_cap": "6"`):              "",
+		with(`"send_cap": 6`, `"send_cap": null`):             "settings.allowed.send_cap is missing",
+		with(`"send_cap": 6`, `"send_cap": 1.5`):              "",
+		with(`"deadline_us": 25000000`, `"deadline_us": -5`):  "deadline",
+		with(`"deadline_us": 25000000`, `"deadline_us": 0`):   "deadline",
+		with(`"deadline_us": 25000000, `, ``):                 "settings.classes[1].deadline_us is missing",
+		with(`"drain_grace_us": 500000, `, ``):                "settings.contract.drain_grace_us is missing",
+		with(`"cancel": true`, `"cancel": 1`):                 "",
+		with(`"memory_mb": 192`, `"memory": 192`):             "limits.memory_mb is missing",
+		with(`"name": "dispute-extract"`, `"name": "lookup"`): "lookup",
+		with(`"areas": ["hall-a"]`, `"areas": "hall-a"`):      "",
+		with(`"repeat": "fragile"`, `"repeat": "sometimes"`):  "sometimes",
+	} {
+		write(file)
+		_, err := c.Reload(told)
+		require.ErrorContains(t, err, want, file)
+	}
+	for _, file := range []string{string(text), with(`"send_cap": 6`, `"send_cap": 2, "new": 1`), with(`"known"`, `"was"`),
+		with(`"classes": [`, `"classes": [{"name": "r2", "aim_us": 1, "deadline_us": 2, "points": 1, "late_worth": 0, "repeat": "fragile"},`)} {
+		write(file)
+		_, err := c.Reload(told)
+		require.NoError(t, err)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -37,7 +37,8 @@
 type Core struct {
 	Clock
 	balancer  *topazfall.Balancer
-	classes   []topazfall.Class // by index
+	settings  topazfall.Settings
+	classes   []topazfall.Class // by index, those that are gone as well
 	south     South
 	inventory Inventory
 	ops       chan func()
@@ -65,7 +66,7 @@
 	for _, k := range s.Classes {
 		f.AddClasses(k.Name)
 	}
-	return &Core{Clock: NewClock(), balancer: b, classes: s.Classes, ops: make(chan func(), 1024), figures: f, byID: map[string]*exchange.Exchange{},
+	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, ops: make(chan func(), 1024), figures: f, byID: map[string]*exchange.Exchange{},
 		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{}}, nil
 }
 
@@ -272,12 +273,38 @@
 	c.ops <- func() { c.balancer.Inherit(c.Now(), l.Memory) }
 }
 
+// Renew goes on with other settings. It returns the index of each of their classes, by name.
+func (c *Core) Renew(s topazfall.Settings) map[string]int {
+	done := make(chan map[string]int)
+	c.ops <- func() {
+		c.settings = s
+		c.addClasses(s.Classes)
+		indices := map[string]int{}
+		for i, k := range c.classes {
+			indices[k.Name] = i
+		}
+		done <- indices
+	}
+	return <-done
+}
+
+// addClasses makes classes known, to the module as well.
+func (c *Core) addClasses(now []topazfall.Class) {
+	c.classes = topazfall.AppendClasses(c.classes, now)
+	for _, k := range now {
+		c.figures.AddClasses(k.Name)
+	}
+	s := c.settings
+	s.Classes = c.classes
+	c.feed(topazfall.Event{Kind: topazfall.NewSettings, Settings: &s})
+}
+
 // Begun is a message in hand that goes from one process to another.
 type Begun struct {
 	exchange.Message
-	ClassName string
-	Relays    []BegunRelay
-	Tries     []topazfall.Try
+	ClassIs topazfall.Class // it may be gone from the settings
+	Relays  []BegunRelay
+	Tries   []topazfall.Try
 }
 
 // BegunRelay is one of its relays.
@@ -301,7 +328,7 @@
 	if x.Over() || c.byNum[x.Number] != x {
 		return false
 	}
-	b := Begun{Message: x.Message, ClassName: c.classes[x.Class].Name, Tries: c.balancer.Tries(x.Number)}
+	b := Begun{Message: x.Message, ClassIs: c.classes[x.Class], Tries: c.balancer.Tries(x.Number)}
 	for _, r := range x.Relays {
 		if !r.Done && !r.Accepted() {
 			return false
@@ -330,9 +357,13 @@
 	c.inHand.Add(1)
 	c.figures.Outstanding.Add(1)
 	c.ops <- func() {
-		x.Class = slices.IndexFunc(c.classes, func(k topazfall.Class) bool { return k.Name == b.ClassName })
-		if c.byID[x.ID] != nil || x.Class < 0 {
-			log.Printf("at=moved id=%s class=%q error=%q", x.ID, b.ClassName, "in hand already, or of no known class")
+		named := func(k topazfall.Class) bool { return k.Name == b.ClassIs.Name }
+		if !slices.ContainsFunc(c.classes, named) {
+			c.addClasses([]topazfall.Class{b.ClassIs})
+		}
+		x.Class = slices.IndexFunc(c.classes, named)
+		if c.byID[x.ID] != nil {
+			log.Printf("at=moved id=%s error=%q", x.ID, "in hand already")
 			c.finish(x, exchange.Answer{Verdict: exchange.Failed})
 			return
 		}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -34,6 +34,7 @@
 	known  bool // there is a list that changes can be applied to
 	kick   chan bool
 	moves  chan string
+	target string // of the last move; the mover's
 	tried  chan struct{}
 
 	mu   sync.Mutex
@@ -49,7 +50,7 @@
 
 // New returns a watch that tells core of the list.
 func New(addr string, core *dispatch.Core) *Watch {
-	return &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1),
+	return &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1), target: addr,
 		tried: make(chan struct{})}
 }
 
@@ -69,6 +70,10 @@
 // Move makes the watch go on at another address, at once; of several the last counts. It is called from one
 // goroutine at a time.
 func (w *Watch) Move(addr string) {
+	if w.target == addr { // a watch that goes on misses nothing
+		return
+	}
+	w.target = addr
 	select {
 	case <-w.moves: // an earlier move that nobody has begun
 	default:
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -51,9 +51,7 @@
 	core    *dispatch.Core
 	back    CallBacks
 	o       Options
-	classes map[string]int
-	once    map[int]bool // the classes that must not run twice
-	tenants map[string]int
+	tables  atomic.Pointer[tables]
 	server  *fasthttp.Server
 	ln      *listener
 	inHand  atomic.Int64
@@ -65,16 +63,34 @@
 	passing atomic.Bool // connections go to another process, and are not closed
 }
 
+// tables say what the names in messages mean. They are never changed, only replaced.
+type tables struct {
+	classes map[string]int  // the index of each
+	once    map[string]bool // the classes that must not run twice
+	tenants map[string]int
+}
+
+// Renew makes the settings hold for messages that come from now on; classes has the index of each class.
+func (n *Side) Renew(s *topazfall.Settings, classes map[string]int) {
+	t := &tables{classes: map[string]int{}, once: map[string]bool{}, tenants: map[string]int{}}
+	for _, c := range s.Classes {
+		t.classes[c.Name], t.once[c.Name] = classes[c.Name], c.Repeat == topazfall.Unsafe
+	}
+	for i, r := range s.Tenants {
+		t.tenants[r.Name] = i
+	}
+	n.tables.Store(t)
+}
+
 // New returns a north side that serves what comes in on ln: messages go to core and call-backs to back.
 func New(ln net.Listener, core *dispatch.Core, back CallBacks, s *topazfall.Settings, o Options) *Side {
-	n := &Side{core: core, back: back, o: o, ln: listen(ln, o.Conns, o.Large), classes: map[string]int{}, once: map[int]bool{}, tenants: map[string]int{}}
+	n := &Side{core: core, back: back, o: o, ln: listen(ln, o.Conns, o.Large)}
 	n.most.Store(int64(o.Messages))
+	indices := map[string]int{}
 	for i, c := range s.Classes {
-		n.classes[c.Name], n.once[i] = i, c.Repeat == topazfall.Unsafe
-	}
-	for i, t := range s.Tenants {
-		n.tenants[t.Name] = i
+		indices[c.Name] = i
 	}
+	n.Renew(s, indices)
 	n.server = &fasthttp.Server{
 		Handler: n.handle, ErrorHandler: malformed, Logger: logger{},
 		// The listener bounds the connections; one that it drops may take a moment to end.
@@ -396,7 +412,7 @@
 func (n *Side) read(r *fasthttp.Request, arrived int64) (m exchange.Message, fault string) {
 	m = exchange.Message{Method: string(r.Header.Method()), Path: string(r.Header.RequestURI()),
 		Arrived: arrived, Class: -1, Tenant: -1, Slots: 1, Body: append([]byte(nil), r.Body()...)}
-	wait := time.Duration(-1)
+	wait, t := time.Duration(-1), n.tables.Load()
 	for name, value := range r.Header.All() {
 		f := exchange.Field{Name: string(name), Value: string(value)}
 		m.Fields = append(m.Fields, f)
@@ -407,11 +423,11 @@
 			}
 			m.ID = f.Value
 		case "x-priority-class":
-			if i, ok := n.classes[f.Value]; ok {
-				m.Class, m.Once = i, n.once[i]
+			if i, ok := t.classes[f.Value]; ok {
+				m.Class, m.Once = i, t.once[f.Value]
 			}
 		case "x-tenant-id":
-			if i, ok := n.tenants[f.Value]; ok {
+			if i, ok := t.tenants[f.Value]; ok {
 				m.Tenant = i
 			}
 		case "x-timeout-ms":
@@ -433,7 +449,7 @@
 		return m, "X-Request-ID is missing or unusable"
 	case m.Class < 0:
 		return m, "X-Priority-Class is missing or unknown"
-	case m.Tenant < 0 && len(n.tenants) > 0:
+	case m.Tenant < 0 && len(t.tenants) > 0:
 		return m, "X-Tenant-Id is missing or unknown"
 	case wait <= 0:
 		return m, "X-Timeout-Ms is missing or out of range"
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -23,10 +23,15 @@
 
 // Options bound what the south side uses.
 type Options struct {
+	Times
+	Conns   int // most connections at a time
+	Figures *figures.Figures
+}
+
+// Times are the limits in time on connections to hosts.
+type Times struct {
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // the hosts' idle limit
-	Conns       int           // most connections at a time
-	Figures     *figures.Figures
 }
 
 const (
@@ -46,17 +51,33 @@
 	burnt atomic.Int64 // when a kept connection was last found dead, on the core's clock
 
 	mu      sync.Mutex
+	times   Times
 	clients map[string]*fasthttp.HostClient
 	early   map[*exchange.Relay]net.Conn // relays written, or being written, that the host has not answered
 }
 
 // New returns a south side that reports to core.
 func New(core *dispatch.Core, o Options) *Side {
-	s := &Side{core: core, o: o, clients: map[string]*fasthttp.HostClient{}, early: map[*exchange.Relay]net.Conn{}}
+	s := &Side{core: core, o: o, times: o.Times, clients: map[string]*fasthttp.HostClient{}, early: map[*exchange.Relay]net.Conn{}}
 	s.SetConns(o.Conns)
 	return s
 }
 
+// SetTimes changes the limits. Connections that are kept under the old ones are used no more.
+func (s *Side) SetTimes(t Times) {
+	s.mu.Lock()
+	old := s.clients
+	if s.times == t {
+		old = nil
+	} else {
+		s.times, s.clients = t, map[string]*fasthttp.HostClient{}
+	}
+	s.mu.Unlock()
+	for _, c := range old {
+		c.CloseIdleConnections()
+	}
+}
+
 // SetConns changes the bound on connections. Those over it end by themselves.
 func (s *Side) SetConns(most int) { s.most.Store(int64(most)) }
 
@@ -69,25 +90,27 @@
 	defer s.mu.Unlock()
 	c := s.clients[addr]
 	if c == nil {
-		c = &fasthttp.HostClient{Addr: addr, MaxConns: s.o.Conns, MaxIdleConnDuration: s.o.ConnIdle * 2 / 3,
-			ConnPoolStrategy: fasthttp.LIFO, MaxIdemponentCallAttempts: 1, Dial: s.dial}
+		c = &fasthttp.HostClient{Addr: addr, MaxConns: s.o.Conns, MaxIdleConnDuration: s.times.ConnIdle * 2 / 3,
+			ConnPoolStrategy: fasthttp.LIFO, MaxIdemponentCallAttempts: 1, Dial: s.dial(s.times.DialTimeout)}
 		s.clients[addr] = c
 	}
 	return c
 }
 
 // dial opens a connection, within the bound that the limit on descriptors sets.
-func (s *Side) dial(addr string) (net.Conn, error) {
-	if s.conns.Add(1) > s.most.Load() {
-		s.conns.Add(-1)
-		return nil, errTooMany
-	}
-	c, err := net.DialTimeout("tcp", addr, s.o.DialTimeout)
-	if err != nil {
-		s.conns.Add(-1)
-		return nil, err
+func (s *Side) dial(limit time.Duration) fasthttp.DialFunc {
+	return func(addr string) (net.Conn, error) {
+		if s.conns.Add(1) > s.most.Load() {
+			s.conns.Add(-1)
+			return nil, errTooMany
+		}
+		c, err := net.DialTimeout("tcp", addr, limit)
+		if err != nil {
+			s.conns.Add(-1)
+			return nil, err
+		}
+		return &line{Conn: c, count: &s.conns}, nil
 	}
-	return &line{Conn: c, count: &s.conns}, nil
 }
 
 // Send carries out a relay.
--- a/memory.go
+++ b/memory.go
@@ -2,6 +2,8 @@
 
 import "slices"
 
+// What comes from outside to a balancer that is at work: another's memory and requests, and other settings.
+
 // Memory is what a balancer has learned, for the one that goes on in its place. Its form is of no concern outside.
 type Memory struct {
 	JobTime, Least, StartLag, Loss, Ready, MeanHeld float64
@@ -54,7 +56,34 @@
 		b.resume(e)
 	case Replaced:
 		b.replaced = e.Amount > 0
+	case NewSettings:
+		b.renew(*e.Settings)
+	}
+}
+
+// renew goes on with other settings. A request keeps the class that it came with, but what has become stricter binds
+// its next attempt.
+func (b *Balancer) renew(s Settings) {
+	s.Seed = b.s.Seed
+	b.s = s
+	for len(b.patience) < len(s.Classes) {
+		b.patience = append(b.patience, 0)
+	}
+	for _, r := range b.requests {
+		for _, c := range s.Classes {
+			if c.Name == r.class.Name && c.Repeat > r.class.Repeat {
+				stricter := *r.class
+				stricter.Repeat, stricter.Group, stricter.Window = c.Repeat, c.Group, c.Window
+				r.class = &stricter
+			}
+		}
+	}
+	for _, w := range b.workers {
+		w.rank = b.rank(&w.Worker)
 	}
+	unheard := b.unheard
+	b.list(&Event{Kind: ListPatch}) // nothing has changed but the order, and who is a buddy
+	b.unheard = unheard
 }
 
 // Tries is what is known of the attempts of a request, for the balancer that goes on with it.
--- a/memory_test.go
+++ b/memory_test.go
@@ -87,3 +87,50 @@
 		t.Error("an empty memory is no memory")
 	}
 }
+
+// New settings bind every attempt from then on; what is in hand keeps its class else, and its index.
+func TestNewSettings(t *testing.T) {
+	s := settings()
+	r := newRig(t, s, fleet(6)...)
+	kept, acts := r.arrive(safe)
+	first := r.sends(acts).Worker
+	capped, acts := r.arrive(safe)
+	other := r.sends(acts).Worker
+
+	stricter := s
+	stricter.Allowed.Attempts = 1
+	was := s.Classes[safe]
+	was.Repeat, was.Aim = Unsafe, 1
+	stricter.Classes = AppendClasses(s.Classes, []Class{{Name: "new", Deadline: 1e6, Aim: 1e6}, was})
+	if len(stricter.Classes) != len(s.Classes)+1 || stricter.Classes[safe].Aim != 1 || s.Classes[safe].Aim == 1 {
+		t.Fatalf("classes %+v", stricter.Classes)
+	}
+	r.on(Event{Kind: NewSettings, Settings: &stricter})
+	if acts := r.done(capped, 0, other, Saturated); len(acts) != 1 || acts[0].Kind != Refuse {
+		t.Errorf("beyond the attempts allowed now: %+v", acts)
+	}
+	if c := r.b.requests[kept].class; c.Repeat != Unsafe || c.Aim != s.Classes[safe].Aim {
+		t.Errorf("the class of a request in hand is %+v", *c)
+	}
+	if n, _ := count(r.done(kept, 0, first, Severed), Fail); n != 1 {
+		t.Error("what may have run is not failed under the stricter rule")
+	}
+	if _, acts := r.arrive(len(s.Classes)); len(acts) == 0 {
+		t.Error("the new class is not known")
+	}
+}
+
+// Another order is needed where keyed repeats must stay in a cell, and settings may bring the first such class.
+func TestNewSettingsRankAnew(t *testing.T) {
+	s := settings()
+	all := s.Classes
+	s.Classes = all[:celled]
+	r := newRig(t, s, fleet(9)...)
+	s.Classes = all
+	r.on(Event{Kind: NewSettings, Settings: &s})
+	for i, w := range r.b.ranked {
+		if w.Cell != i/3 {
+			t.Fatalf("%s of cell %d is at %d", w.ID, w.Cell, i)
+		}
+	}
+}
--- a/topazfall.go
+++ b/topazfall.go
@@ -12,7 +12,10 @@
 // This file holds the interface only; every decision is made in balancer.go.
 package topazfall
 
-import "fmt"
+import (
+	"fmt"
+	"slices"
+)
 
 // RepeatRule says what may follow an attempt that may have run.
 type RepeatRule int
@@ -180,6 +183,7 @@
 	PeerMessage                  // From, Data
 	HandedOver                   // Request: another process goes on with it
 	Resumed                      // as Arrival, and Tries: a request that another process has begun
+	NewSettings                  // Settings: they passed Check, and their Classes begin with those from before
 	Replaced                     // Amount: 1 from when another process takes the new jobs, 0 if it does no more
 )
 
@@ -205,6 +209,8 @@
 	From    int
 	Data    []byte
 	Tries   []Try
+
+	Settings *Settings
 }
 
 // Try is what is known of one attempt of a request that goes from one balancer to another.
@@ -241,8 +247,22 @@
 	Text    string
 }
 
-// check names the first setting that cannot work.
-func (s *Settings) check() error {
+// AppendClasses returns old, with the classes in it that now names as they are now, and behind these what is new: so
+// that an index means the same class for ever. Which of them are in use is now's to say.
+func AppendClasses(old, now []Class) []Class {
+	all := slices.Clone(old)
+	for _, c := range now {
+		if i := slices.IndexFunc(all, func(o Class) bool { return o.Name == c.Name }); i >= 0 {
+			all[i] = c
+		} else {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+// Check names the first setting that cannot work.
+func (s *Settings) Check() error {
 	for _, c := range []struct {
 		bad  bool
 		name string
@@ -262,6 +282,9 @@
 			return fmt.Errorf("topazfall: settings: Classes[%d] (%q) has a deadline, aim, stretch or"+
 				" late worth out of range", i, c.Name)
 		}
+		if slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == c.Name }) && c.Name != "" {
+			return fmt.Errorf("topazfall: settings: Classes[%d] has the name %q of another", i, c.Name)
+		}
 	}
 	return nil
 }
