Share discovery and cold workers among many dispatchers

Turns are each worker's own, as many light dispatchers have one as fill it by what they get, and the weight bounds the size.

--- a/balancer.go
+++ b/balancer.go
@@ -222,8 +222,7 @@
 }
 
 // advice is how long a refused client should stay away: until the first buddy may have worked off half of
-// what is ahead of it now. A client that asks again sooner only finds the same; one that waits for all of it
-// comes when others have been taken.
+// its backlog. Who asks sooner finds the same; who waits for all of it comes when others have been taken.
 func (b *Balancer) advice() int64 {
 	if !b.s.Allowed.RetryAfter {
 		return 0
@@ -378,22 +377,26 @@
 }
 
 // coldShare is the work this dispatcher may still send to a cold worker. Those who share the worker take
-// turns of the fall time by number, so that they do not add up; who is replaced leaves the other its turns.
-// A window can touch two turns and hints err, hence the quarter of the budget.
+// turns of the fall time by number, so that they do not add up: as many at a time as all they get would fill.
+// The turns are each worker's own, lest one dispatcher has those of all that start together. Who is replaced
+// leaves them to the other. A window can touch two turns and hints err, hence the quarter of the budget.
 func (b *Balancer) coldShare(w *worker) float64 {
 	c := &b.s.Contract
 	turn := b.now / max(c.FallTime, 1)
 	if w.coldTurn != turn {
 		w.coldTurn, w.coldSpent = turn, 0
 	}
-	ranked := max(len(b.ranked), 1)
-	sharers := int64(max((len(b.buddies)*b.s.Dispatchers+ranked-1)/ranked, 1))
-	if turn%sharers != int64(b.s.Me)%sharers || b.replaced || !slices.Contains(b.buddies, w) {
-		return 0
-	}
 	warm := c.ColdFrom + (1-c.ColdFrom)*float64(b.now-w.StartedAt)/float64(max(c.RampTime, 1))
 	capacity := w.kind.slots / max(w.kind.pace, 0.1)
-	return c.FallMultiple*min(warm, 1)*capacity*float64(c.FallTime)/4 - w.coldSpent
+	capacity = min(max(capacity, w.size), 3*capacity) // light dispatchers take long to learn its slots
+	budget := c.FallMultiple * min(warm, 1) * capacity * float64(c.FallTime) / 4
+	each := b.s.quota() / float64(b.s.Dispatchers) * float64(c.FallTime) / 1e6 * b.jobTime
+	sharers := int64(max((len(b.buddies)*b.s.Dispatchers-1)/max(len(b.ranked), 1)+1, 1))
+	place := ((int64(b.s.Me)-turn-w.StartedAt/1000)%sharers + sharers) % sharers
+	if place >= max(int64(budget/each), 1) || b.replaced || !slices.Contains(b.buddies, w) {
+		return 0
+	}
+	return budget - w.coldSpent
 }
 
 // ---- what is observed of a worker ----
@@ -665,16 +668,15 @@
 		w.alive()
 		w.held = -1
 	}
-	w.Worker = *l
+	w.Worker, w.size = *l, max(w.size, l.Weight)
 	if !w.listed && l.State != Gone {
 		b.ranked = append(b.ranked, w)
 	}
 	w.listed = l.State != Gone
 }
 
-// rank orders workers alike at every dispatcher: by a hash, and before that by cell where keyed repeats must
-// stay in the cell, as its members then share windows. Zones are mixed: no dispatcher knows how many others
-// its zone has, so windows within zones would load workers unevenly.
+// rank orders workers alike everywhere: by a hash, and before that by cell where keyed repeats must stay in
+// it, as its members then share windows. Zones are mixed: how many dispatchers each has is not known.
 func (b *Balancer) rank(l *Worker) string {
 	h, cell := fnv.New64a(), ""
 	for _, c := range b.s.Classes {
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -399,6 +401,53 @@
 	}
 }
 
+// Light dispatchers cannot fill a cold worker one at a time: so many have a turn as it takes, by what they get, and
+// workers that start together do not all hang on the same ones.
+func TestColdTurnsOfLightDispatchers(t *testing.T) {
+	holders := func(quota float64, startedMS int64) (who []int) {
+		for me := range 36 {
+			s := settings()
+			s.Me, s.Dispatchers, s.Tenants = me, 36, []Tenant{{Quota: quota}}
+			r := newRig(t, s, fleet(6)...)
+			w := r.b.workers["w0"]
+			w.StartedAt = startedMS * 1000
+			if r.b.coldShare(w) > 0 {
+				who = append(who, me)
+			}
+		}
+		return who
+	}
+	busy, light := holders(1e6, 99_999), holders(0.5, 99_999)
+	if len(busy) != 1 || len(light) < 3 || len(light) > 20 || !slices.Contains(light, busy[0]) {
+		t.Errorf("the turn of busy ones is that of %v, of light ones %v", busy, light)
+	}
+	if other := holders(1e6, 99_998); len(other) != 1 || other[0] == busy[0] {
+		t.Errorf("of two that start together the turns are those of %v and %v", busy, other)
+	}
+}
+
+// The weight on the list says how large a worker is before anything is learned of it; within bounds, as its unit is
+// not told. What it was lowered to by load says nothing of that.
+func TestColdShareByWeight(t *testing.T) {
+	share := func(weights ...float64) float64 {
+		s := settings()
+		s.Dispatchers = 1
+		r := newRig(t, s, fleet(6)...)
+		w := r.b.workers["w0"].Worker
+		for _, w.Weight = range weights {
+			w.StartedAt = r.now
+			r.on(Event{Kind: ListPatch, List: []Worker{w}})
+		}
+		return r.b.coldShare(r.b.workers["w0"])
+	}
+	one := share(1)
+	for _, c := range []struct{ got, times float64 }{{share(0.2), 1}, {share(2), 2}, {share(2, 0.5), 2}, {share(99), 3}} {
+		if math.Abs(c.got-c.times*one) > 1 {
+			t.Errorf("%v, want %v times %v", c.got, c.times, one)
+		}
+	}
+}
+
 // Where all dispatchers have all workers as buddies, every turn at a cold worker is just one dispatcher's.
 func TestEveryColdTurnIsSomebodys(t *testing.T) {
 	for dispatchers := 1; dispatchers < 5; dispatchers++ {
--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	clients := north.New(ln, core, hosts, &c.Settings, in)
-	list := inventory.New(c.Discovery, core)
+	list := inventory.New(c.Discovery, core, c.Settings.Dispatchers)
 	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
 	clients.Others(place.tell)
 	go core.Run(hosts, list)
--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -159,7 +159,8 @@
 		p.parties[byte(name)] = &party{ln, make(chan arrival, 99)}
 		go p.parties[byte(name)].serve()
 	}
-	p.addr, p.manage = p.free(p.addr), p.free(p.addr)
+	free := p.free(p.addr, 2)
+	p.addr, p.manage = free[0], free[1]
 	config, err := os.ReadFile("testdata/config.json")
 	p.noError("config", err)
 	var hosts []string
@@ -202,12 +203,16 @@
 	p.program, p.old = program, p.program
 }
 
-// free finds a port, at an address of the test's own: nobody else takes it meanwhile.
-func (p *player) free(addr string) string {
-	ln, err := net.Listen("tcp", addr)
-	p.noError("listen", err)
-	defer ln.Close()
-	return ln.Addr().String()
+// free finds ports, at an address of the test's own: nobody else takes them meanwhile. They differ, and so all are
+// held till the last is found.
+func (p *player) free(addr string, n int) (found []string) {
+	for range n {
+		ln, err := net.Listen("tcp", addr)
+		p.noError("listen", err)
+		defer ln.Close()
+		found = append(found, ln.Addr().String())
+	}
+	return found
 }
 
 // ask makes one call to the second address and returns all that comes back.
@@ -336,7 +341,7 @@
 	case "term": // "old" for the one that was replaced, as with exit
 		p.noError(text, p.which(&rest).Process.Signal(syscall.SIGTERM))
 	case "replace": // another process is started beside this one, and takes clients
-		p.manage = p.free(strings.Split(p.addr, ":")[0] + ":0")
+		p.manage = p.free(strings.Split(p.addr, ":")[0]+":0", 1)[0]
 		p.run()
 		require.Eventually(p, func() bool { return strings.HasPrefix(p.ask("/-/ready"), "HTTP/1.1 200") }, patience, 5*time.Millisecond)
 	case "reload": // the pairs replace text of the configuration, which the program is told to read again
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -24,6 +25,8 @@
 	wait    = time.Second             // how long a watch call may wait: news counts as told soon after that
 	grace   = 1500 * time.Millisecond // what a silent discovery gets beyond it
 	backOff = 150 * time.Millisecond  // after a failed call; a watch goes on if the next call comes within 200 ms
+	growth  = 4                       // by which a back-off may grow
+	few     = 4                       // so many dispatchers may call as if each were alone
 )
 
 // Watch follows the list at one discovery address, which may move.
@@ -34,7 +37,8 @@
 	known  bool // there is a list that changes can be applied to
 	kick   chan bool
 	moves  chan string
-	target string // of the last move; the mover's
+	share  time.Duration // by which the back-off is longer than a lone dispatcher's
+	target string        // of the last move; the mover's
 	tried  chan struct{}
 
 	mu   sync.Mutex
@@ -48,14 +52,15 @@
 	Hosts     map[string]dispatch.Entry
 }
 
-// New returns a watch that tells core of the list.
-func New(addr string, core *dispatch.Core) *Watch {
-	return &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1), target: addr,
+// New returns a watch that tells core of the list. So many dispatchers share discovery.
+func New(addr string, core *dispatch.Core, dispatchers int) *Watch {
+	return &Watch{core: core, share: time.Duration(max(dispatchers/few, 1)), client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1), target: addr,
 		tried: make(chan struct{})}
 }
 
-// Follow asks for changes from now on, which the watch brings anyway; it only ends a back-off early.
-func (w *Watch) Follow() { w.push(false) }
+// Follow asks for changes from now on, which the watch brings anyway. It ends no back-off: many dispatchers that
+// are unheard for the same cause would only feed it.
+func (w *Watch) Follow() {}
 
 // Fetch asks for the whole list.
 func (w *Watch) Fetch() { w.push(true) }
@@ -135,9 +140,23 @@
 	w.last.Discovery, w.last.Seq = w.client.Addr, l.seq
 }
 
+// pause is how long to wait after so many failures in a row. What one dispatcher tries again at once is a storm from
+// many: they fail together, and a service that is short of room gets nothing done for calls that nobody waits for any
+// more. So the pauses grow, from one that is longer for many, and chance spreads them.
+func (w *Watch) pause(failures int) time.Duration {
+	p := backOff * w.share * time.Duration(min(1<<min(failures-1, 8), growth))
+	return p/2 + rand.N(p/2+1)
+}
+
 // Run watches until the program ends.
 func (w *Watch) Run() {
-	broken := false
+	broken, failures := false, 0
+	if w.known && w.share > 1 { // the list will do for a moment, and all may be starting together
+		select {
+		case <-w.kick:
+		case <-time.After(rand.N(backOff * w.share * 4)):
+		}
+	}
 	for first := true; ; first = false {
 		err := w.call()
 		if first {
@@ -147,7 +166,7 @@
 			if broken {
 				log.Printf("at=inventory state=back seq=%d", w.seq)
 			}
-			broken = false
+			broken, failures = false, 0
 			continue
 		}
 		if err == errMoved {
@@ -158,12 +177,13 @@
 			w.core.List(topazfall.ListBroken, nil)
 		}
 		broken = true
+		failures++
 		select {
 		case whole := <-w.kick:
 			w.known = w.known && !whole
 		case addr := <-w.moves:
 			w.move(addr)
-		case <-time.After(backOff):
+		case <-time.After(w.pause(failures)):
 		}
 	}
 }
--- a/state.go
+++ b/state.go
@@ -2,7 +2,10 @@
 
 // What a balancer remembers, and plain look-ups. Every decision is in balancer.go.
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // Balancer makes the decisions of one dispatcher.
 type Balancer struct {
@@ -55,6 +58,7 @@
 	rank      string // its place in the common order
 	listed    bool
 	kind      *kind
+	size      float64 // in standard cores: the largest weight that the list gave it
 	held      float64 // jobs waiting by the last report that moved x; below 0: free slots
 	heardAt   int64
 	own       []*attempt // this dispatcher's, still out
@@ -103,6 +107,18 @@
 	return -1
 }
 
+// quota is how many jobs a second all dispatchers get together, within the tenants' shares: without bound if that is
+// not told.
+func (s *Settings) quota() (n float64) {
+	for _, t := range s.Tenants {
+		n += t.Quota
+	}
+	if n <= 0 {
+		return math.Inf(1)
+	}
+	return n
+}
+
 // Avoided is how many of the listed workers get nothing new at that time.
 func (b *Balancer) Avoided(now int64) (n int) {
 	for _, w := range b.ranked {
