Wait for idle connections to be handed over before the old process ends

Seen in new played tests: an old process with nothing in hand ended at once, and its end closed connections that were on their way to the new one (leave looked at busy connections only); and an answer written between Leave and PassOn ended its connection.

Now it waits till no connection is left, a second at most for idle ones, and starts to hand over before it counts as leaving.

--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -351,6 +351,10 @@
 		p.noError(text, os.WriteFile(p.config+".new", told, 0o600))
 		p.noError(text, os.Rename(p.config+".new", p.config))
 		p.noError(text, p.program.Process.Signal(syscall.SIGHUP))
+	case "kill": // the one that has replaced another dies, and that one is the program again
+		p.noError(text, p.program.Process.Kill())
+		p.program.Wait()
+		p.program = p.old
 	case "exit":
 		program := p.which(&rest)
 		err := program.Wait()
--- a/cmd/topazfall/replace.go
+++ b/cmd/topazfall/replace.go
@@ -33,6 +33,7 @@
 	helloTime = 2 * time.Second // for the first words; the new one must have said yes within 6 s
 	noteTime  = time.Second     // for a call-back to be taken by the other process
 	holdTime  = 100 * time.Millisecond
+	passTime  = time.Second            // for idle connections to be handed over
 	lastCall  = 500 * time.Millisecond // beyond the longest deadline, after which a leaving process is killed
 )
 
@@ -395,12 +396,14 @@
 // by the kill that follows, and would be lost; so it is refused. What is in hand is finished, and as its call-backs
 // need the listener, that stays open to the last. With a successor nothing is taken that had not begun to come.
 func (s *succession) leave() {
-	s.clients.Leave()
+	passing, shut := s.passOn(), false
+	if !passing { // an answer between the two would end its connection, which the young one could go on with
+		s.clients.Leave()
+	}
 	began, longest := time.Now(), 3*time.Second
 	for _, c := range s.c.Settings.Classes {
 		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
 	}
-	passing, shut := false, false
 	for {
 		old, young := s.linked()
 		since := time.Since(began)
@@ -414,7 +417,9 @@
 			shut = true
 		}
 		done := s.core.InHand() == 0 && !s.hosts.Busy() && !old
-		if passing && done && s.clients.Busy() == 0 || !passing && shut && done && since > lateComes+settle {
+		// Idle connections go by themselves, but not in no time: one that is still here would be closed with the rest.
+		passed := s.clients.Conns() == 0 || s.clients.Busy() == 0 && since > passTime
+		if passing && done && passed || !passing && shut && done && since > lateComes+settle {
 			return
 		}
 		if passing && since > longest+lastCall {
