Call off relays that hosts have not answered before the old process is killed

Now the old process calls such relays off 3.2 s after SIGTERM: what may run again goes elsewhere, the rest is failed with an answer. Ruled out: handing them over as they are; the closing of the host's connection gives them up.

Tests: TestEndUnanswered, TestHandOver.

--- a/cmd/topazfall/replace.go
+++ b/cmd/topazfall/replace.go
@@ -33,8 +33,9 @@
 	helloTime = 2 * time.Second // for the first words; the new one must have said yes within 6 s
 	noteTime  = time.Second     // for a call-back to be taken by the other process
 	holdTime  = 100 * time.Millisecond
-	passTime  = time.Second            // for idle connections to be handed over
-	lastCall  = 500 * time.Millisecond // beyond the longest deadline, after which a leaving process is killed
+	passTime  = time.Second             // for idle connections to be handed over
+	hopeTime  = 3200 * time.Millisecond // for hosts to answer relays, after SIGTERM; the kill may come after 3.7 s
+	lastCall  = 500 * time.Millisecond  // beyond the longest deadline, after which a leaving process is killed
 )
 
 // legacy is what the new process starts with.
@@ -396,7 +397,7 @@
 // by the kill that follows, and would be lost; so it is refused. What is in hand is finished, and as its call-backs
 // need the listener, that stays open to the last. With a successor nothing is taken that had not begun to come.
 func (s *succession) leave() {
-	passing, shut := s.passOn(), false
+	passing, shut, hopeless := s.passOn(), false, false
 	if !passing { // an answer between the two would end its connection, which the young one could go on with
 		s.clients.Leave()
 	}
@@ -412,6 +413,9 @@
 			passing = s.passOn()
 		case passing && !young:
 			passing = false
+		case passing && !hopeless && since > hopeTime:
+			hopeless = true
+			s.core.EndUnanswered(time.Second.Microseconds()) // a message with such a relay cannot be handed over
 		case !passing && !shut && since > lateComes:
 			s.clients.Shut()
 			shut = true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -351,6 +351,21 @@
 	return true
 }
 
+// EndUnanswered calls off the relays that their hosts have not answered for so long. What may run again goes to another
+// host, the rest is failed: better than no answer at all, where this process is about to be killed.
+func (c *Core) EndUnanswered(age int64) {
+	c.ops <- func() {
+		for _, x := range c.byNum {
+			for _, r := range x.Relays {
+				if !r.Done && !r.Accepted() && c.Now()-r.Sent >= age {
+					c.south.CallOff(r)
+					c.end(r, topazfall.Recalled, topazfall.NoLoad, nil)
+				}
+			}
+		}
+	}
+}
+
 // Resume goes on with a message that another process has begun. It gets its final answer here.
 func (c *Core) Resume(b Begun) *exchange.Exchange {
 	x := exchange.New(b.Message)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"strconv"
 	"testing"
 	"time"
@@ -118,6 +119,62 @@
 	require.GreaterOrEqual(t, c.Now(), x.Due)
 }
 
+// A relay that its host has not answered for long is called off where there is no time to wait: what must not run
+// twice is failed then. One that the host has taken stays, and so does a young one.
+func TestEndUnanswered(t *testing.T) {
+	c, s := start(t, "h")
+	taken, unanswered := message(c, "1", time.Minute), message(c, "2", time.Minute)
+	c.Arrive(taken)
+	r := <-s.sent
+	require.True(t, r.Start(c.Now()))
+	r.Accept()
+	c.Arrive(unanswered)
+	r = <-s.sent
+	require.True(t, r.Start(c.Now()))
+	c.EndUnanswered(time.Minute.Microseconds())
+	c.Sync()
+	require.Empty(t, s.off)
+	c.EndUnanswered(0)
+	require.Equal(t, r, <-s.off)
+	require.Equal(t, exchange.Failed, (<-unanswered.Answer()).Verdict)
+	c.Sync()
+	require.False(t, taken.Over())
+	require.Empty(t, s.sent)
+}
+
+// A message in hand goes to another core as it stands, with what is told of it later; one whose relay its host has not
+// answered stays until then.
+func TestHandOver(t *testing.T) {
+	c, s := start(t, "h")
+	x := message(c, "1", time.Minute)
+	x.Path, x.Body = "/p\xff", []byte("b\x00")
+	c.Arrive(x)
+	r := <-s.sent
+	require.True(t, r.Start(c.Now()))
+	var begun Begun
+	over := func(b Begun) error { begun = b; return nil }
+	require.False(t, c.HandOver(x, over))
+	r.Accept()
+	require.False(t, c.HandOver(x, func(Begun) error { return errors.New("no") }))
+	require.Equal(t, int64(2), c.InHand())
+	require.True(t, c.HandOver(x, over))
+	require.Equal(t, exchange.Moved, (<-x.Answer()).Verdict)
+	require.False(t, c.HandOver(x, over), "it is gone")
+	require.Zero(t, c.InHand())
+	require.False(t, c.Take(Note{ID: "1", From: "h", State: Started}))
+	require.Empty(t, s.off, "nothing is called off")
+
+	to, t2 := start(t, "h")
+	y := to.Resume(begun)
+	require.True(t, to.Take(Note{ID: "1", From: "h", State: Over, Outcome: topazfall.Completed, Result: []byte("r"), Load: topazfall.NoLoad}))
+	require.Equal(t, exchange.Answer{Verdict: exchange.Served, Body: []byte("r")}, <-y.Answer())
+	require.Equal(t, x.Path, y.Path)
+	require.Equal(t, x.Body, y.Body)
+	to.Sync()
+	require.Zero(t, to.InHand())
+	require.Empty(t, t2.sent, "it is not sent again")
+}
+
 // A second message with a known id is not taken, and does the first no harm whichever way either ends: a
 // call-back could not tell the two apart, and a host must not be asked to run the job again.
 func TestKnownID(t *testing.T) {
