Ask for the list within half of the drain grace after a start, however many start

In the logs of the first list that a dispatcher of 80 takes has any number from 1 to 11, at 0.1 to 11.9 s; 20 of them had none when 18 hosts began to drain at 7.66 s. From its first call on each has every change within 0.1 s of its notice.

At fault: inventory.Run waited rand(backOff * dispatchers/4 * 4) with its first call, 12 s of 80: right among 36, where it stayed under the 6 s in which news counts as told, and for a discovery that is asked over the network. What the agent on the own machine has counts as told at once.

Now the first call is spread over half of the grace, derived from the contract, and no further.

Test: TestLead.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -87,7 +87,8 @@
 	if x != nil {
 		news = x
 	}
-	list := inventory.New(c.Discovery, news, c.Settings.Dispatchers)
+	list := inventory.New(c.Discovery, news, c.Settings.Dispatchers,
+		time.Duration(c.Settings.Contract.DrainGrace)*time.Microsecond)
 	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
 	clients.Others(place.tell)
 	go core.Run(hosts, list)
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -44,6 +44,7 @@
 	kick   chan bool
 	moves  chan string
 	share  time.Duration // by which the back-off is longer than a lone dispatcher's
+	rest   time.Duration // how long what discovery has told may stay unread: half of the grace of drains
 	target string        // of the last move; the mover's
 	tried  chan struct{}
 
@@ -58,10 +59,11 @@
 	Hosts     map[string]dispatch.Entry
 }
 
-// New returns a watch that tells core of the list. So many dispatchers share discovery.
-func New(addr string, core Lister, dispatchers int) *Watch {
-	return &Watch{core: core, share: time.Duration(max(dispatchers/few, 1)), client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1), target: addr,
-		tried: make(chan struct{})}
+// New returns a watch that tells core of the list. So many dispatchers share discovery, and drainGrace after its word
+// nothing new may go to a host that drains.
+func New(addr string, core Lister, dispatchers int, drainGrace time.Duration) *Watch {
+	return &Watch{core: core, share: time.Duration(max(dispatchers/few, 1)), rest: drainGrace / 2, client: newAgent(addr),
+		kick: make(chan bool, 1), moves: make(chan string, 1), target: addr, tried: make(chan struct{})}
 }
 
 // Follow asks for changes from now on, which the watch brings anyway. It ends no back-off: many dispatchers that
@@ -154,13 +156,23 @@
 	return p/2 + rand.N(p/2+1)
 }
 
+// lead is how long to wait with the first call. Where a list is known it will do for a moment, and all may be starting
+// together. But what discovery has for us counts as told from when it came, asked for or not: the grace of a host that
+// drains may be running already.
+func (w *Watch) lead() time.Duration {
+	if !w.known || w.share <= 1 {
+		return 0
+	}
+	return rand.N(min(backOff*w.share*4, w.rest) + 1)
+}
+
 // Run watches until the program ends.
 func (w *Watch) Run() {
 	broken, failures := false, 0
-	if w.known && w.share > 1 { // the list will do for a moment, and all may be starting together
+	if pause := w.lead(); pause > 0 {
 		select {
 		case <-w.kick:
-		case <-time.After(rand.N(backOff * w.share * 4)):
+		case <-time.After(pause):
 		}
 	}
 	for first := true; ; first = false {
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -15,7 +15,7 @@
 // chance, and none stays away for long.
 func TestPause(t *testing.T) {
 	for _, dispatchers := range []int{1, 3, 8, 48} {
-		w, seen := New("", nil, dispatchers), map[time.Duration]bool{}
+		w, seen := New("", nil, dispatchers, grace), map[time.Duration]bool{}
 		for failures := 1; failures < 99; failures++ {
 			p := w.pause(failures)
 			seen[p] = true
@@ -33,6 +33,22 @@
 	}
 }
 
+// However many dispatchers start together, none may leave unread what discovery has told until the grace of a drain is
+// over, and they do not all ask in the same moment.
+func TestLead(t *testing.T) {
+	const drainGrace = 500 * time.Millisecond
+	for _, dispatchers := range []int{1, 8, 80, 2000} {
+		w, longest := New("", nil, dispatchers, drainGrace), time.Duration(0)
+		require.Zero(t, w.lead(), "without a list there is nothing to wait with")
+		w.known = true
+		for range 2000 {
+			longest = max(longest, w.lead())
+		}
+		require.LessOrEqual(t, longest, drainGrace/2)
+		require.True(t, dispatchers < 2*few || longest > drainGrace/4, longest)
+	}
+}
+
 // FuzzParse: no list, however odd, does more than cost what is odd in it.
 func FuzzParse(f *testing.F) {
 	for _, text := range []string{`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"1.2.3.4:5","health":"up"}]}`,
