Tell those who share a worker of long jobs, and all of failing workers

Probes: they are answered beside the queue, in 1.4 ms whether 0 or 9 jobs are in hand.

Now a word of 4 bytes (version and op, time, host) goes by UDP: sent and ended to the dispatchers whose window holds the worker, failed to all. The module decides (fault, blame, tell; whom and how long in internal/decide/hearsay), internal/peers carries it, NOTIFY does on the simulator's wire. A word counts until the list is as new as it, at most 64 of a worker; no worker is used because of one. Distrust that nothing confirms ends after 32 pulses.

Tests: TestLongJobsAreToldToThoseWhoShareTheWorker and TestOneFailingWorkerCostsTheTierFewJobs (80 instances), TestOddWordsChangeNothing, TestSharers, FuzzParse, internal/peers on loopback.

--- a/balancer.go
+++ b/balancer.go
@@ -4,11 +4,14 @@
 // life of a request, choice, legality, what is observed of a worker, learned tables, the list and buddy set.
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math"
 	"slices"
 	"strings"
+
+	"topazfall/internal/decide/hearsay"
 )
 
 const (
@@ -17,6 +20,7 @@
 	blend    = 0.5 // a: the last T_p and all before count alike
 	grain    = 40  // risks closer than 1/grain tie: the samples of a light dispatcher resolve no more
 	cover    = 3   // dispatchers that share a worker, at least
+	distrust = 32  // pulses for which a fault that is not repeated counts
 	smallest = 6   // buddies, at least: what two jobs a second keep fresh
 )
 
@@ -48,6 +52,8 @@
 		b.close(b.requests[e.Request])
 	case ProbeDone:
 		b.report(b.workers[e.Worker], e.Load)
+	case PeerMessage:
+		b.hear(e)
 	case TimerDue:
 		b.timerDue(e.Token)
 	case ListPatch, ListWhole, ListStale, ListBroken:
@@ -90,9 +96,7 @@
 	}
 	c := &b.s.Classes[e.Class]
 	r := &request{id: e.Request, class: c, due: e.Due, hint: float64(min(max(e.Hint, 0), 1e12))}
-	if r.work = r.hint; r.work == 0 {
-		r.work = b.jobTime
-	}
+	r.work = cmp.Or(r.hint, b.jobTime)
 	b.least = min(b.least+b.least/16, r.work) // the smallest of late
 	// A client's later try shares the deadline of its first: it began a whole deadline before it is due.
 	b.patience[e.Class] = max(b.patience[e.Class], r.due-b.now)
@@ -119,9 +123,7 @@
 	// While copies find free workers, this one's risk says too little to refuse a job that may have copies.
 	copies := b.s.TellsStart && b.s.Allowed.SecondCopies && r.class.Repeat != Unsafe && b.ready > 0.4
 	switch {
-	case b.now >= r.due || len(r.tries) >= b.s.Allowed.Attempts || b.barred(r, nil):
-		b.giveUp(r)
-	case w == nil && b.hopeless(r):
+	case b.now >= r.due || len(r.tries) >= b.s.Allowed.Attempts || b.barred(r, nil) || w == nil && b.hopeless(r):
 		b.giveUp(r)
 	case w == nil:
 		b.look(r, 4*b.startLag)
@@ -157,6 +159,7 @@
 	}
 	w.coldSpent += r.work
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
+	b.tell(hearsay.Sent, a)
 	b.follow(r, w)
 }
 
@@ -177,6 +180,7 @@
 	r := a.r
 	a.done, a.notRun = true, e.Outcome.NotRun()
 	r.out--
+	b.tell(hearsay.Ended, a)
 	b.judge(a, e)
 	a.w.own = slices.DeleteFunc(a.w.own, func(o *attempt) bool { return o == a })
 	switch {
@@ -333,11 +337,6 @@
 	return risk + b.share(r, b.backlog(w))
 }
 
-// share is a time as a part of the time wanted.
-func (b *Balancer) share(r *request, time float64) float64 {
-	return time / max(float64(r.class.Aim)+r.class.Stretch*r.hint, 1000)
-}
-
 // ---- legality ----
 
 // maySend is the one guard of every send.
@@ -372,10 +371,6 @@
 	return harmless || !slices.ContainsFunc(r.tries, func(a *attempt) bool { return !a.notRun })
 }
 
-func sameGroup(g Group, a, w *worker) bool {
-	return g == GroupAll || a.Zone == w.Zone && (g == GroupZone || a.Cell == w.Cell)
-}
-
 // coldShare is the work this dispatcher may still send to a cold worker. Those who share the worker take
 // turns of the fall time by number, so that they do not add up: as many at a time as all they get would fill.
 // The turns are each worker's own, lest one dispatcher has those of all that start together. Who is replaced
@@ -414,10 +409,10 @@
 	b.refill()
 }
 
-// fault notes that a worker has failed a job that another may well serve. One such job is chance; from the
-// second in a row it rests: failing at once it always looks free, and would draw one job after the other.
-func (b *Balancer) fault(w *worker) {
-	if w.errors++; w.errors > 1 {
+// blame notes that a worker has failed a job that another may well serve, here or at another dispatcher.
+// One is chance; from the second in a row it rests: failing at once it looks free, and would draw more.
+func (b *Balancer) blame(w *worker) {
+	if w.errors, w.faultAt = w.errors+1, b.now; w.errors > 1 {
 		b.rest(w)
 	}
 }
@@ -439,7 +434,7 @@
 	// Evidence ages towards what all buddies showed of late, and that towards a free worker: else one once
 	// found busy would never be tried again.
 	age := float64(b.now-w.heardAt) / b.jobTime
-	held := w.held + (b.common(w)-w.held)*age/(age+2)
+	held := w.held + (b.common(w)-w.held)*age/(age+2) + float64(w.told.Since(w.reportOf))
 	jobs := max(held+own, waiting)
 	time := 0.0
 	if jobs > -1 {
@@ -473,8 +468,10 @@
 		jobs = -math.Round(free)
 	}
 	// What is this dispatcher's own in it is better known from what is out.
-	own := w.count(func(a *attempt) bool { return a.sent < b.now-int64(b.jobTime/2) })
-	seen, before := max(0, jobs+1)*b.jobTime/w.kind.slots, max(0, w.held+own+1)*b.jobTime/w.kind.slots
+	of := b.now - int64(b.jobTime/2) // the time that it tells of
+	own, others := w.count(func(a *attempt) bool { return a.sent < of }), w.foldHearsay(of)
+	seen, before := max(0, jobs+1)*b.jobTime/w.kind.slots,
+		max(0, w.held+others+own+1)*b.jobTime/w.kind.slots
 	w.sample(b.region(w), b.column(seen))
 	if b.regionOf(w, seen)/2 != b.regionOf(w, before)/2 || w.heardAt == 0 { // TH_2k is crossed
 		w.held = max(jobs-own, -w.kind.slots)
@@ -654,7 +651,7 @@
 	w := b.workers[l.ID]
 	if w == nil {
 		k := b.kind(l.Kind)
-		w = &worker{kind: k, pace: k.pace, held: -1, rank: b.rank(l)}
+		w = &worker{kind: k, pace: k.pace, held: -1, rank: b.rank(l), name: hearsay.Name(l.ID)}
 		w.p, w.tails = k.p, k.tails
 		b.workers[l.ID] = w
 	}
@@ -690,11 +687,14 @@
 // place, so that every worker is in about as many windows. Workers that are out are passed over.
 func (b *Balancer) refill() {
 	size := max(smallest, (cover*len(b.ranked)+b.s.Dispatchers-1)/b.s.Dispatchers)
-	start := (2*b.s.Me + 1) * len(b.ranked) / (2 * b.s.Dispatchers)
+	start := hearsay.Window(b.s.Me, b.s.Dispatchers, len(b.ranked))
 	have := map[string]bool{}
 	b.buddies, b.others = b.buddies[:0], b.others[:0]
 	for i := range b.ranked {
 		w := b.ranked[(start+i)%len(b.ranked)]
+		if b.now-w.faultAt > distrust*b.pulse() { // whom we send nothing to serves us nothing that would clear it
+			w.errors, w.failures = 0, 0
+		}
 		if w.State == Ready && b.now >= w.downUntil && (len(b.buddies) < size || !have[w.Kind]) {
 			b.buddies, have[w.Kind] = append(b.buddies, w), true // some of each kind
 		} else {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math"
 	"testing"
+
+	"topazfall/internal/decide/hearsay"
 )
 
 // tier is many balancers over one fleet that share nothing, as on as many machines.
@@ -134,3 +136,124 @@
 		t.Error(fmt.Sprintf("only %d workers are used", n))
 	}
 }
+
+// spread hands what a balancer tells on to those it is for, and returns how many words were delivered.
+func (a *tier) spread(from int, acts []Action) (words int) {
+	for _, act := range acts {
+		for to, r := range a.rigs {
+			if act.Kind == TellPeer && to != from && (act.Peer == to || act.Peer == AllPeers) {
+				r.on(Event{Kind: PeerMessage, From: from, Data: act.Data})
+				words++
+			}
+		}
+	}
+	return words
+}
+
+// What one sends to a worker that it shares is known to the others before the list can tell of it.
+func TestLongJobsAreToldToThoseWhoShareTheWorker(t *testing.T) {
+	const dispatchers, workers = 80, 60
+	for _, heard := range []bool{true, false} {
+		s := settings()
+		s.LiveWeights, s.Allowed.PeerMessages = true, true
+		ws := fleet(workers)
+		for i := range ws {
+			ws[i].Weight = 1 // of one core each, as the next list shows
+		}
+		a := newTier(t, s, dispatchers, ws)
+		for i := range ws {
+			if i%6 != 0 {
+				ws[i].Weight = 1. / 2 // busy with one job, and what a core is
+				if i%2 == 0 {
+					ws[i].Weight = 1. / 4
+				}
+			}
+		}
+		sent, words := map[string]int{}, 0
+		for _, r := range a.rigs {
+			r.now += 1e6
+			r.b.jobTime = 150e3 // the job is longer than most
+			r.on(Event{Kind: ListPatch, List: ws})
+		}
+		for me, r := range a.rigs {
+			_, acts := r.arrive(unsafe)
+			sent[r.sends(acts).Worker]++
+			if heard {
+				words += a.spread(me, acts)
+			}
+		}
+		if heard && (most(sent) > 4 || words > dispatchers*(smallest+3)*dispatchers/workers) {
+			t.Errorf("most sent to one worker: %d of %d, by %d words", most(sent), dispatchers, words)
+		}
+		if !heard && most(sent) < 7 {
+			t.Errorf("the test shows nothing: %v", sent)
+		}
+	}
+}
+
+// A worker that fails what it gets always looks free. Each of many would find that out by jobs of its own.
+func TestOneFailingWorkerCostsTheTierFewJobs(t *testing.T) {
+	const dispatchers = 80
+	s := settings()
+	s.Allowed.PeerMessages = true
+	a := newTier(t, s, dispatchers, fleet(6))
+	lost := 0
+	for range 3 {
+		for me, r := range a.rigs {
+			id, acts := r.arrive(unsafe)
+			w := r.sends(acts).Worker
+			if w != "w0" {
+				a.spread(me, r.done(id, 0, w, Completed))
+				continue
+			}
+			lost++
+			a.spread(me, r.done(id, 0, w, Errored))
+		}
+	}
+	if lost > 3 {
+		t.Errorf("%d jobs were lost at one worker", lost)
+	}
+	r := a.rigs[0] // distrust that nothing confirms ends
+	r.now += (distrust + 1) * r.b.pulse()
+	r.on(Event{Kind: TimerDue, Token: tokenPulse})
+	if w := r.b.workers["w0"]; w.errors != 0 || w.failures != 0 {
+		t.Errorf("still distrusted for %d errors", w.errors)
+	}
+}
+
+// Words that are odd, old, of nobody's worker or from oneself change nothing but a count.
+func TestOddWordsChangeNothing(t *testing.T) {
+	s := settings()
+	s.Allowed.PeerMessages = true
+	r := newRig(t, s, fleet(6)...)
+	word := func(op hearsay.Op, at int64, host string) []byte {
+		return hearsay.Word{Op: op, At: at, Host: hearsay.Name(host)}.Append(nil)
+	}
+	odd := []Event{
+		{From: 1}, {From: 1, Data: []byte("x")}, {From: 1, Data: make([]byte, 256)},
+		{From: 1, Data: word(hearsay.Failed, r.now, "unknown")}, {From: 1, Data: word(9, r.now, "w0")},
+		{From: 1, Data: word(hearsay.Failed, r.now-hearsay.Oldest-100e3, "w0")}, {From: 0, Data: word(hearsay.Sent, r.now, "w0")},
+	}
+	for _, e := range odd {
+		e.Kind = PeerMessage
+		if acts := r.on(e); len(acts) > 0 {
+			t.Errorf("%v leads to %v", e.Data, acts)
+		}
+	}
+	w := r.b.workers["w0"]
+	if r.b.Unheeded() != len(odd) || w.errors != 0 || w.told.Since(0) != 0 {
+		t.Errorf("%d of %d dropped, %d errors, told %d", r.b.Unheeded(), len(odd), w.errors, w.told.Since(0))
+	}
+	for range 1000 { // a forger makes a worker look busy until the next list, and no more
+		r.on(Event{Kind: PeerMessage, From: 1, Data: word(hearsay.Sent, r.now, "w0")})
+	}
+	_, acts := r.arrive(unsafe)
+	if got := r.sends(acts).Worker; got == "w0" {
+		t.Error("sent to the one that looks busy")
+	}
+	r.now += 2e6
+	r.on(Event{Kind: ProbeDone, Worker: "w0", Load: Load{Queue: -1, Inflight: 0, Free: -1, Util: -1}})
+	if held := w.held + float64(w.told.Since(w.reportOf)); held > 0 {
+		t.Errorf("%v jobs are held after a list that says none", held)
+	}
+}
--- /dev/null
+++ b/hearsay.go
@@ -0,0 +1,71 @@
+package topazfall
+
+import (
+	"slices"
+
+	"topazfall/internal/decide/hearsay"
+)
+
+// What dispatchers tell each other of workers, between the module and internal/decide/hearsay, which says whom. What it
+// means for a choice is in balancer.go.
+
+// tell lets those who share a worker know that a job has been sent there, or has ended. Only what occupies it for long
+// and can go nowhere else is worth its price: the rest has mostly ended before the list is heard again.
+func (b *Balancer) tell(op hearsay.Op, a *attempt) {
+	if op == hearsay.Sent {
+		a.told = b.hasPeers() && a.w.listed && a.r.class.Repeat == Unsafe && a.r.work > b.jobTime
+	}
+	if !a.told || !a.w.listed {
+		return
+	}
+	data := hearsay.Word{Op: op, At: b.now, Host: hearsay.Name(a.w.ID)}.Append(nil)
+	place := slices.Index(b.ranked, a.w)
+	hearsay.Sharers(place, len(b.ranked), len(b.buddies), b.s.Me, b.s.Dispatchers, func(peer int) {
+		b.do(Action{Kind: TellPeer, Peer: peer, Data: data})
+	})
+}
+
+func (b *Balancer) hasPeers() bool { return b.s.Allowed.PeerMessages && b.s.Dispatchers > 1 }
+
+// fault blames a worker, and lets all know: each would find out by a job of its own.
+func (b *Balancer) fault(w *worker) {
+	if b.hasPeers() {
+		data := hearsay.Word{Op: hearsay.Failed, At: b.now, Host: hearsay.Name(w.ID)}.Append(nil)
+		b.do(Action{Kind: TellPeer, Peer: AllPeers, Data: data})
+	}
+	b.blame(w)
+}
+
+// hear takes what another dispatcher tells. What is odd, old or of an unknown worker is dropped, and counted.
+func (b *Balancer) hear(e *Event) {
+	word, err := hearsay.Parse(e.Data, b.now)
+	known := false
+	for _, w := range b.ranked {
+		if err != nil || e.From == b.s.Me || w.name != word.Host {
+			continue
+		}
+		known = true
+		switch word.Op {
+		case hearsay.Sent:
+			w.told.Add(word.At, 1)
+		case hearsay.Ended:
+			w.told.Add(word.At, -1)
+		case hearsay.Failed:
+			b.blame(w)
+		}
+	}
+	if !known {
+		b.unheeded++
+	}
+}
+
+// Unheeded is how many words of other dispatchers were dropped.
+func (b *Balancer) Unheeded() int { return b.unheeded }
+
+// foldHearsay makes held what it was at a later time, by what was told, and returns what has come since then.
+func (w *worker) foldHearsay(of int64) (since float64) {
+	since = float64(w.told.Since(of))
+	w.held += float64(w.told.Since(w.reportOf)) - since
+	w.reportOf = of
+	return since
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,7 +20,9 @@
 	Management              string // the second address; empty for none
 	Cores                   float64
 	MemoryMB, Sockets       int
-	Known                   []byte // the list of hosts as last had, in discovery's form; may be empty
+	PeerListen, PeersAll    string   // where dispatchers tell each other of hosts; empty where they may not
+	Peers                   []string // of each dispatcher by its number
+	Known                   []byte   // the list of hosts as last had, in discovery's form; may be empty
 	Settings                topazfall.Settings
 	ConnIdle                time.Duration // a host closes a connection once it has been idle for so long
 
@@ -137,12 +139,21 @@
 	if err := jsoniter.Unmarshal(text, &f); err != nil {
 		return Config{}, err
 	}
+	var others struct {
+		Listen string   `json:"peer_listen"`
+		Peers  []string `json:"peers"`
+		All    string   `json:"peers_all"`
+	}
+	if err := jsoniter.Unmarshal(text, &others); err != nil {
+		return Config{}, err
+	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
 	if err != nil && f.Seed != "" {
 		return Config{}, fmt.Errorf("seed %q is no hexadecimal number", f.Seed)
 	}
 	c := Config{Name: first(env("LB_NAME"), f.Name), Listen: first(env("LB_LISTEN"), f.Listen),
 		Discovery: first(env("LB_DISCOVERY"), f.Discovery), Management: first(env("LB_MANAGEMENT"), f.Manage), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
+		PeerListen: others.Listen, Peers: others.Peers, PeersAll: others.All,
 		Sockets: f.Limits.Sockets, Known: f.Known, ConnIdle: time.Duration(f.Settings.Allowed.ConnIdle) * time.Microsecond}
 	if c.Listen == "" || c.Discovery == "" {
 		return Config{}, errors.New("listen and discovery must be given")
--- /dev/null
+++ b/internal/decide/hearsay/hearsay_test.go
@@ -0,0 +1,97 @@
+package hearsay
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const noon = int64(1_800_000_000_000_000)
+
+func TestWordsComeAsTheyWent(t *testing.T) {
+	for _, op := range []Op{Sent, Ended, Failed} {
+		for _, age := range []int64{0, 1_000, 40_000, 1_900_000} {
+			data := Word{Op: op, At: noon - age, Host: Name("s-1")}.Append(nil)
+			require.Len(t, data, Size)
+			got, err := Parse(data, noon)
+			require.NoError(t, err)
+			require.Equal(t, op, got.Op)
+			require.Equal(t, Name("s-1"), got.Host)
+			require.InDelta(t, noon-age, got.At, step)
+			require.LessOrEqual(t, got.At, noon)
+		}
+	}
+}
+
+func TestOddWordsAreErrors(t *testing.T) {
+	good := Word{Op: Sent, At: noon, Host: 7}.Append(nil)
+	for name, data := range map[string][]byte{
+		"length is 0":      nil,
+		"length is 3":      good[:3],
+		"length is 5":      append(good[:Size:Size], 0),
+		"version is 2":     {2<<4 | byte(Sent), good[1], 0, 7},
+		"op 0 is unknown":  {version << 4, good[1], 0, 7},
+		"op 15 is unknown": {version<<4 | 15, good[1], 0, 7},
+		"age is 2016000":   Word{Op: Sent, At: noon - Oldest - step, Host: 7}.Append(nil),
+		"age is -64000":    Word{Op: Sent, At: noon + ahead + step, Host: 7}.Append(nil),
+	} {
+		_, err := Parse(data, noon)
+		require.ErrorContains(t, err, name)
+	}
+}
+
+// Who is told of a host is who has it in its share, and nobody else pays for it.
+func TestSharers(t *testing.T) {
+	for _, c := range []struct{ dispatchers, hosts, size int }{{1, 5, 5}, {3, 9, 9}, {80, 60, 6}, {80, 78, 7}, {5, 200, 120}} {
+		told := 0
+		for me := range c.dispatchers {
+			for place := range c.hosts {
+				Sharers(place, c.hosts, c.size, me, c.dispatchers, func(peer int) {
+					told++
+					holds := false
+					for i := range c.size {
+						holds = holds || (Window(peer, c.dispatchers, c.hosts)+i)%c.hosts == place
+					}
+					require.True(t, holds && peer != me)
+				})
+			}
+		}
+		require.Equal(t, (c.dispatchers-1)*c.dispatchers*c.size, told)
+	}
+	Sharers(-1, 0, 6, 0, 80, func(int) { t.Fatal("of no hosts") })
+}
+
+func TestTally(t *testing.T) {
+	var l Tally
+	l.Add(10, 1)
+	l.Add(20, 1)
+	l.Add(30, -1)
+	require.Equal(t, []int{1, 0, -1, 0}, []int{l.Since(0), l.Since(10), l.Since(20), l.Since(30)})
+	for i := range int64(10_000) { // a flood costs no more than it may
+		l.Add(100+i, 1)
+	}
+	require.Equal(t, most, l.Since(0))
+	require.Less(t, cap(l.happened), 4*most)
+}
+
+// FuzzParse: whatever comes is an error, or a word of a known op that is neither old nor of the future.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte{}, noon)
+	f.Add(Word{Op: Failed, At: noon, Host: 1}.Append(nil), noon)
+	f.Add(Word{Op: Ended, At: noon - 3e6, Host: 65535}.Append(nil), noon)
+	f.Add([]byte{version<<4 | 9, 0, 0, 0}, int64(0))
+	f.Add([]byte("a datagram of somebody else's"), noon)
+	f.Fuzz(func(t *testing.T, data []byte, now int64) {
+		if now < 0 {
+			return
+		}
+		w, err := Parse(data, now)
+		if err != nil {
+			require.Zero(t, w)
+			return
+		}
+		require.Len(t, data, Size)
+		require.True(t, w.Op >= Sent && w.Op <= Failed)
+		require.True(t, w.At <= now && w.At >= now-Oldest)
+	})
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -32,6 +32,11 @@
 	Fetch()
 }
 
+// Peers carries words to other dispatchers. Its method returns at once.
+type Peers interface {
+	Tell(peer int, data []byte)
+}
+
 // Entry is one host of the inventory.
 type Entry struct {
 	topazfall.Worker
@@ -47,6 +52,7 @@
 	classes   []topazfall.Class // by index, those that are gone as well
 	south     South
 	inventory Inventory
+	peers     Peers // nil where there are none
 	ops       chan func()
 	inHand    atomic.Int64
 	figures   *figures.Figures
@@ -78,6 +84,14 @@
 		claims: addresses.NewClaims()}, nil
 }
 
+// SetPeers names what carries words to other dispatchers. It comes before Run.
+func (c *Core) SetPeers(p Peers) { c.peers = p }
+
+// Heard takes what another dispatcher tells.
+func (c *Core) Heard(from int, data []byte) {
+	c.ops <- func() { c.feed(topazfall.Event{Kind: topazfall.PeerMessage, From: from, Data: data}) }
+}
+
 // Run serves until the program ends.
 func (c *Core) Run(south South, inventory Inventory) {
 	c.south, c.inventory = south, inventory
@@ -522,6 +536,10 @@
 		c.inventory.Follow()
 	case topazfall.FetchList:
 		c.inventory.Fetch()
+	case topazfall.TellPeer:
+		if c.peers != nil {
+			c.peers.Tell(a.Peer, a.Data)
+		}
 	case topazfall.Log:
 		slog.Info("module", "text", a.Text)
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	"topazfall/internal/inventory"
 	"topazfall/internal/manage"
 	"topazfall/internal/north"
+	"topazfall/internal/peers"
 	"topazfall/internal/south"
 	"topazfall/internal/takeover"
 )
@@ -91,6 +92,16 @@
 		time.Duration(c.Settings.Contract.DrainGrace)*time.Microsecond)
 	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
 	clients.Others(place.tell)
+	if c.PeerListen != "" && c.Settings.Allowed.PeerMessages {
+		others, err := peers.New(peers.Addresses{Listen: c.PeerListen, Peers: c.Peers, All: c.PeersAll}, core)
+		if err == nil {
+			core.SetPeers(others)
+			go others.Run()
+			defer others.Close()
+		} else { // it is a help, and no reason to serve no clients
+			slog.Warn("peers", "error", err)
+		}
+	}
 	go core.Run(hosts, list)
 	if x != nil {
 		if err := x.Start(Parts{&c, core, hosts}); err != nil {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -503,6 +503,14 @@
 		out = append(out, "FOLLOW 1"...)
 	case topazfall.FetchList:
 		out = append(out, "QUERY_ALL"...)
+	case topazfall.TellPeer:
+		out = append(out, "NOTIFY "...)
+		if a.Peer == topazfall.AllPeers {
+			out = append(out, "all"...)
+		} else {
+			out = strconv.AppendInt(out, int64(a.Peer), 10)
+		}
+		out = base64.StdEncoding.AppendEncode(append(out, ' '), a.Data)
 	case topazfall.Log:
 		out = append(append(out, "NOTE_DOWN "...), a.Text...)
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -120,11 +120,12 @@
 		{Kind: topazfall.Send, Request: 7, Worker: "w1", After: 9}, {Kind: topazfall.Refuse, Request: 7, After: 5},
 		{Kind: topazfall.Fail, Request: 7}, {Kind: topazfall.CancelAttempt, Request: 7, Attempt: 1},
 		{Kind: topazfall.SetTimer, After: 4, Token: 29}, {Kind: topazfall.ProbeWorker, Worker: "w1"},
-		{Kind: topazfall.FollowList}, {Kind: topazfall.FetchList}, {Kind: topazfall.Log, Text: "two words"}} {
+		{Kind: topazfall.FollowList}, {Kind: topazfall.FetchList}, {Kind: topazfall.TellPeer, Peer: 2, Data: []byte("hi 7")},
+		{Kind: topazfall.TellPeer, Peer: topazfall.AllPeers, Data: []byte{1}}, {Kind: topazfall.Log, Text: "two words"}} {
 		out = AppendAction(out, &a)
 	}
 	want := "AS 3\nPASS_ON 7 w1 9\nTURN_AWAY 7 5\nABORT 7\nABORT_ATTEMPT 7 1\nWAKE_ME 4 29\nASK_LOAD w1\nFOLLOW 1\n" +
-		"QUERY_ALL\nNOTE_DOWN two words\nEOR\n"
+		"QUERY_ALL\nNOTIFY 2 aGkgNw==\nNOTIFY all AQ==\nNOTE_DOWN two words\nEOR\n"
 	if got := string(AppendEnd(out)); got != want {
 		t.Errorf("got %s", got)
 	}
--- a/state.go
+++ b/state.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"slices"
+
+	"topazfall/internal/decide/hearsay"
 )
 
 // Balancer makes the decisions of one dispatcher.
@@ -28,6 +30,7 @@
 	replaced bool    // another process takes the new jobs
 	ready    float64 // share of late sends that began at once
 	blendAt  int64
+	unheeded int     // words of others that were dropped
 	meanHeld float64 // jobs waiting at a buddy, by its last reports; below 0: free slots
 	commonAt int64
 }
@@ -51,12 +54,17 @@
 	sent, started, heard   int64 // heard: of its running, last
 	done, notRun, recalled bool
 	unusable               bool // its worker said that of the job
+	told                   bool // others know of it
 }
 
 type worker struct {
 	Worker
 	rank      string // its place in the common order
+	place     int    // the same, as a number
+	name      uint16 // in hearsay
 	listed    bool
+	told      hearsay.Tally // what others have done here since the report
+	reportOf  int64         // the time that the last report is of
 	kind      *kind
 	size      float64 // in standard cores: the largest weight that the list gave it
 	held      float64 // jobs waiting by the last report that moved x; below 0: free slots
@@ -66,7 +74,8 @@
 	silent    int64      // first send since the last sign of life
 	lastTry   int64
 	failures  int
-	errors    int // jobs failed since the last that was served
+	errors    int // jobs failed since the last that was served, here or at another dispatcher
+	faultAt   int64
 	downUntil int64
 	coldTurn  int64
 	coldSpent float64
@@ -128,6 +137,15 @@
 	return k
 }
 
+func sameGroup(g Group, a, w *worker) bool {
+	return g == GroupAll || a.Zone == w.Zone && (g == GroupZone || a.Cell == w.Cell)
+}
+
+// share is a time as a part of the time wanted.
+func (b *Balancer) share(r *request, time float64) float64 {
+	return time / max(float64(r.class.Aim)+r.class.Stretch*r.hint, 1000)
+}
+
 // sane maps what a report cannot mean to "not reported".
 func sane(v float64) float64 {
 	if v >= 0 && v < 1e6 {
--- a/topazfall.go
+++ b/topazfall.go
@@ -234,9 +234,13 @@
 	ProbeWorker                     // Worker
 	FollowList                      // -
 	FetchList                       // -
+	TellPeer                        // Peer, Data: at most 256 bytes
 	Log                             // Text
 )
 
+// AllPeers stands for every other dispatcher.
+const AllPeers = -1
+
 // Action is one thing for the dispatcher to do.
 type Action struct {
 	Kind    ActionKind
@@ -245,6 +249,8 @@
 	Attempt int
 	After   int64
 	Token   uint64
+	Peer    int // number of a dispatcher, or AllPeers
+	Data    []byte
 	Text    string
 }
 
