Twelve buddies at least where the list tells the load of all workers

Seen: since long jobs are told at once, a wider choice does no longer make a pile. At fault: smallest, which is what a dispatcher's own jobs keep fresh, and the list now does that.

--- a/balancer.go
+++ b/balancer.go
@@ -154,9 +154,7 @@
 	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, region: b.region(w)}
 	r.tries, r.out = append(r.tries, a), r.out+1
 	w.own, w.lastTry = append(w.own, a), b.now
-	if w.silent == 0 {
-		w.silent = b.now
-	}
+	w.silent = cmp.Or(w.silent, b.now)
 	w.coldSpent += r.work
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
 	b.tell(hearsay.Sent, a)
@@ -687,6 +685,9 @@
 // place, so that every worker is in about as many windows. Workers that are out are passed over.
 func (b *Balancer) refill() {
 	size := max(smallest, (cover*len(b.ranked)+b.s.Dispatchers-1)/b.s.Dispatchers)
+	if b.s.LiveWeights { // the list keeps more of them fresh than own jobs can
+		size = max(size, 2*smallest)
+	}
 	start := hearsay.Window(b.s.Me, b.s.Dispatchers, len(b.ranked))
 	have := map[string]bool{}
 	b.buddies, b.others = b.buddies[:0], b.others[:0]
