--- a/fleet_test.go
+++ b/fleet_test.go
@@ -236,6 +236,7 @@
 		{From: 1}, {From: 1, Data: []byte("x")}, {From: 1, Data: make([]byte, 256)},
 		{From: 1, Data: word(hearsay.Failed, r.now, "unknown")}, {From: 1, Data: word(9, r.now, "w0")},
 		{From: 1, Data: word(hearsay.Failed, r.now-hearsay.Oldest-100e3, "w0")}, {From: 0, Data: word(hearsay.Sent, r.now, "w0")},
+		{From: -1, Data: word(hearsay.Failed, r.now, "w0")},
 	}
 	for _, e := range odd {
 		e.Kind = PeerMessage
--- a/hearsay.go
+++ b/hearsay.go
@@ -41,7 +41,7 @@
 	word, err := hearsay.Parse(e.Data, b.now)
 	known := false
 	for _, w := range b.ranked {
-		if err != nil || e.From == b.s.Me || w.name != word.Host {
+		if err != nil || e.From < 0 || e.From == b.s.Me || w.name != word.Host {
 			continue
 		}
 		known = true
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,8 +87,9 @@
 // SetPeers names what carries words to other dispatchers. It comes before Run.
 func (c *Core) SetPeers(p Peers) { c.peers = p }
 
-// Heard takes what another dispatcher tells.
+// Heard takes what another dispatcher tells, or, with a number below 0, somebody who is none.
 func (c *Core) Heard(from int, data []byte) {
+	c.figures.Words.Add(1)
 	c.ops <- func() { c.feed(topazfall.Event{Kind: topazfall.PeerMessage, From: from, Data: data}) }
 }
 
@@ -112,11 +113,12 @@
 	}
 }
 
-// lookTime is how often the module is asked whom it avoids: that changes with time as well, without an event.
+// lookTime is how often the module is asked whom it avoids, which changes with time as well, and what it has dropped.
 const lookTime = 200_000
 
 func (c *Core) look() {
 	c.figures.Ejected.Store(int64(c.balancer.Avoided(c.Now())))
+	c.figures.Unheeded.Store(int64(c.balancer.Unheeded()))
 	c.after(c.Now()+lookTime, c.look)
 }
 
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -29,6 +29,8 @@
 	Outstanding, Discovered, Ejected      atomic.Int64 // as they are now
 	Forwards, HangupsTaken, HangupsFailed atomic.Int64 // since the start; the latter are files read at SIGHUP
 
+	Words, Unheeded atomic.Int64 // of other dispatchers: heard, and of these dropped; shown once there was one
+
 	// Of hosts with several addresses, since the start; they are shown once there was one.
 	Several                                 atomic.Bool
 	Opened, Unopened, Moved, Resets, Trials atomic.Int64
@@ -88,6 +90,10 @@
 	} {
 		v.write(w)
 	}
+	if f.Words.Load() > 0 {
+		figure{"peer_words_total", "counter", &f.Words}.write(w)
+		figure{"peer_words_dropped_total", "counter", &f.Unheeded}.write(w)
+	}
 	if !f.Several.Load() {
 		return
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -18,7 +18,8 @@
 	again   = 100 * time.Millisecond // between tries for an address that is taken
 )
 
-// Listener is told what a peer says. The bytes are its own.
+// Listener is told what a peer says, and of what comes from somebody else with a number below 0: that counts as
+// dropped. The bytes are its own, and one more than the largest of what was too long.
 type Listener interface {
 	Heard(from int, data []byte)
 }
@@ -98,9 +99,10 @@
 			return
 		}
 		from, known := p.from[netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())]
-		if known && n <= largest {
-			p.core.Heard(from, append([]byte(nil), buf[:n]...))
+		if !known {
+			from = -1
 		}
+		p.core.Heard(from, append([]byte(nil), buf[:n]...))
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -64,6 +64,7 @@
 	require.NoError(t, err)
 	defer stranger.Close()
 	stranger.Write([]byte("from nobody"))
+	require.Equal(t, heard{-1, "from nobody"}, heardB.next(t))
 	a.Tell(7, []byte("to nobody"))
 	a.Tell(1, make([]byte, largest+1)) // the platform forbids it
 	a.Tell(1, make([]byte, largest))
