Spread first calls over half of ask_every where the list must be asked for

At fault: inventory.lead, since it is bounded by half of the drain grace: right where the list comes unasked.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -88,8 +88,7 @@
 	if x != nil {
 		news = x
 	}
-	list := inventory.New(c.Discovery, news, c.Settings.Dispatchers,
-		time.Duration(c.Settings.Contract.DrainGrace)*time.Microsecond)
+	list := inventory.New(c.Discovery, news, c.Settings.Dispatchers, inventory.Unread(&c.Settings))
 	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
 	clients.Others(place.tell)
 	if c.PeerListen != "" && c.Settings.Allowed.PeerMessages {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -44,7 +44,7 @@
 	kick   chan bool
 	moves  chan string
 	share  time.Duration // by which the back-off is longer than a lone dispatcher's
-	rest   time.Duration // how long what discovery has told may stay unread: half of the grace of drains
+	unread time.Duration // how long what discovery has may stay unread, at most
 	target string        // of the last move; the mover's
 	tried  chan struct{}
 
@@ -59,10 +59,10 @@
 	Hosts     map[string]dispatch.Entry
 }
 
-// New returns a watch that tells core of the list. So many dispatchers share discovery, and drainGrace after its word
-// nothing new may go to a host that drains.
-func New(addr string, core Lister, dispatchers int, drainGrace time.Duration) *Watch {
-	return &Watch{core: core, share: time.Duration(max(dispatchers/few, 1)), rest: drainGrace / 2, client: newAgent(addr),
+// New returns a watch that tells core of the list. So many dispatchers share discovery, and what it has for us may stay
+// unread for so long at a start.
+func New(addr string, core Lister, dispatchers int, unread time.Duration) *Watch {
+	return &Watch{core: core, share: time.Duration(max(dispatchers/few, 1)), unread: unread, client: newAgent(addr),
 		kick: make(chan bool, 1), moves: make(chan string, 1), target: addr, tried: make(chan struct{})}
 }
 
@@ -156,14 +156,24 @@
 	return p/2 + rand.N(p/2+1)
 }
 
+// Unread is how long what discovery has may stay unread, by the contract. Where it comes unasked it counts as told from
+// then on, and the grace of a host that drains may be running already; where it must be asked for, only if that is not
+// done for a longer time.
+func Unread(s *topazfall.Settings) time.Duration {
+	bound := s.Contract.DrainGrace
+	if s.AskForList {
+		bound = max(bound, s.Contract.AskEvery)
+	}
+	return time.Duration(bound) * time.Microsecond / 2
+}
+
 // lead is how long to wait with the first call. Where a list is known it will do for a moment, and all may be starting
-// together. But what discovery has for us counts as told from when it came, asked for or not: the grace of a host that
-// drains may be running already.
+// together: a discovery that is asked serves some calls a second, and those that wait too long for their turn fail.
 func (w *Watch) lead() time.Duration {
 	if !w.known || w.share <= 1 {
 		return 0
 	}
-	return rand.N(min(backOff*w.share*4, w.rest) + 1)
+	return rand.N(min(backOff*w.share*growth/2, w.unread) + 1)
 }
 
 // Run watches until the program ends.
