Let twice as many use a cold worker at a time, and tell each other what they spend there

At fault: coldShare. Of the 16 sharers of a worker one has a turn of 3 s, as if all it gets in that (each) went there, while it has a dozen buddies. Now what is sent to a cold worker is told to its sharers and spends their account of the turn too; where peers may talk, each counts half. Without words at all the sum stays within the rule, as the test shows.

Four times was left out: with all words lost the work of a window can pass the rule.

Test: TestColdWorkerIsSharedByTheTier, 80 instances with words heard, lost and forbidden.

--- a/balancer.go
+++ b/balancer.go
@@ -349,8 +349,7 @@
 	case r.out > 1 || r.out == 1 && !b.s.Allowed.SecondCopies:
 		return false
 	}
-	cold := w.StartedAt > 0 && b.now < w.StartedAt+b.s.Contract.RampTime
-	return !b.barred(r, w) && (!cold || r.work <= b.coldShare(w))
+	return !b.barred(r, w) && (!b.cold(w) || r.work <= b.coldShare(w))
 }
 
 // barred tells that an attempt which may have run bars one at w, or any other if w is nil: the class is
@@ -375,15 +374,15 @@
 // leaves them to the other. A window can touch two turns and hints err, hence the quarter of the budget.
 func (b *Balancer) coldShare(w *worker) float64 {
 	c := &b.s.Contract
-	turn := b.now / max(c.FallTime, 1)
-	if w.coldTurn != turn {
-		w.coldTurn, w.coldSpent = turn, 0
-	}
+	turn := b.turn(w)
 	warm := c.ColdFrom + (1-c.ColdFrom)*float64(b.now-w.StartedAt)/float64(max(c.RampTime, 1))
 	capacity := w.kind.slots / max(w.kind.pace, 0.1)
 	capacity = min(max(capacity, w.size), 3*capacity) // light dispatchers take long to learn its slots
 	budget := c.FallMultiple * min(warm, 1) * capacity * float64(c.FallTime) / 4
 	each := b.s.quota() / float64(b.s.Dispatchers) * float64(c.FallTime) / 1e6 * b.jobTime
+	if b.hasPeers() { // what they spend here they tell each other; not all that one gets goes to one
+		each /= 2
+	}
 	sharers := int64(max((len(b.buddies)*b.s.Dispatchers-1)/max(len(b.ranked), 1)+1, 1))
 	place := ((int64(b.s.Me)-turn-w.StartedAt/1000)%sharers + sharers) % sharers
 	if place >= max(int64(budget/each), 1) || b.replaced || !slices.Contains(b.buddies, w) {
@@ -654,9 +653,8 @@
 		b.workers[l.ID] = w
 	}
 	if l.StartedAt > w.StartedAt { // a new life: neither old distrust nor old backlog counts
-		w.errors = 0
+		w.errors, w.held = 0, -1
 		w.alive()
-		w.held = -1
 	}
 	w.Worker, w.size = *l, max(w.size, l.Weight)
 	if !w.listed && l.State != Gone {
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 
 	"topazfall/internal/decide/hearsay"
@@ -261,3 +262,70 @@
 		t.Errorf("%v jobs are held after a list that says none", held)
 	}
 }
+
+// A cold worker is used by all who share it, and never by more than it bears: what they tell each other bounds the sum, and
+// where all words are lost it stays within the rule all the same.
+func TestColdWorkerIsSharedByTheTier(t *testing.T) {
+	const dispatchers, workers, seconds, job = 80, 60, 9, 200e3
+	spent := map[string]float64{}
+	for _, words := range []string{"heard", "lost", "none"} {
+		s := settings()
+		s.Allowed.PeerMessages, s.LiveWeights = words != "none", true
+		s.Tenants = []Tenant{{Quota: 1.5 * dispatchers}}
+		s.Contract.ColdFrom, s.Contract.RampTime, s.Contract.FallTime = 0.3, 9e6, 3e6
+		ws := fleet(workers)
+		for i := range ws {
+			ws[i].Weight = 3
+		}
+		a := newTier(t, s, dispatchers, ws)
+		for i := range ws {
+			ws[i].Weight = 3 / (1 + 6./3) // warm ones have jobs waiting
+		}
+		born := a.rigs[0].now
+		ws[7].Weight, ws[7].StartedAt = 3, born
+		for _, r := range a.rigs {
+			r.on(Event{Kind: ListPatch, List: ws})
+			r.b.jobTime = job
+		}
+		var cold []int64 // when it was sent a job
+		random := rand.New(rand.NewPCG(1, 2))
+		for now := born; now < born+seconds*1e6; now += 10e3 {
+			for me, r := range a.rigs {
+				r.now = now
+				if random.Float64() > 1.5*0.01 { // a message and a half a second
+					continue
+				}
+				id, acts := r.arrive(unsafe)
+				if n, act := count(acts, Send); n == 1 {
+					if words == "heard" {
+						a.spread(me, acts)
+					}
+					if act.Worker == ws[7].ID {
+						cold = append(cold, now)
+					}
+					if end := r.done(id, 0, act.Worker, Completed); words == "heard" {
+						a.spread(me, end)
+					}
+					r.b.jobTime = job
+				}
+			}
+		}
+		for i := range cold {
+			sum, from := 0.0, cold[i]
+			for _, c := range cold[i:] {
+				if c < from+s.Contract.FallTime {
+					sum += job
+				}
+			}
+			warm := s.Contract.ColdFrom + (1-s.Contract.ColdFrom)*float64(from-born)/float64(s.Contract.RampTime)
+			if rule := s.Contract.FallMultiple * warm * 3 * float64(s.Contract.FallTime); sum > rule {
+				t.Errorf("words %s: work %v within a window from %v s on, the rule has %v", words, sum, float64(from-born)/1e6, rule)
+			}
+		}
+		spent[words] = float64(len(cold)) * job
+	}
+	if spent["heard"] < 1.3*spent["none"] {
+		t.Errorf("spent at the cold worker: %v", spent)
+	}
+	t.Logf("spent at the cold worker: %v", spent)
+}
--- a/hearsay.go
+++ b/hearsay.go
@@ -10,10 +10,11 @@
 // means for a choice is in balancer.go.
 
 // tell lets those who share a worker know that a job has been sent there, or has ended. Only what occupies it for long
-// and can go nowhere else is worth its price: the rest has mostly ended before the list is heard again.
+// and can go nowhere else is worth its price: the rest has mostly ended before the list is heard again. Of a cold worker
+// all is told, as what it bears is spent together.
 func (b *Balancer) tell(op hearsay.Op, a *attempt) {
 	if op == hearsay.Sent {
-		a.told = b.hasPeers() && a.w.listed && a.r.class.Repeat == Unsafe && a.r.work > b.jobTime
+		a.told = b.hasPeers() && a.w.listed && (b.cold(a.w) || a.r.class.Repeat == Unsafe && a.r.work > b.jobTime)
 	}
 	if !a.told || !a.w.listed {
 		return
@@ -48,6 +49,8 @@
 		switch word.Op {
 		case hearsay.Sent:
 			w.told.Add(word.At, 1)
+			b.turn(w)
+			w.coldSpent += b.jobTime // words do not say how long it is
 		case hearsay.Ended:
 			w.told.Add(word.At, -1)
 		case hearsay.Failed:
--- a/state.go
+++ b/state.go
@@ -146,6 +146,20 @@
 	return time / max(float64(r.class.Aim)+r.class.Stretch*r.hint, 1000)
 }
 
+// cold tells that a worker has started so late that it may not bear much yet.
+func (b *Balancer) cold(w *worker) bool {
+	return w.StartedAt > 0 && b.now < w.StartedAt+b.s.Contract.RampTime
+}
+
+// turn is the turn of the fall time that it is now; with each, what is spent at a cold worker is counted anew.
+func (b *Balancer) turn(w *worker) int64 {
+	turn := b.now / max(b.s.Contract.FallTime, 1)
+	if w.coldTurn != turn {
+		w.coldTurn, w.coldSpent = turn, 0
+	}
+	return turn
+}
+
 // sane maps what a report cannot mean to "not reported".
 func sane(v float64) float64 {
 	if v >= 0 && v < 1e6 {
