Say nothing among so few dispatchers as share every worker

With three dispatchers each has all workers in its window and a third of all messages, so that a word to each other one is paid for and tells what the next answer tells.

At fault: hasPeers, which asked for two dispatchers.

Test: TestFewDispatchersSayNothing.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -225,6 +225,20 @@
 	}
 }
 
+// Where all dispatchers share every worker, each hears of all by its own jobs: a word would cost more than it saves.
+func TestFewDispatchersSayNothing(t *testing.T) {
+	for _, dispatchers := range []int{1, cover, cover + 1} {
+		s := settings()
+		s.Allowed.PeerMessages, s.Dispatchers = true, dispatchers
+		r := newRig(t, s, fleet(6)...)
+		id, acts := r.arrive(unsafe)
+		acts = append(acts, r.done(id, 0, r.sends(acts).Worker, Errored)...)
+		if n, _ := count(acts, TellPeer); (n > 0) != (dispatchers > cover) {
+			t.Errorf("%d dispatchers: %d words", dispatchers, n)
+		}
+	}
+}
+
 // Words that are odd, old, of nobody's worker or from oneself change nothing but a count.
 func TestOddWordsChangeNothing(t *testing.T) {
 	s := settings()
--- a/hearsay.go
+++ b/hearsay.go
@@ -26,7 +26,9 @@
 	})
 }
 
-func (b *Balancer) hasPeers() bool { return b.s.Allowed.PeerMessages && b.s.Dispatchers > 1 }
+// hasPeers tells whether there is anybody to talk to. Where no more dispatchers are there than share a worker anyway, each
+// hears of all of them by its own jobs, and a word costs more than it saves.
+func (b *Balancer) hasPeers() bool { return b.s.Allowed.PeerMessages && b.s.Dispatchers > cover }
 
 // fault blames a worker, and lets all know: each would find out by a job of its own.
 func (b *Balancer) fault(w *worker) {
