Let rests grow again after refused connections, and keep distrust that is inherited

Now rest and Inherit set faultAt.

Test: TestDistrustIsNotForgottenAtOnce, which fails without it (2.0 s, then 2.0 s; nothing inherited).

--- a/balancer.go
+++ b/balancer.go
@@ -401,7 +401,7 @@
 
 // rest leaves a worker alone for a while, longer each time.
 func (b *Balancer) rest(w *worker) {
-	w.failures++
+	w.failures, w.faultAt = w.failures+1, b.now
 	w.downUntil = b.now + int64(max(float64(b.s.Allowed.DialTimeout), b.jobTime))<<min(w.failures, 4)
 	b.refill()
 }
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -225,6 +225,26 @@
 	}
 }
 
+// What is forgotten of a fault is forgotten in time only: not by the rest that it leads to, nor by who goes on with it.
+func TestDistrustIsNotForgottenAtOnce(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	w := r.b.workers["w0"]
+	r.on(Event{Kind: TimerDue, Token: tokenPulse})
+	r.b.rest(w)
+	first := w.downUntil - r.b.now
+	r.b.rest(w)
+	if second := w.downUntil - r.b.now; second != 2*first {
+		t.Errorf("rests for %d, then for %d us", first, second)
+	}
+	r.b.blame(w)
+	heir := newRig(t, settings(), fleet(6)...)
+	heir.on(Event{Kind: TimerDue, Token: tokenPulse})
+	heir.b.Inherit(heir.now, r.b.Memory())
+	if got := heir.b.workers["w0"]; got.failures != 2 || got.errors != 1 {
+		t.Errorf("inherited %d failures and %d errors", got.failures, got.errors)
+	}
+}
+
 // Where all dispatchers share every worker, each hears of all by its own jobs: a word would cost more than it saves.
 func TestFewDispatchersSayNothing(t *testing.T) {
 	for _, dispatchers := range []int{1, cover, cover + 1} {
--- a/memory.go
+++ b/memory.go
@@ -158,6 +158,7 @@
 		if l, ok := m.Workers[w.ID]; ok && l.Pace > 0 {
 			w.held, w.pace, w.coldSpent, w.heardAt, w.coldTurn = l.Held, l.Pace, l.ColdSpent, l.HeardAt, l.ColdTurn
 			w.silent, w.lastTry, w.downUntil, w.failures, w.errors = l.Silent, l.LastTry, l.DownUntil, l.Failures, l.Errors
+			w.faultAt = now // when it was is not handed on
 			w.p = l.Table
 			w.blendWith(nil)
 		}
