Compose a word in one place, and drop a field that nobody read

Reading of the whole change: tell and fault each made a word and hashed the name anew, which the worker has; hear looked at the same error for each worker; place was left over from a trial. Behaviour is as it was.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -3,7 +3,6 @@
 // Many dispatchers side by side: what each does alone must be harmless when all do it.
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -12,14 +11,11 @@
 )
 
 // tier is many balancers over one fleet that share nothing, as on as many machines.
-type tier struct {
-	rigs    []*rig
-	workers []Worker
-}
+type tier struct{ rigs []*rig }
 
 func newTier(t *testing.T, s Settings, dispatchers int, workers []Worker) *tier {
 	t.Helper()
-	all := &tier{workers: workers}
+	all := &tier{}
 	s.Dispatchers = dispatchers
 	for me := range dispatchers {
 		s.Me, s.Seed = me, uint64(me+1)
@@ -28,19 +24,10 @@
 	return all
 }
 
-// one gives every balancer one request of a class at the same moment, and returns how many each worker is sent.
-func (a *tier) one(class int) map[string]int {
-	sent := map[string]int{}
-	for _, r := range a.rigs {
-		if _, acts := r.arrive(class); len(acts) > 0 {
-			for _, act := range acts {
-				if act.Kind == Send {
-					sent[act.Worker]++
-				}
-			}
-		}
+func weigh(ws []Worker, weight float64) {
+	for i := range ws {
+		ws[i].Weight = weight
 	}
-	return sent
 }
 
 func most(sent map[string]int) (n int) {
@@ -57,13 +44,9 @@
 	for idle := range 6 {
 		ws := fleet(6)
 		r := newRig(t, s)
-		for i := range ws {
-			ws[i].Weight = 3
-		}
+		weigh(ws, 3)
 		r.on(Event{Kind: ListWhole, List: ws}) // all idle
-		for i := range ws {
-			ws[i].Weight = 3 / (1 + 5./3) // five jobs on three cores
-		}
+		weigh(ws, 3/(1+5./3))                  // five jobs on three cores
 		ws[idle].Weight = 3 / (1 + 1./3)
 		r.now += 1e6
 		r.on(Event{Kind: ListWhole, List: ws})
@@ -107,9 +90,7 @@
 	const dispatchers, workers = 80, 60
 	s, ws := settings(), fleet(workers)
 	s.LiveWeights = true
-	for i := range ws {
-		ws[i].Weight = 3
-	}
+	weigh(ws, 3)
 	a := newTier(t, s, dispatchers, ws)
 	if n := len(a.rigs[0].b.buddies); n != 2*smallest {
 		t.Errorf("%d buddies", n)
@@ -123,7 +104,11 @@
 		r.now += 1e6
 		r.on(Event{Kind: ListPatch, List: ws})
 	}
-	sent := a.one(unsafe)
+	sent := map[string]int{}
+	for _, r := range a.rigs {
+		_, acts := r.arrive(unsafe)
+		sent[r.sends(acts).Worker]++
+	}
 	if share := dispatchers * len(a.rigs[0].b.buddies) / workers; most(sent) > share+1 {
 		t.Errorf("one worker is sent %d of %d, its share of the buddy sets is %d: %v", most(sent), dispatchers, share, sent)
 	}
@@ -137,7 +122,7 @@
 		t.Errorf("%d of %d went to busy workers", busy, dispatchers)
 	}
 	if n := len(sent); n < 10 {
-		t.Error(fmt.Sprintf("only %d workers are used", n))
+		t.Errorf("only %d workers are used", n)
 	}
 }
 
@@ -161,9 +146,7 @@
 		s := settings()
 		s.LiveWeights, s.Allowed.PeerMessages = true, true
 		ws := fleet(workers)
-		for i := range ws {
-			ws[i].Weight = 1 // of one core each, as the next list shows
-		}
+		weigh(ws, 1) // of one core each, as the next list shows
 		a := newTier(t, s, dispatchers, ws)
 		for i := range ws {
 			if i%6 != 0 {
@@ -308,13 +291,9 @@
 		s.Tenants = []Tenant{{Quota: 1.5 * dispatchers}}
 		s.Contract.ColdFrom, s.Contract.RampTime, s.Contract.FallTime = 0.3, 9e6, 3e6
 		ws := fleet(workers)
-		for i := range ws {
-			ws[i].Weight = 3
-		}
+		weigh(ws, 3)
 		a := newTier(t, s, dispatchers, ws)
-		for i := range ws {
-			ws[i].Weight = 3 / (1 + 6./3) // warm ones have jobs waiting
-		}
+		weigh(ws, 3/(1+6./3)) // warm ones have jobs waiting
 		born := a.rigs[0].now
 		ws[7].Weight, ws[7].StartedAt = 3, born
 		for _, r := range a.rigs {
--- a/hearsay.go
+++ b/hearsay.go
@@ -19,13 +19,18 @@
 	if !a.told || !a.w.listed {
 		return
 	}
-	data := hearsay.Word{Op: op, At: b.now, Host: hearsay.Name(a.w.ID)}.Append(nil)
+	data := b.word(op, a.w)
 	place := slices.Index(b.ranked, a.w)
 	hearsay.Sharers(place, len(b.ranked), len(b.buddies), b.s.Me, b.s.Dispatchers, func(peer int) {
 		b.do(Action{Kind: TellPeer, Peer: peer, Data: data})
 	})
 }
 
+// word is what there is to say of a worker now.
+func (b *Balancer) word(op hearsay.Op, w *worker) []byte {
+	return hearsay.Word{Op: op, At: b.now, Host: w.name}.Append(nil)
+}
+
 // hasPeers tells whether there is anybody to talk to. Where no more dispatchers are there than share a worker anyway, each
 // hears of all of them by its own jobs, and a word costs more than it saves.
 func (b *Balancer) hasPeers() bool { return b.s.Allowed.PeerMessages && b.s.Dispatchers > cover }
@@ -33,8 +38,7 @@
 // fault blames a worker, and lets all know: each would find out by a job of its own.
 func (b *Balancer) fault(w *worker) {
 	if b.hasPeers() {
-		data := hearsay.Word{Op: hearsay.Failed, At: b.now, Host: hearsay.Name(w.ID)}.Append(nil)
-		b.do(Action{Kind: TellPeer, Peer: AllPeers, Data: data})
+		b.do(Action{Kind: TellPeer, Peer: AllPeers, Data: b.word(hearsay.Failed, w)})
 	}
 	b.blame(w)
 }
@@ -43,20 +47,12 @@
 func (b *Balancer) hear(e *Event) {
 	word, err := hearsay.Parse(e.Data, b.now)
 	known := false
-	for _, w := range b.ranked {
-		if err != nil || e.From < 0 || e.From == b.s.Me || w.name != word.Host {
-			continue
-		}
-		known = true
-		switch word.Op {
-		case hearsay.Sent:
-			w.told.Add(word.At, 1)
-			b.turn(w)
-			w.coldSpent += b.jobTime // words do not say how long it is
-		case hearsay.Ended:
-			w.told.Add(word.At, -1)
-		case hearsay.Failed:
-			b.blame(w)
+	if err == nil && e.From >= 0 && e.From != b.s.Me {
+		for _, w := range b.ranked {
+			if w.name == word.Host {
+				known = true
+				b.heed(word, w)
+			}
 		}
 	}
 	if !known {
@@ -64,6 +60,19 @@
 	}
 }
 
+func (b *Balancer) heed(word hearsay.Word, w *worker) {
+	switch word.Op {
+	case hearsay.Sent:
+		w.told.Add(word.At, 1)
+		b.turn(w)
+		w.coldSpent += b.jobTime // words do not say how long it is
+	case hearsay.Ended:
+		w.told.Add(word.At, -1)
+	case hearsay.Failed:
+		b.blame(w)
+	}
+}
+
 // Unheeded is how many words of other dispatchers were dropped.
 func (b *Balancer) Unheeded() int { return b.unheeded }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -139,7 +139,7 @@
 	if err := jsoniter.Unmarshal(text, &f); err != nil {
 		return Config{}, err
 	}
-	var others struct {
+	var others struct { // apart: of more than ten fields the decoder's errors say less
 		Listen string   `json:"peer_listen"`
 		Peers  []string `json:"peers"`
 		All    string   `json:"peers_all"`
--- a/state.go
+++ b/state.go
@@ -60,7 +60,6 @@
 type worker struct {
 	Worker
 	rank      string // its place in the common order
-	place     int    // the same, as a number
 	name      uint16 // in hearsay
 	listed    bool
 	told      hearsay.Tally // what others have done here since the report
