Let a client that waits less than others keep its aim: it is no late try of a first one

A client that gives up after 3 of 25 s was read as one that had begun 22 s before. Refused, it came again (2.15 tries a message), and was refused again.

At fault: r.aim = min(r.due, r.due-patience+Aim+Stretch*hint) in open, for whoever comes with less time than the longest seen. Change: where that aim would be lost already, the message is a first one and has the whole aim. Later tries that come in time share the first one's aim as before. look moved beside timer, to make room.

Test: TestClientOfLittlePatienceKeepsItsAim.

--- a/balancer.go
+++ b/balancer.go
@@ -98,9 +98,12 @@
 	r := &request{id: e.Request, class: c, due: e.Due, hint: float64(min(max(e.Hint, 0), 1e12))}
 	r.work = cmp.Or(r.hint, b.jobTime)
 	b.least = min(b.least+b.least/16, r.work) // the smallest of late
-	// A client's later try shares the deadline of its first: it began a whole deadline before it is due.
+	// A client's later try shares the deadline of its first: it began a whole deadline before it is due. One
+	// whose aim would be lost by that is no such try, as no first is kept for so long: its client waits less.
 	b.patience[e.Class] = max(b.patience[e.Class], r.due-b.now)
-	r.aim = min(r.due, r.due-b.patience[e.Class]+c.Aim+int64(c.Stretch*r.hint))
+	span := c.Aim + int64(c.Stretch*r.hint)
+	left := max(r.due-b.patience[e.Class]+span-b.now, 0)
+	r.aim = min(r.due, b.now+cmp.Or(left, span))
 	b.requests[r.id] = r
 	return r
 }
@@ -146,10 +149,6 @@
 	})
 }
 
-func (b *Balancer) look(r *request, after float64) {
-	b.timer(min(int64(after), r.due-b.now), r.id<<2|tokenLook)
-}
-
 func (b *Balancer) send(r *request, w *worker) {
 	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, region: b.region(w)}
 	r.tries, r.out = append(r.tries, a), r.out+1
@@ -176,8 +175,7 @@
 		return
 	}
 	r := a.r
-	a.done, a.notRun = true, e.Outcome.NotRun()
-	r.out--
+	a.done, a.notRun, r.out = true, e.Outcome.NotRun(), r.out-1
 	b.tell(hearsay.Ended, a)
 	b.judge(a, e)
 	a.w.own = slices.DeleteFunc(a.w.own, func(o *attempt) bool { return o == a })
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -361,3 +361,27 @@
 	}
 	return all / float64(cold)
 }
+
+// A client that gives up early is not one that comes again late: its job is worth its aim, and is not refused unsent while
+// workers are free because a later try would have lost it by now.
+func TestClientOfLittlePatienceKeepsItsAim(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	arrive := func(wait, hint int64) *request {
+		r.id++
+		r.on(Event{Kind: Arrival, Request: r.id, Class: unsafe, Due: r.now + wait, Hint: hint})
+		return r.b.requests[r.id]
+	}
+	arrive(10e6, 300e3) // how long clients wait
+	r.b.loss = 0.2      // jobs that come late have a price
+	span := r.b.s.Classes[unsafe].Aim + 600e3
+	if first := arrive(2e6, 300e3); first == nil || first.aim != r.now+span || first.out != 1 {
+		t.Errorf("a message of a client that waits 2 s: %+v", first)
+	}
+	r.b.loss = 0
+	if hurried := arrive(400e3, 300e3); hurried == nil || hurried.aim != hurried.due {
+		t.Errorf("the aim lies behind the end of the wait: %+v", hurried)
+	}
+	if again := arrive(10e6-400e3, 300e3); again == nil || again.aim != r.now+span-400e3 {
+		t.Errorf("a try that comes 400 ms after the first has its aim: %+v", again)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -99,6 +99,11 @@
 	b.do(Action{Kind: SetTimer, After: max(after, b.s.Tick, 1), Token: token})
 }
 
+// look has a request looked at again.
+func (b *Balancer) look(r *request, after float64) {
+	b.timer(min(int64(after), r.due-b.now), r.id<<2|tokenLook)
+}
+
 // attempt finds the attempt that an event is about, if it is still out.
 func (b *Balancer) attempt(e *Event) *attempt {
 	r := b.requests[e.Request]
