Tell faults to those who use the worker now, and let words rest a third of the list at most

And counted in a tier of 300 module instances with half of 164 workers draining: 44 use a worker, while coldShare and Sharers went by the 22 that would if all were up, so that 14 had a turn at a cold worker with 8.0 s of work where the rule has 8.1 for two turns; half of those who use a worker did not hear of it. A worker's faults, true or forged, told of all 30 rested all 30, and nothing could be sent.

At fault: AllPeers in fault; len(b.buddies) in coldShare and tell, where the buddy set reaches beyond who is out; heed, which blamed whatever was told. Change: refill notes how far along the list the buddies reach. Turns, words and faults go by that. While a third of the list rests no word rests another; what a dispatcher sees itself counts as before.

Tests: TestSharersAreThoseWhoUseAWorkerNow (14 of 44 have a turn without it), TestWordsRestAThirdOfTheListAtMost.

--- a/balancer.go
+++ b/balancer.go
@@ -382,7 +382,7 @@
 	if b.hasPeers() { // if none were heard, one job of each who gets any would be half of the rule
 		budget, users = rule*3/8, rule/2/(b.jobTime*-math.Expm1(-jobs))
 	}
-	sharers := int64(max((len(b.buddies)*b.s.Dispatchers-1)/max(len(b.ranked), 1)+1, 1))
+	sharers := int64(max((b.reach*b.s.Dispatchers-1)/max(len(b.ranked), 1)+1, 1))
 	place := ((int64(b.s.Me)-turn-w.StartedAt/1000)%sharers + sharers) % sharers
 	if place >= max(int64(users), 1) || b.replaced || !slices.Contains(b.buddies, w) ||
 		b.hasPeers() && w.lastTry >= turn*c.FallTime {
@@ -688,14 +688,14 @@
 	}
 	start := hearsay.Window(b.s.Me, b.s.Dispatchers, len(b.ranked))
 	have := map[string]bool{}
-	b.buddies, b.others = b.buddies[:0], b.others[:0]
+	b.buddies, b.others, b.reach = b.buddies[:0], b.others[:0], 0
 	for i := range b.ranked {
 		w := b.ranked[(start+i)%len(b.ranked)]
 		if b.now-w.faultAt > distrust*b.pulse() { // whom we send nothing to serves us nothing that would clear it
 			w.errors, w.failures = 0, 0
 		}
 		if w.State == Ready && b.now >= w.downUntil && (len(b.buddies) < size || !have[w.Kind]) {
-			b.buddies, have[w.Kind] = append(b.buddies, w), true // some of each kind
+			b.buddies, have[w.Kind], b.reach = append(b.buddies, w), true, i+1 // some of each kind
 		} else {
 			b.others = append(b.others, w)
 		}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"topazfall/internal/decide/hearsay"
@@ -385,3 +386,75 @@
 		t.Errorf("a try that comes 400 ms after the first has its aim: %+v", again)
 	}
 }
+
+// During a release half of the workers drain, and the buddy sets reach twice as far. Who hears of a worker, and who takes turns
+// at one that is cold, goes by who uses it then; and a fault is no word to all of hundreds.
+func TestSharersAreThoseWhoUseAWorkerNow(t *testing.T) {
+	const dispatchers, workers, job = 300, 164, 600e3
+	for _, draining := range []bool{false, true} {
+		s := settings()
+		s.Allowed.PeerMessages, s.LiveWeights = true, true
+		s.Tenants = []Tenant{{Quota: dispatchers}}
+		s.Contract.ColdFrom, s.Contract.FallTime = 0.36, 3e6
+		ws := fleet(workers)
+		weigh(ws, 3)
+		for i := range ws {
+			if draining && i%2 == 1 {
+				ws[i].State = Draining
+			}
+		}
+		a := newTier(t, s, dispatchers, ws)
+		cold := a.rigs[0].b.workers[ws[8].ID]
+		users, uses, turns, rule := 0, map[int]bool{}, 0, 0.0
+		for me, r := range a.rigs {
+			w := r.b.workers[cold.ID]
+			if w.StartedAt = r.now - 1; slices.Contains(r.b.buddies, w) {
+				users, uses[me] = users+1, true
+			}
+			r.b.now, r.b.jobTime = r.now, job
+			if share := r.b.coldShare(w); share > 0 {
+				turns++
+				rule = share * 8 / 3
+			}
+		}
+		chance := -math.Expm1(-float64(s.Contract.FallTime) / 1e6)                // that one gets a message in a turn
+		if sum := float64(turns) * job * chance; turns == 0 || sum > rule/2*5/4 { // the reach differs a little from one to the next
+			t.Errorf("draining %v: %d of %d users have a turn, with %v of work, the rule has %v", draining, turns, users, sum, rule)
+		}
+		teller := a.rigs[slices.IndexFunc(a.rigs, func(r *rig) bool { return slices.Contains(r.b.buddies, r.b.workers[cold.ID]) })]
+		teller.b.out = nil
+		teller.b.fault(teller.b.workers[cold.ID])
+		told := 0
+		for _, act := range teller.b.out {
+			if act.Kind == TellPeer {
+				told++
+				delete(uses, act.Peer)
+			}
+		}
+		if len(uses) > users/8 || told > users*5/4 {
+			t.Errorf("draining %v: of %d users %d are not told of a fault, by %d words", draining, users, len(uses), told)
+		}
+	}
+}
+
+// Faults that all tell of at one moment, true or forged, must not leave a dispatcher with nobody to send to.
+func TestWordsRestAThirdOfTheListAtMost(t *testing.T) {
+	s := settings()
+	s.Allowed.PeerMessages = true
+	r := newRig(t, s, fleet(30)...)
+	for range 3 {
+		for _, w := range r.b.ranked {
+			r.on(Event{Kind: PeerMessage, From: 1, Data: hearsay.Word{Op: hearsay.Failed, At: r.now, Host: w.name}.Append(nil)})
+		}
+	}
+	if n := r.b.Avoided(r.now); n != 30/restByWord {
+		t.Errorf("%d of 30 workers rest because of words", n)
+	}
+	_, acts := r.arrive(unsafe)
+	r.sends(acts)
+	w := r.b.ranked[slices.IndexFunc(r.b.ranked, func(w *worker) bool { return r.now >= w.downUntil })]
+	r.b.blame(w) // what is seen here counts all the same
+	if r.now >= w.downUntil {
+		t.Error("its own evidence no longer rests a worker")
+	}
+}
--- a/hearsay.go
+++ b/hearsay.go
@@ -9,6 +9,9 @@
 // What dispatchers tell each other of workers, between the module and internal/decide/hearsay, which says whom. What it
 // means for a choice is in balancer.go.
 
+// restByWord bounds what words can do: while one in so many of the listed workers rests, none goes to rest for a word more.
+const restByWord = 3
+
 // tell lets those who share a worker know that a job has been sent there, or has ended. Only what occupies it for long
 // and can go nowhere else is worth its price: the rest has mostly ended before the list is heard again. Of a cold worker
 // all is told, as what it bears is spent together.
@@ -16,29 +19,32 @@
 	if op == hearsay.Sent {
 		a.told = b.hasPeers() && a.w.listed && (b.cold(a.w) || a.r.class.Repeat == Unsafe && a.r.work > b.jobTime)
 	}
-	if !a.told || !a.w.listed {
+	if a.told {
+		b.inform(op, a.w, a.r.work)
+	}
+}
+
+// inform lets those know who have a worker among their buddies, if as many are out for them as for this one.
+func (b *Balancer) inform(op hearsay.Op, w *worker, work float64) {
+	if !w.listed {
 		return
 	}
-	data := b.word(op, a.w, a.r.work)
-	place := slices.Index(b.ranked, a.w)
-	hearsay.Sharers(place, len(b.ranked), len(b.buddies), b.s.Me, b.s.Dispatchers, func(peer int) {
+	data := hearsay.Word{Op: op, At: b.now, Host: w.name, Work: int64(work)}.Append(nil)
+	place := slices.Index(b.ranked, w)
+	hearsay.Sharers(place, len(b.ranked), b.reach, b.s.Me, b.s.Dispatchers, func(peer int) {
 		b.do(Action{Kind: TellPeer, Peer: peer, Data: data})
 	})
 }
 
-// word is what there is to say of a worker now.
-func (b *Balancer) word(op hearsay.Op, w *worker, work float64) []byte {
-	return hearsay.Word{Op: op, At: b.now, Host: w.name, Work: int64(work)}.Append(nil)
-}
-
 // hasPeers tells whether there is anybody to talk to. Where no more dispatchers are there than share a worker anyway, each
 // hears of all of them by its own jobs, and a word costs more than it saves.
 func (b *Balancer) hasPeers() bool { return b.s.Allowed.PeerMessages && b.s.Dispatchers > cover }
 
-// fault blames a worker, and lets all know: each would find out by a job of its own.
+// fault blames a worker, and lets those know who use it: each would find out by a job of its own. To tell all has its price
+// at each of hundreds, of whom a dozen or two will ever send there.
 func (b *Balancer) fault(w *worker) {
 	if b.hasPeers() {
-		b.do(Action{Kind: TellPeer, Peer: AllPeers, Data: b.word(hearsay.Failed, w, 0)})
+		b.inform(hearsay.Failed, w, 0)
 	}
 	b.blame(w)
 }
@@ -69,7 +75,15 @@
 	case hearsay.Ended:
 		w.told.Add(word.At, -1)
 	case hearsay.Failed:
-		b.blame(w)
+		resting := 0
+		for _, w := range b.ranked {
+			if b.now < w.downUntil {
+				resting++
+			}
+		}
+		if restByWord*resting < len(b.ranked) { // hearsay must not leave nobody to serve
+			b.blame(w)
+		}
 	}
 }
 
--- a/state.go
+++ b/state.go
@@ -18,6 +18,7 @@
 	workers  map[string]*worker // all that were ever listed, by id
 	ranked   []*worker          // those listed now, in the order common to all dispatchers
 	buddies  []*worker          // the preferred list
+	reach    int                // how many of the ranked the buddies are taken from: more where some are out
 	others   []*worker          // the rest, from the dispatcher's own place on: all must not turn to the same
 	kinds    map[string]*kind
 	jobTime  float64 // mean running time of a job
