Take a worker of the own zone among those of equal risk

At fault: choose takes the first of equals, and refill lists the buddies by place alone; the price of another zone (0.01) is less than a fortieth, to which choose rounds risks. Change: where more dispatchers are there than share a worker anyway the preferred list begins with the buddies of the own zone; the windows stay as they were, so each worker is in as many.

--- a/balancer.go
+++ b/balancer.go
@@ -324,13 +324,10 @@
 func (b *Balancer) risk(r *request, w *worker) float64 {
 	x, run, late := b.region(w), r.hint*w.pace, r.class.LateWorth
 	risk := (1-late)*b.tail(w, x, float64(r.aim-b.now)-run) + late*b.tail(w, x, float64(r.due-b.now)-run)
-	if w.Zone != b.s.Zone {
-		risk += b.s.CrossZone
-	}
 	if r.class.Repeat == Unsafe { // that it fails this one too, by the rule of succession
 		risk += float64(w.errors) / float64(w.errors+1)
 	}
-	return risk + b.share(r, b.backlog(w))
+	return risk + b.crossing(w) + b.share(r, b.backlog(w))
 }
 
 // ---- legality ----
@@ -700,4 +697,8 @@
 			b.others = append(b.others, w)
 		}
 	}
+	// Among equals the zone decides; not where few share all workers, whom only the rotation keeps apart.
+	if b.s.Dispatchers > cover {
+		slices.SortStableFunc(b.buddies, b.nearer)
+	}
 }
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -458,3 +458,39 @@
 		t.Error("its own evidence no longer rests a worker")
 	}
 }
+
+// Among workers that are equal a choice pays for no other zone, while there is one at home; and one at home that is busy is no
+// reason to wait.
+func TestEqualsAreTakenFromTheOwnZone(t *testing.T) {
+	const dispatchers, workers = 300, 165
+	s := settings()
+	s.LiveWeights, s.CrossZone, s.Zones = true, 0.01, []string{"a", "b", "c"}
+	ws := fleet(workers)
+	weigh(ws, 3)
+	for i := range ws {
+		ws[i].Zone = s.Zones[i%3]
+	}
+	a := newTier(t, s, dispatchers, ws)
+	crossed, sent := 0, map[string]int{}
+	for me, r := range a.rigs {
+		r.b.s.Zone = s.Zones[me%3]
+		r.b.refill()
+		_, acts := r.arrive(unsafe)
+		w := r.b.workers[r.sends(acts).Worker]
+		if sent[w.ID]++; w.Zone != r.b.s.Zone {
+			crossed++
+		}
+		for _, v := range r.b.buddies { // all at home are busy
+			if v.Zone == r.b.s.Zone {
+				v.held, v.heardAt = 12, r.now
+			}
+		}
+		_, acts = r.arrive(unsafe)
+		if w := r.b.workers[r.sends(acts).Worker]; w.Zone == r.b.s.Zone {
+			t.Fatalf("%d waits at %s, while others are free", me, w.ID)
+		}
+	}
+	if crossed > 0 || most(sent) > 6 {
+		t.Errorf("%d of %d sends cross zones, one worker has %d", crossed, dispatchers, most(sent))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 // What a balancer remembers, and plain look-ups. Every decision is in balancer.go.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 
@@ -156,6 +157,17 @@
 	return w.StartedAt > 0 && b.now < w.StartedAt+b.s.Contract.RampTime
 }
 
+// crossing is the price of sending to a worker because of its zone.
+func (b *Balancer) crossing(w *worker) float64 {
+	if w.Zone == b.s.Zone {
+		return 0
+	}
+	return b.s.CrossZone
+}
+
+// nearer orders workers by the price of their zone.
+func (b *Balancer) nearer(v, w *worker) int { return cmp.Compare(b.crossing(v), b.crossing(w)) }
+
 // turn is the turn of the fall time that it is now; with each, what is spent at a cold worker is counted anew.
 func (b *Balancer) turn(w *worker) int64 {
 	turn := b.now / max(b.s.Contract.FallTime, 1)
