Bound the connections and words of a joint restart of 80 and of 300 dispatchers by a test

The issue of 80 dispatchers left them uncounted. The test wants three times an even share at most, and words within the sharers.

The program is unchanged.

--- a/fleet_test.go
+++ b/fleet_test.go
@@ -494,3 +494,40 @@
 		t.Errorf("%d of %d sends cross zones, one worker has %d", crossed, dispatchers, most(sent))
 	}
 }
+
+// All start anew in one moment, with no connection kept and one list read: the first second's connections are spread over the
+// workers, none more than a message, and the words about them are few.
+func TestJointRestartIsNoStormOfConnections(t *testing.T) {
+	for _, c := range []struct{ dispatchers, workers int }{{80, 60}, {300, 165}} {
+		s := settings()
+		s.LiveWeights, s.Allowed.PeerMessages = true, true
+		ws := fleet(c.workers)
+		weigh(ws, 3)
+		a := newTier(t, s, c.dispatchers, ws)
+		const each = 4 // messages in the second, more than most get
+		dials, all, words := map[string]int{}, 0, 0
+		for _, r := range a.rigs {
+			r.b.jobTime = 100e3 // each job is longer than most, and told
+			known := map[string]bool{}
+			for range each {
+				r.now += 250e3
+				_, acts := r.arrive(unsafe)
+				if w := r.sends(acts).Worker; !known[w] {
+					known[w] = true
+					dials[w]++
+					all++
+				}
+				n, _ := count(acts, TellPeer)
+				words += n
+			}
+		}
+		messages := each * c.dispatchers
+		if all > messages || most(dials) > 3*messages/c.workers {
+			t.Errorf("%+v: %d connections for %d messages, %d to one worker", c, all, messages, most(dials))
+		}
+		if users := c.dispatchers * 2 * smallest / c.workers; words == 0 || words > messages*(users+1) {
+			t.Errorf("%+v: %d words for %d messages", c, words, messages)
+		}
+		t.Logf("%+v: %d connections, %d at most to one worker, %d words", c, all, most(dials), words)
+	}
+}
