Name the other workers apart from the blamed one in heed

Reading of the whole change: the loop that counts who rests hid the worker that is blamed after it under the same name. Behaviour as it was; tests of the module pass. Found nothing written twice: Avoided counts those that drain as well, for the figures.

--- a/hearsay.go
+++ b/hearsay.go
@@ -7,7 +7,7 @@
 )
 
 // What dispatchers tell each other of workers, between the module and internal/decide/hearsay, which says whom. What it
-// means for a choice is in balancer.go.
+// means for a choice is in balancer.go; how much of it is believed at once is here.
 
 // restByWord bounds what words can do: while one in so many of the listed workers rests, none goes to rest for a word more.
 const restByWord = 3
@@ -76,8 +76,8 @@
 		w.told.Add(word.At, -1)
 	case hearsay.Failed:
 		resting := 0
-		for _, w := range b.ranked {
-			if b.now < w.downUntil {
+		for _, other := range b.ranked {
+			if b.now < other.downUntil {
 				resting++
 			}
 		}
