Copy and withdraw only what waits longer than foretold; count tenants' shares; share cold workers

Tried and left out: to estimate from the weights whether call-offs work.

Now equal parts, and turns only where a part holds no job. - Evidence of a worker counts half when it is a job time old, not two: the lists come sooner than a job ends.

--- a/balancer.go
+++ b/balancer.go
@@ -30,9 +30,11 @@
 		return nil, err
 	}
 	job := float64(s.Classes[0].Deadline) / 10 // until jobs tell better
-	return &Balancer{s: s, startLag: float64(5 * max(s.Tick, 1000)), jobTime: job, least: job, ready: 0.5,
+	b := &Balancer{s: s, startLag: float64(5 * max(s.Tick, 1000)), jobTime: job, least: job,
 		requests: map[uint64]*request{}, workers: map[string]*worker{}, kinds: map[string]*kind{},
-		patience: make([]int64, len(s.Classes))}, nil
+		patience: make([]int64, len(s.Classes))}
+	b.shareOut()
+	return b, nil
 }
 
 // Handle takes one event and appends the actions it calls for to out. What is unknown to it is ignored.
@@ -96,7 +98,10 @@
 	}
 	c := &b.s.Classes[e.Class]
 	r := &request{id: e.Request, class: c, due: e.Due, hint: float64(min(max(e.Hint, 0), 1e12))}
-	r.work = cmp.Or(r.hint, b.jobTime)
+	r.work, r.worth = cmp.Or(r.hint, b.jobTime), 1
+	if !b.shares.Within(b.now, e.Tenant) {
+		r.worth = b.s.OverShare
+	}
 	b.least = min(b.least+b.least/16, r.work) // the smallest of late
 	// A client's later try shares the deadline of its first: it began a whole deadline before it is due. One
 	// whose aim would be lost by that is no such try, as no first is kept for so long: its client waits less.
@@ -120,18 +125,17 @@
 }
 
 // place sends a request that nothing is out for, or holds it for a moment where no worker may take it: a
-// timer always follows, so that the answer comes in time. A job that promises less than the price is refused.
+// timer always follows, so that the answer comes in time. A job that promises less than the price is refused:
+// what is beyond its tenant's share promises little, and is worth no wait of others.
 func (b *Balancer) place(r *request) {
 	w := b.choose(r)
-	// While copies find free workers, this one's risk says too little to refuse a job that may have copies.
-	copies := b.s.TellsStart && b.s.Allowed.SecondCopies && r.class.Repeat != Unsafe && b.ready > 0.4
 	switch {
 	case b.now >= r.due || len(r.tries) >= b.s.Allowed.Attempts || b.barred(r, nil) || w == nil && b.hopeless(r):
 		b.giveUp(r)
 	case w == nil:
 		b.look(r, 4*b.startLag)
-	case !copies && b.mayRefuse(r) && 1-min(b.risk(r, w), 1) < 2*b.loss: // a late job makes another late
-		b.loss -= b.loss / 64 // the price falls slowly as long as it keeps jobs out
+	case b.mayRefuse(r) && (r.worth == 1 || b.region(w) > 0) && r.worth*(1-min(b.risk(r, w), 1)) < 2*b.loss:
+		b.loss -= b.loss / 64 // a late job makes another late; the price falls slowly as long as it keeps jobs out
 		b.giveUp(r)
 	default:
 		b.send(r, w)
@@ -150,22 +154,21 @@
 }
 
 func (b *Balancer) send(r *request, w *worker) {
-	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, region: b.region(w)}
+	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: b.backlog(w), region: b.region(w)}
 	r.tries, r.out = append(r.tries, a), r.out+1
 	w.own, w.lastTry = append(w.own, a), b.now
 	w.silent = cmp.Or(w.silent, b.now)
-	w.coldSpent += r.work
+	w.coldSpent, w.coldOwn = w.coldSpent+r.work, w.coldOwn+r.work
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
 	b.tell(hearsay.Sent, a)
-	b.follow(r, w)
+	b.follow(r, a)
 }
 
-// follow looks whether a job has begun: soon, and when its aim is about to be lost.
-func (b *Balancer) follow(r *request, w *worker) {
+// follow looks whether a job has begun: when it should have, and when its aim is about to be lost.
+func (b *Balancer) follow(r *request, a *attempt) {
 	if b.s.TellsStart {
-		b.look(r, 3*b.startLag)
-		b.look(r, float64(r.aim-b.now)-r.hint*w.pace)
-		b.look(r, float64(r.aim-b.now)-r.hint*w.pace+r.hint)
+		b.look(r, float64(a.sent-b.now)+a.wait+b.jobTime+3*b.startLag)
+		b.look(r, float64(r.aim-b.now)-r.hint*a.w.pace+r.hint)
 	}
 }
 
@@ -244,7 +247,6 @@
 	if wait := float64(b.now - a.sent); a.started == 0 && e.Kind == JobStarted {
 		if wait < 2*b.startLag {
 			b.startLag += (wait - b.startLag) / 8
-			b.ready += (1 - b.ready) / 16
 			wait = 0
 		}
 		a.w.sample(a.region, b.column(wait)) // a report of the backlog met, with the region held then
@@ -258,10 +260,11 @@
 	}
 }
 
-// second looks after a job that has not begun. When its aim is lost it is withdrawn, unless a late answer is
-// worth the price. Else, where a repeat is harmless, it gets a copy elsewhere, and the first to begin stays:
-// this stands in for what a light dispatcher cannot know, who is free. A third try takes the place of one
-// that waits, but not while most sends wait: all are busy then, and some workers run what was recalled.
+// second looks after a job that has not begun, though it was to a job time ago: what its worker was thought
+// to hold was wrong. While it waits as foretold it is left alone: a worker may run what is called off all
+// the same. If its aim is lost, even if the hint is too high by half, it is withdrawn, unless a late answer
+// is worth the price. Else, where a repeat is harmless and its worker has been silent since, it gets a copy
+// elsewhere, and the first to begin stays. A third try takes the place of one that waits.
 func (b *Balancer) second(r *request) {
 	newest := r.tries[0]
 	for _, a := range r.tries {
@@ -272,24 +275,17 @@
 			newest = a
 		}
 	}
-	// If its hint is too low by half its aim is later than it looks. While most jobs begin at once it is in
-	// nobody's way, and gets that time too.
-	doubt := 0.0
-	if b.ready > 0.4 {
-		doubt = r.hint
-	}
-	if float64(r.aim-b.now)+doubt < r.hint*newest.w.pace && r.class.LateWorth < b.loss {
+	switch w := newest.w; {
+	case float64(b.now-newest.sent) <= newest.wait+b.jobTime:
+	case float64(r.aim-b.now)+r.hint < r.hint*w.pace && r.class.LateWorth < b.loss:
 		b.giveUp(r)
-		return
-	}
-	b.ready -= b.ready / 16
-	if !b.s.Allowed.SecondCopies || r.class.Repeat == Unsafe || len(r.tries) > 1 && b.ready < 0.4 {
-		return
-	}
-	if r.out > 1 && len(r.tries) < b.s.Allowed.Attempts {
+	case !b.s.Allowed.SecondCopies || r.class.Repeat == Unsafe || w.silent == 0:
+	case r.out > 1 && len(r.tries) < b.s.Allowed.Attempts:
 		b.recall(r, newest) // its outcome brings us here again
-	} else if w := b.choose(r); w != nil {
-		b.send(r, w)
+	default:
+		if w := b.choose(r); w != nil {
+			b.send(r, w)
+		}
 	}
 }
 
@@ -363,11 +359,12 @@
 	return harmless || !slices.ContainsFunc(r.tries, func(a *attempt) bool { return !a.notRun })
 }
 
-// coldShare is the work this dispatcher may still send to a cold worker. Those who share the worker take
-// turns of the fall time by number, so that they do not add up: as many at a time as all they get would fill,
-// or, where they tell each other what they spend, as many as bear one job each. The turns are each worker's
-// own, lest one dispatcher has those of all that start together. Who is replaced leaves them to the other. A
-// window can touch two turns; of what the rule has for it a part is left to hints that err and lost words.
+// coldShare is the work this dispatcher may still send to a cold worker. Those who share the worker share
+// what it bears in a turn of the fall time: in equal parts or, where a part holds no job, as many at a
+// time as bear one job each. The turns are each worker's own, lest one dispatcher has those of all that
+// start at once. The first job in a turn may be larger than its part. Where they tell each other what they
+// spend, the sum is bounded. Who is replaced leaves the part to the other. A window can touch two turns;
+// of what the rule has for it a quarter is left to hints that err and lost words.
 func (b *Balancer) coldShare(w *worker) float64 {
 	c, turn := &b.s.Contract, b.turn(w)
 	warm := c.ColdFrom + (1-c.ColdFrom)*float64(b.now-w.StartedAt)/float64(max(c.RampTime, 1))
@@ -375,15 +372,18 @@
 	capacity = min(max(capacity, w.size), 3*capacity) // light dispatchers take long to learn its slots
 	rule := c.FallMultiple * min(warm, 1) * capacity * float64(c.FallTime)
 	jobs := b.s.quota() / float64(b.s.Dispatchers) * float64(c.FallTime) / 1e6 // that one gets in a turn
-	budget, users := rule/4, rule/4/(jobs*b.jobTime)
-	if b.hasPeers() { // if none were heard, one job of each who gets any would be half of the rule
-		budget, users = rule*3/8, rule/2/(b.jobTime*-math.Expm1(-jobs))
-	}
 	sharers := int64(max((b.reach*b.s.Dispatchers-1)/max(len(b.ranked), 1)+1, 1))
+	budget, all := rule*3/8, rule*3/8
+	if b.hasPeers() { // of what is not heard of, the parts make half of the rule
+		all = rule / 2
+	}
+	part := max(all/float64(sharers), b.jobTime)
+	users := int64(max(all/(part*-math.Expm1(-jobs)), 1))
 	place := ((int64(b.s.Me)-turn-w.StartedAt/1000)%sharers + sharers) % sharers
-	if place >= max(int64(users), 1) || b.replaced || !slices.Contains(b.buddies, w) ||
-		b.hasPeers() && w.lastTry >= turn*c.FallTime {
+	if place >= users || b.replaced || !slices.Contains(b.buddies, w) {
 		return 0
+	} else if w.coldOwn > 0 {
+		budget = min(budget, part+w.coldSpent-w.coldOwn)
 	}
 	return budget - w.coldSpent
 }
@@ -428,7 +428,7 @@
 	// Evidence ages towards what all buddies showed of late, and that towards a free worker: else one once
 	// found busy would never be tried again.
 	age := float64(b.now-w.heardAt) / b.jobTime
-	held := w.held + (b.common(w)-w.held)*age/(age+2) + float64(w.told.Since(w.reportOf))
+	held := w.held + (b.common(w)-w.held)*age/(age+1) + float64(w.told.Since(w.reportOf))
 	jobs := max(held+own, waiting)
 	time := 0.0
 	if jobs > -1 {
--- /dev/null
+++ b/internal/decide/share/share_test.go
@@ -0,0 +1,55 @@
+package share
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A tenant at its share or under it is hardly ever over it, by chance alone; one at five times its share is for what is
+// beyond it, and no tenant suffers by another. So it is at a dispatcher that sees much, little, or several times the mean.
+func TestShares(t *testing.T) {
+	for name, c := range map[string]struct{ part, seen float64 }{
+		"one of two": {0.5, 0.5}, "one of 300": {1. / 300, 1. / 300}, "four times the mean": {1. / 100, 4. / 100},
+	} {
+		random := rand.New(rand.NewPCG(1, 2))
+		s := Shares{Quotas: []float64{20, 20, 0}, Part: c.part}
+		within, all := [3]float64{}, [3]float64{}
+		now, seconds := 1e6, 200/c.seen
+		for end := now + seconds*1e6; now < end; now += random.ExpFloat64() * 1e6 / (c.seen * (20*0.9 + 20*5 + 1)) {
+			tenant := 0
+			if x := random.Float64() * (20*0.9 + 20*5 + 1); x >= 20*0.9+20*5 {
+				tenant = 2 // without a bound
+			} else if x >= 20*0.9 {
+				tenant = 1
+			}
+			all[tenant]++
+			if s.Within(int64(now), tenant) {
+				within[tenant]++
+			}
+		}
+		require.Greater(t, within[0]/all[0], 0.93, name)
+		require.Equal(t, all[2], within[2], name)
+		// Of the flooding one, its own share, at most as much more as all traffic is over all shares.
+		require.InDelta(t, 0.2, within[1]/all[1], 0.02+0.2*(s.rate/40/c.part-1), name)
+	}
+}
+
+func TestOddTenants(t *testing.T) {
+	s := Shares{Quotas: []float64{1, math.Inf(-1), 0}, Part: 1}
+	for _, tenant := range []int{-1, 3, 1, 2} {
+		for range 100 {
+			require.True(t, s.Within(5, tenant))
+		}
+	}
+	require.False(t, func() (ok bool) {
+		for range 100 {
+			ok = s.Within(5, 0)
+		}
+		return ok
+	}(), "a hundred at one moment")
+	require.True(t, s.Within(100e6, 0), "saved up again")
+	require.True(t, s.Within(1, 0), "a clock that goes back")
+}
--- a/memory.go
+++ b/memory.go
@@ -6,11 +6,11 @@
 
 // Memory is what a balancer has learned, for the one that goes on in its place. Its form is of no concern outside.
 type Memory struct {
-	JobTime, Least, StartLag, Loss, Ready, MeanHeld float64
-	CommonAt                                        int64
-	Patience                                        map[string]int64 // by class
-	Kinds                                           map[string]KindMemory
-	Workers                                         map[string]WorkerMemory
+	JobTime, Least, StartLag, Loss, MeanHeld float64
+	CommonAt                                 int64
+	Patience                                 map[string]int64 // by class
+	Kinds                                    map[string]KindMemory
+	Workers                                  map[string]WorkerMemory
 }
 
 // KindMemory is what was learned of a kind of worker.
@@ -22,7 +22,8 @@
 // WorkerMemory is what was learned of one worker. Held counts the jobs of the one who learned it too: to another
 // they are jobs like anybody's.
 type WorkerMemory struct {
-	Held, Pace, ColdSpent      float64
+	Held, Pace                 float64
+	ColdSpent, ColdOwn         float64
 	HeardAt, ColdTurn          int64
 	Silent, LastTry, DownUntil int64
 	Failures, Errors           int
@@ -31,7 +32,7 @@
 
 // Memory returns what the balancer has learned.
 func (b *Balancer) Memory() Memory {
-	m := Memory{JobTime: b.jobTime, Least: b.least, StartLag: b.startLag, Loss: b.loss, Ready: b.ready, MeanHeld: b.meanHeld,
+	m := Memory{JobTime: b.jobTime, Least: b.least, StartLag: b.startLag, Loss: b.loss, MeanHeld: b.meanHeld,
 		CommonAt: b.commonAt, Patience: map[string]int64{}, Kinds: map[string]KindMemory{}, Workers: map[string]WorkerMemory{}}
 	for i, c := range b.s.Classes {
 		m.Patience[c.Name] = b.patience[i]
@@ -41,6 +42,7 @@
 	}
 	for _, w := range b.ranked {
 		m.Workers[w.ID] = WorkerMemory{Held: w.held + float64(len(w.own)), Pace: w.pace, ColdSpent: w.coldSpent,
+			ColdOwn: w.coldOwn,
 			HeardAt: w.heardAt, ColdTurn: w.coldTurn, Silent: w.silent, LastTry: w.lastTry, DownUntil: w.downUntil,
 			Failures: w.failures, Errors: w.errors, Table: w.p}
 	}
@@ -66,6 +68,7 @@
 func (b *Balancer) renew(s Settings) {
 	s.Seed = b.s.Seed
 	b.s = s
+	b.shareOut()
 	for len(b.patience) < len(s.Classes) {
 		b.patience = append(b.patience, 0)
 	}
@@ -119,7 +122,7 @@
 			b.entry(&Worker{ID: t.Worker, State: Gone})
 		}
 		w := b.workers[t.Worker]
-		a := &attempt{r: r, n: len(r.tries), region: b.region(w), w: w, sent: t.Sent, started: t.Started, heard: t.Heard,
+		a := &attempt{r: r, n: len(r.tries), region: b.region(w), w: w, sent: t.Sent, wait: b.backlog(w), started: t.Started, heard: t.Heard,
 			done: t.Done, notRun: t.NotRun, recalled: t.Recalled, unusable: t.Unusable}
 		r.tries = append(r.tries, a)
 		if !a.done {
@@ -128,7 +131,7 @@
 			if a.sent < b.heir { // it was counted among the others' jobs there
 				w.held = max(w.held-1, -w.kind.slots)
 			}
-			b.follow(r, w)
+			b.follow(r, a)
 		}
 	}
 	if r.out == 0 {
@@ -143,7 +146,7 @@
 		return
 	}
 	b.heir = now
-	b.jobTime, b.least, b.startLag, b.loss, b.ready = m.JobTime, m.Least, m.StartLag, m.Loss, m.Ready
+	b.jobTime, b.least, b.startLag, b.loss = m.JobTime, m.Least, m.StartLag, m.Loss
 	b.meanHeld, b.commonAt = m.MeanHeld, m.CommonAt
 	for i, c := range b.s.Classes {
 		b.patience[i] = m.Patience[c.Name]
@@ -156,7 +159,8 @@
 	}
 	for _, w := range b.ranked {
 		if l, ok := m.Workers[w.ID]; ok && l.Pace > 0 {
-			w.held, w.pace, w.coldSpent, w.heardAt, w.coldTurn = l.Held, l.Pace, l.ColdSpent, l.HeardAt, l.ColdTurn
+			w.held, w.pace, w.heardAt = l.Held, l.Pace, l.HeardAt
+			w.coldSpent, w.coldOwn, w.coldTurn = l.ColdSpent, l.ColdOwn, l.ColdTurn
 			w.silent, w.lastTry, w.downUntil, w.failures, w.errors = l.Silent, l.LastTry, l.DownUntil, l.Failures, l.Errors
 			w.faultAt = now // when it was is not handed on
 			w.p = l.Table
--- a/state.go
+++ b/state.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"topazfall/internal/decide/hearsay"
+	"topazfall/internal/decide/share"
 )
 
 // Balancer makes the decisions of one dispatcher.
@@ -30,11 +31,11 @@
 	unheard  bool    // the list service failed us
 	heir     int64   // when it took over what another had learned
 	replaced bool    // another process takes the new jobs
-	ready    float64 // share of late sends that began at once
 	blendAt  int64
 	unheeded int     // words of others that were dropped
 	meanHeld float64 // jobs waiting at a buddy, by its last reports; below 0: free slots
 	commonAt int64
+	shares   share.Shares
 }
 
 type request struct {
@@ -46,7 +47,8 @@
 	tries    []*attempt
 	out      int // attempts without an outcome
 	closed   bool
-	failed   bool // a worker has failed at it
+	failed   bool    // a worker has failed at it
+	worth    float64 // as a share of its class's: less beyond its tenant's share
 }
 
 type attempt struct {
@@ -55,8 +57,9 @@
 	w                      *worker
 	sent, started, heard   int64 // heard: of its running, last
 	done, notRun, recalled bool
-	unusable               bool // its worker said that of the job
-	told                   bool // others know of it
+	unusable               bool    // its worker said that of the job
+	told                   bool    // others know of it
+	wait                   float64 // until it would begin, by what was known when it was sent
 }
 
 type worker struct {
@@ -80,6 +83,7 @@
 	downUntil int64
 	coldTurn  int64
 	coldSpent float64
+	coldOwn   float64 // of coldSpent, what this dispatcher has sent
 	table
 }
 
@@ -172,7 +176,7 @@
 func (b *Balancer) turn(w *worker) int64 {
 	turn := b.now / max(b.s.Contract.FallTime, 1)
 	if w.coldTurn != turn {
-		w.coldTurn, w.coldSpent = turn, 0
+		w.coldTurn, w.coldSpent, w.coldOwn = turn, 0, 0
 	}
 	return turn
 }
@@ -197,6 +201,14 @@
 	return n
 }
 
+// shareOut has the tenants' shares counted as the settings name them.
+func (b *Balancer) shareOut() {
+	b.shares.Quotas, b.shares.Part = b.shares.Quotas[:0], 1/float64(b.s.Dispatchers)
+	for _, t := range b.s.Tenants {
+		b.shares.Quotas = append(b.shares.Quotas, t.Quota)
+	}
+}
+
 // Avoided is how many of the listed workers get nothing new at that time.
 func (b *Balancer) Avoided(now int64) (n int) {
 	for _, w := range b.ranked {
