--- a/balancer.go
+++ b/balancer.go
@@ -125,8 +125,8 @@
 }
 
 // place sends a request that nothing is out for, or holds it for a moment where no worker may take it: a
-// timer always follows, so that the answer comes in time. A job that promises less than the price is refused:
-// what is beyond its tenant's share promises little, and is worth no wait of others.
+// timer always follows, so that the answer comes in time. A job that promises less than the price is refused,
+// and so is one beyond its tenant's share that no worker is free for: it is worth no wait of others.
 func (b *Balancer) place(r *request) {
 	w := b.choose(r)
 	switch {
@@ -134,7 +134,7 @@
 		b.giveUp(r)
 	case w == nil:
 		b.look(r, 4*b.startLag)
-	case b.mayRefuse(r) && (r.worth == 1 || b.region(w) > 0) && r.worth*(1-min(b.risk(r, w), 1)) < 2*b.loss:
+	case b.mayRefuse(r) && (r.worth < 0.5 && b.region(w) > 0 || 1-min(b.risk(r, w), 1) < 2*b.loss):
 		b.loss -= b.loss / 64 // a late job makes another late; the price falls slowly as long as it keeps jobs out
 		b.giveUp(r)
 	default:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -739,14 +739,16 @@
 	}
 }
 
-// While jobs come late, what is beyond its tenant's share is refused unless it begins at once, and only that.
+// What is beyond its tenant's share is refused unless it begins at once, and only that; where it is worth most of
+// what others are it is not.
 func TestBeyondTheShareIsRefusedFirst(t *testing.T) {
 	for _, c := range []struct {
-		tenant, free, loss float64
-		refused            int
-	}{{0, 0, 0.03, 1}, {0, 3, 0.03, 0}, {0, 0, 0, 0}, {1, 0, 0.03, 0}} {
+		tenant      int
+		worth, free float64
+		refused     int
+	}{{0, 0.05, 0, 1}, {0, 0.05, 3, 0}, {0, 0.8, 0, 0}, {1, 0.05, 0, 0}} {
 		s := settings()
-		s.OverShare, s.Tenants = 0.05, []Tenant{{Quota: 0.1}, {Quota: 1000}}
+		s.OverShare, s.Tenants = c.worth, []Tenant{{Quota: 0.1}, {Quota: 1000}}
 		r := newRig(t, s, fleet(6)...)
 		for _, w := range r.b.buddies {
 			r.on(Event{Kind: ProbeDone, Worker: w.ID, Outcome: Completed, Load: Load{-1, -1, c.free, 1}})
@@ -755,8 +757,8 @@
 			r.b.shares.Within(r.now, 0)
 		}
 		r.b.jobTime = 100e3
-		r.b.loss, r.id = c.loss, r.id+1
-		acts := r.on(Event{Kind: Arrival, Request: r.id, Class: safe, Tenant: int(c.tenant), Due: r.now + 10e6, Hint: 100e3})
+		r.id++
+		acts := r.on(Event{Kind: Arrival, Request: r.id, Class: safe, Tenant: c.tenant, Due: r.now + 10e6, Hint: 100e3})
 		if n, _ := count(acts, Refuse); n != c.refused {
 			t.Errorf("%+v: %d refused", c, n)
 		}
--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -5,10 +5,9 @@
 package share
 
 const (
-	// depth is for how long a tenant may have saved up its quota, in microseconds.
-	depth = 3e6
-	// least is how many messages it may have saved up where a dispatcher sees few: of chance alone, one in so many is over.
-	least = 10
+	// depth is how many messages a tenant may have saved up: of chance alone, one in so many of one that keeps to its share
+	// lies beyond it.
+	depth = 10
 	// memory is the time, in microseconds, over which a dispatcher's own part of the traffic is taken.
 	memory = 30e6
 )
@@ -41,11 +40,10 @@
 	s.rate += (1e6 - s.rate*min(past, memory)) / memory
 	part := max(s.Part, s.rate/all) // traffic is uneven: who sees more of it sees more of every share
 	for i, q := range s.Quotas {
-		most := max(least, q*part*depth/1e6)
 		if i == len(s.saved) {
-			s.saved = append(s.saved, most)
+			s.saved = append(s.saved, depth)
 		}
-		s.saved[i] = min(s.saved[i]+max(q, 0)*part*past/1e6, most)
+		s.saved[i] = min(s.saved[i]+max(q, 0)*part*past/1e6, depth)
 	}
 	if s.saved[tenant] < 1 {
 		return false
