--- a/balancer.go
+++ b/balancer.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"topazfall/internal/decide/hearsay"
+	"topazfall/internal/decide/share"
 )
 
 const (
@@ -30,11 +31,9 @@
 		return nil, err
 	}
 	job := float64(s.Classes[0].Deadline) / 10 // until jobs tell better
-	b := &Balancer{s: s, startLag: float64(5 * max(s.Tick, 1000)), jobTime: job, least: job,
+	return &Balancer{s: s, startLag: float64(5 * max(s.Tick, 1000)), jobTime: job, least: job,
 		requests: map[uint64]*request{}, workers: map[string]*worker{}, kinds: map[string]*kind{},
-		patience: make([]int64, len(s.Classes))}
-	b.shareOut()
-	return b, nil
+		patience: make([]int64, len(s.Classes)), shares: share.Shares{Quotas: s.quotas(), Part: s.part()}}, nil
 }
 
 // Handle takes one event and appends the actions it calls for to out. What is unknown to it is ignored.
@@ -98,10 +97,7 @@
 	}
 	c := &b.s.Classes[e.Class]
 	r := &request{id: e.Request, class: c, due: e.Due, hint: float64(min(max(e.Hint, 0), 1e12))}
-	r.work, r.worth = cmp.Or(r.hint, b.jobTime), 1
-	if !b.shares.Within(b.now, e.Tenant) {
-		r.worth = b.s.OverShare
-	}
+	r.work, r.worth = cmp.Or(r.hint, b.jobTime), b.worth(e.Tenant)
 	b.least = min(b.least+b.least/16, r.work) // the smallest of late
 	// A client's later try shares the deadline of its first: it began a whole deadline before it is due. One
 	// whose aim would be lost by that is no such try, as no first is kept for so long: its client waits less.
@@ -164,10 +160,14 @@
 	b.follow(r, a)
 }
 
-// follow looks whether a job has begun: when it should have, and when its aim is about to be lost.
+// follow looks whether a job has begun: when half of what its aim leaves is over and its worker in doubt,
+// when it is a job time late, and when its aim is about to be lost.
 func (b *Balancer) follow(r *request, a *attempt) {
+	slack, wait := float64(r.aim-a.sent)-r.hint*a.w.pace, float64(a.sent-b.now)+a.wait
+	a.doubt = b.now + int64(wait+min(b.jobTime, max(3*b.startLag, slack/2)))
 	if b.s.TellsStart {
-		b.look(r, float64(a.sent-b.now)+a.wait+b.jobTime+3*b.startLag)
+		b.look(r, float64(a.doubt-b.now)+1)
+		b.look(r, wait+b.jobTime+1)
 		b.look(r, float64(r.aim-b.now)-r.hint*a.w.pace+r.hint)
 	}
 }
@@ -260,11 +260,10 @@
 	}
 }
 
-// second looks after a job that has not begun, though it was to a job time ago: what its worker was thought
-// to hold was wrong. While it waits as foretold it is left alone: a worker may run what is called off all
-// the same. If its aim is lost, even if the hint is too high by half, it is withdrawn, unless a late answer
-// is worth the price. Else, where a repeat is harmless and its worker has been silent since, it gets a copy
-// elsewhere, and the first to begin stays. A third try takes the place of one that waits.
+// second looks after a job that has not begun. While it waits as foretold it is left alone: a worker may run
+// what is called off all the same. If it is late by a job time and its aim is lost, even if its hint errs by
+// half, it is withdrawn, unless a late answer is worth the price. Where a repeat is harmless and its worker
+// was silent since, it gets a copy elsewhere, or a third try in place of one; the first to begin stays.
 func (b *Balancer) second(r *request) {
 	newest := r.tries[0]
 	for _, a := range r.tries {
@@ -275,11 +274,12 @@
 			newest = a
 		}
 	}
-	switch w := newest.w; {
-	case float64(b.now-newest.sent) <= newest.wait+b.jobTime:
-	case float64(r.aim-b.now)+r.hint < r.hint*w.pace && r.class.LateWorth < b.loss:
+	w, late := newest.w, float64(b.now-newest.sent) > newest.wait+b.jobTime
+	switch {
+	case late && float64(r.aim-b.now)+r.hint < r.hint*w.pace && r.class.LateWorth < b.loss:
 		b.giveUp(r)
-	case !b.s.Allowed.SecondCopies || r.class.Repeat == Unsafe || w.silent == 0:
+	case !b.s.Allowed.SecondCopies || r.class.Repeat == Unsafe || b.now <= newest.doubt || w.silent == 0 ||
+		w.silent > newest.sent:
 	case r.out > 1 && len(r.tries) < b.s.Allowed.Attempts:
 		b.recall(r, newest) // its outcome brings us here again
 	default:
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -492,7 +492,7 @@
 	}
 }
 
-// A copy is for a job that has not begun a job time after it was to, at a worker that has been silent since: what is called
+// A copy is for a job that has not begun when half of its slack is over, at a worker that has been silent since: what is called
 // off may run all the same, and a worker that gives signs of life has others first.
 func TestSecondCopyWhereAJobDoesNotBegin(t *testing.T) {
 	for class, want := range map[int]int{safe: 1, keyed: 1, unsafe: 0} {
@@ -500,7 +500,7 @@
 		id, acts := r.arrive(class)
 		first := r.sends(acts)
 		timer := Action{Token: id<<2 | tokenLook}
-		r.now += int64(r.b.requests[id].tries[0].wait + r.b.jobTime)
+		r.now = r.b.requests[id].tries[0].doubt
 		if n, _ := count(r.on(Event{Kind: TimerDue, Token: timer.Token}), Send); n != 0 {
 			t.Error("a copy while the first waits as foretold")
 		}
@@ -1104,7 +1104,7 @@
 			}
 		}
 	}
-	if n != 2 {
-		t.Errorf("%d timers, want one for the start and one for the aim", n)
+	if n != 3 {
+		t.Errorf("%d timers, want two for the start and one for the aim", n)
 	}
 }
--- a/memory.go
+++ b/memory.go
@@ -68,7 +68,7 @@
 func (b *Balancer) renew(s Settings) {
 	s.Seed = b.s.Seed
 	b.s = s
-	b.shareOut()
+	b.shares.Quotas, b.shares.Part = s.quotas(), s.part()
 	for len(b.patience) < len(s.Classes) {
 		b.patience = append(b.patience, 0)
 	}
--- a/state.go
+++ b/state.go
@@ -60,6 +60,7 @@
 	unusable               bool    // its worker said that of the job
 	told                   bool    // others know of it
 	wait                   float64 // until it would begin, by what was known when it was sent
+	doubt                  int64   // from when on its worker is doubted, if it is silent
 }
 
 type worker struct {
@@ -201,12 +202,23 @@
 	return n
 }
 
-// shareOut has the tenants' shares counted as the settings name them.
-func (b *Balancer) shareOut() {
-	b.shares.Quotas, b.shares.Part = b.shares.Quotas[:0], 1/float64(b.s.Dispatchers)
-	for _, t := range b.s.Tenants {
-		b.shares.Quotas = append(b.shares.Quotas, t.Quota)
+// quotas lists those of the tenants.
+func (s *Settings) quotas() (q []float64) {
+	for _, t := range s.Tenants {
+		q = append(q, t.Quota)
+	}
+	return q
+}
+
+// part is what a dispatcher gets of all messages if all get the same.
+func (s *Settings) part() float64 { return 1 / float64(s.Dispatchers) }
+
+// worth counts a message of a tenant, and tells what it is worth as a share of its class's.
+func (b *Balancer) worth(tenant int) float64 {
+	if b.shares.Within(b.now, tenant) {
+		return 1
 	}
+	return b.s.OverShare
 }
 
 // Avoided is how many of the listed workers get nothing new at that time.
