Check settings whole with field and value; a load report that can't be read costs itself only

A call-back whose load held a string, null, a number out of range or NaN was turned down whole, so that the end of its job was lost: parseNote read the load with the rest. Settings were checked in part and without values: now every figure of the contract, the classes, the tenants and what is allowed is, and words of report fields, weights and discovery that nobody knows are errors.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,7 +3,9 @@
 package config
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -18,7 +20,7 @@
 	Areas      []string `json:"areas"`
 	Skus       []string `json:"skus"`
 	Discovery  string   `json:"discovery"`
-	OverShare  float64  `json:"over_share_worth"`
+	OverShare  *float64 `json:"over_share_worth"` // without it what is beyond a share is worth as much as the rest
 	WeightKind string   `json:"weight_kind"`
 	TickMicros int64    `json:"tick_us"`
 	Classes    []struct {
@@ -68,7 +70,8 @@
 		TellsStart    bool      `json:"tells_start"`
 	} `json:"domain"`
 	Stats struct {
-		Source string `json:"source"`
+		Source string   `json:"source"`
+		Fields []string `json:"fields"`
 	} `json:"stats"`
 }
 
@@ -80,8 +83,21 @@
 	sources = map[string]topazfall.ReportSource{
 		"": topazfall.ReportsNever, "none": topazfall.ReportsNever,
 		"answers": topazfall.ReportsInAnswers, "probe": topazfall.ReportsInProbes}
+	// fields are the words for the values of a load report, the wire's and the simulator's.
+	fields = []string{"busy_reqs", "pending", "cpu_share", "svc_ms", "served_ps", "failed_ps", "x0", "x1",
+		"inflight", "queue", "util", "latency_ms", "qps", "eps"}
+	weights     = []string{"", "none", "nominal", "rough", "live"}
+	discoveries = []string{"", "automatic", "subscribe"}
 )
 
+// oneOf says which setting holds a word that nobody knows.
+func oneOf(words []string, path, word string) error {
+	if !slices.Contains(words, word) {
+		return fmt.Errorf("settings: %s is %q", path, word)
+	}
+	return nil
+}
+
 // ParseSettings reads the settings object, as an ENLIST line or a configuration holds it.
 func ParseSettings(seed uint64, text []byte) (topazfall.Settings, error) {
 	var p Profile
@@ -98,10 +114,17 @@
 	if !ok {
 		return s, fmt.Errorf("settings: stats.source is %q", p.Stats.Source)
 	}
+	err := errors.Join(oneOf(weights, "weight_kind", p.WeightKind), oneOf(discoveries, "discovery", p.Discovery))
+	for i, f := range p.Stats.Fields {
+		err = errors.Join(err, oneOf(fields, fmt.Sprintf("stats.fields[%d]", i), f))
+	}
+	if err != nil {
+		return s, err
+	}
 	s = topazfall.Settings{
 		Seed: seed, Me: p.Me, Dispatchers: p.Replicas, Zone: p.MyZone, Zones: p.Areas, Kinds: p.Skus,
 		Tick: p.TickMicros, ReportsIn: source, TellsStart: p.Domain.TellsStart,
-		Progress: p.Domain.Progress, AskForList: p.Discovery == "subscribe", OverShare: p.OverShare, CrossZone: p.Deductions.CrossZone,
+		Progress: p.Domain.Progress, AskForList: p.Discovery == "subscribe", OverShare: 1, CrossZone: p.Deductions.CrossZone,
 		LiveWeights: p.WeightKind == "live",
 		Contract: topazfall.Contract{
 			AnswerSlack: p.Contract.AnswerSlack, DrainGrace: p.Contract.DrainGrace, AskEvery: p.Contract.AskEvery,
@@ -112,6 +135,9 @@
 			SecondCopies: p.Allowed.ParallelTries, RetryAfter: p.Allowed.RetryAfter,
 			MaxRetryAfter: p.Allowed.MaxRetryAfter, Attempts: p.Allowed.SendCap, DialTimeout: p.Allowed.DialTimeout},
 	}
+	if p.OverShare != nil {
+		s.OverShare = *p.OverShare
+	}
 	for i, c := range p.Classes {
 		repeat, ok := repeatRules[c.Repeat]
 		if !ok {
--- a/internal/south/callback.go
+++ b/internal/south/callback.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"fmt"
+	"regexp"
+	"slices"
 	"strconv"
 
 	jsoniter "github.com/json-iterator/go"
@@ -26,6 +28,9 @@
 var ends = map[string]topazfall.Outcome{"done": topazfall.Completed, "failed": topazfall.Errored,
 	"returned": topazfall.Saturated, "lost": topazfall.Severed}
 
+// oddLoad finds a load report in a call-back. In a string its quotes would be escaped.
+var oddLoad = regexp.MustCompile(`"load"\s*:\s*\{[^{}"]*("[a-z0-9_]*"[^{}"]*)*\}`)
+
 // parseNote reads a call-back; known is false for a state that says nothing to this dispatcher.
 func parseNote(body []byte) (n dispatch.Note, known bool, err error) {
 	var f struct {
@@ -34,18 +39,20 @@
 		State  string              `json:"state"`
 		Share  float64             `json:"share"`
 		Result jsoniter.RawMessage `json:"result"`
-		Load   map[string]float64  `json:"load"`
+		Load   jsoniter.RawMessage `json:"load"`
+	}
+	if err = jsoniter.Unmarshal(body, &f); err != nil { // a report with what is no number, NaN for one, costs itself only
+		if at := oddLoad.FindAllIndex(body, 2); len(at) == 1 {
+			err = jsoniter.Unmarshal(slices.Concat(body[:at[0][0]], []byte(`"load":null`), body[at[0][1]:]), &f)
+		}
 	}
-	if err := jsoniter.Unmarshal(body, &f); err != nil {
+	if err != nil {
 		return n, false, err
 	}
 	if f.ID == "" || f.From == "" || f.State == "" {
 		return n, false, fmt.Errorf("id %q from %q state %q", f.ID, f.From, f.State)
 	}
-	n = dispatch.Note{ID: f.ID, From: f.From, Share: f.Share, Load: topazfall.NoLoad}
-	for name, v := range f.Load {
-		config.SetLoad(&n.Load, name, v)
-	}
+	n = dispatch.Note{ID: f.ID, From: f.From, Share: f.Share, Load: bodyLoad(f.Load)} // one that can't be read costs itself only
 	switch f.State {
 	case "started":
 		n.State = dispatch.Started
--- a/internal/south/route_test.go
+++ b/internal/south/route_test.go
@@ -21,7 +21,7 @@
 	h, err := host.Start(host.Options{Name: "h", Dir: t.TempDir()}, func([]byte) error { return nil }, "127.0.0.1:0", "[::1]:0")
 	require.NoError(t, err)
 	defer h.Close()
-	core, err := dispatch.New(topazfall.Settings{Dispatchers: 1, Classes: []topazfall.Class{{Deadline: 1}}, Allowed: topazfall.Allowed{Attempts: 1}}, &figures.Figures{})
+	core, err := dispatch.New(topazfall.Settings{Dispatchers: 1, Classes: []topazfall.Class{{Deadline: 1, Aim: 1}}, Allowed: topazfall.Allowed{Attempts: 1}}, &figures.Figures{})
 	require.NoError(t, err)
 	s := New(core, Options{Times: Times{DialTimeout: time.Second, ConnIdle: time.Hour}, Conns: 9, Figures: &figures.Figures{}})
 	both, faults := addresses.List(h.Addresses())
--- a/topazfall.go
+++ b/topazfall.go
@@ -14,6 +14,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -268,29 +269,50 @@
 	return all
 }
 
-// Check names the first setting that cannot work.
+// Check names the first setting that cannot work, and its value.
 func (s *Settings) Check() error {
-	for _, c := range []struct {
-		bad  bool
-		name string
-	}{
-		{s.Dispatchers < 1, "Dispatchers"}, {s.Me < 0, "Me"}, {len(s.Classes) == 0, "Classes"},
-		{s.Allowed.Attempts < 1, "Allowed.Attempts"}, {s.Tick < 0, "Tick"},
-		{s.Contract.DrainGrace < 0, "Contract.DrainGrace"}, {s.Contract.RampTime < 0, "Contract.RampTime"},
-		{s.Contract.FallTime < 0, "Contract.FallTime"}, {s.Contract.FallMultiple < 0, "Contract.FallMultiple"},
-		{s.Contract.ColdFrom < 0 || s.Contract.ColdFrom > 1, "Contract.ColdFrom"},
-	} {
-		if c.bad {
-			return fmt.Errorf("topazfall: settings: %s is missing or out of range", c.name)
+	type field struct {
+		name  string
+		value float64
+		good  bool
+	}
+	first := func(fields ...field) error {
+		for _, f := range fields {
+			if !f.good || math.IsNaN(f.value) || math.IsInf(f.value, 0) {
+				return fmt.Errorf("topazfall: settings: %s is %v, missing or out of range", f.name, f.value)
+			}
 		}
+		return nil
+	}
+	least := func(name string, value, least float64) field { return field{name, value, value >= least} }
+	part := func(name string, value float64) field { return field{name, value, value >= 0 && value <= 1} }
+	c, a := &s.Contract, &s.Allowed
+	if err := first(least("Dispatchers", float64(s.Dispatchers), 1), least("Me", float64(s.Me), 0),
+		least("Classes", float64(len(s.Classes)), 1), least("Allowed.Attempts", float64(a.Attempts), 1),
+		least("Allowed.MaxRetryAfter", float64(a.MaxRetryAfter), 0), least("Allowed.DialTimeout", float64(a.DialTimeout), 0),
+		least("Tick", float64(s.Tick), 0), least("Progress", float64(s.Progress), 0), least("CrossZone", s.CrossZone, 0),
+		part("OverShare", s.OverShare), least("Contract.AnswerSlack", float64(c.AnswerSlack), 0),
+		least("Contract.DrainGrace", float64(c.DrainGrace), 0), least("Contract.AskEvery", float64(c.AskEvery), 0),
+		least("Contract.RampTime", float64(c.RampTime), 0), least("Contract.FallTime", float64(c.FallTime), 0),
+		least("Contract.FallMultiple", c.FallMultiple, 0), part("Contract.ColdFrom", c.ColdFrom)); err != nil {
+		return err
 	}
-	for i, c := range s.Classes {
-		if c.Deadline <= 0 || c.Aim < 0 || c.Stretch < 0 || c.LateWorth < 0 || c.LateWorth > 1 {
-			return fmt.Errorf("topazfall: settings: Classes[%d] (%q) has a deadline, aim, stretch or"+
-				" late worth out of range", i, c.Name)
+	for i, k := range s.Classes {
+		name := fmt.Sprintf("Classes[%d] (%q): ", i, k.Name)
+		if err := first(least(name+"deadline", float64(k.Deadline), 1), least(name+"aim", float64(k.Aim), 0),
+			least(name+"stretch", k.Stretch, 0), part(name+"late worth", k.LateWorth), least(name+"worth", k.Worth, 0),
+			least(name+"window", float64(k.Window), 0),
+			field{name + "aim and stretch", 0, k.Aim > 0 || k.Stretch > 0}); err != nil {
+			return err
 		}
-		if slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == c.Name }) && c.Name != "" {
-			return fmt.Errorf("topazfall: settings: Classes[%d] has the name %q of another", i, c.Name)
+		if slices.ContainsFunc(s.Classes[:i], func(o Class) bool { return o.Name == k.Name }) && k.Name != "" {
+			return fmt.Errorf("topazfall: settings: Classes[%d] has the name %q of another", i, k.Name)
+		}
+	}
+	for i, t := range s.Tenants {
+		name := fmt.Sprintf("Tenants[%d] (%q): ", i, t.Name)
+		if err := first(least(name+"quota", t.Quota, 0), least(name+"share", t.Share, 0)); err != nil {
+			return err
 		}
 	}
 	return nil
