Judge tenants' shares only where a dispatcher sees enough of the traffic

So it is the shares: of 300 some see several times the mean, and those that live see what the dead saw, for which nothing tells a dispatcher its part.

--- a/internal/decide/share/share.go
+++ b/internal/decide/share/share.go
@@ -1,13 +1,17 @@
 // Package share tells which messages of a tenant lie within its share of the service. It does no I/O and reads no clock;
 // times are microseconds.
 //
-// Every dispatcher counts for itself: it allows a tenant the part of its quota that it sees of all traffic.
+// Every dispatcher counts for itself: it allows a tenant the part of its quota that it sees of all traffic. Nothing tells
+// how uneven that is, and of hundreds some see several times the mean, or the traffic of many that died. Until one has seen
+// a number of messages that grows with the number of dispatchers, it holds all to lie within their shares.
 package share
 
 const (
 	// depth is how many messages a tenant may have saved up: of chance alone, one in so many of one that keeps to its share
 	// lies beyond it.
 	depth = 10
+	// proof is how many messages one must have seen for each dispatcher that there is.
+	proof = 25
 	// memory is the time, in microseconds, over which a dispatcher's own part of the traffic is taken.
 	memory = 30e6
 )
@@ -20,6 +24,7 @@
 	saved []float64 // messages that are still within the share, by tenant
 	at    int64     // when that was
 	rate  float64   // of all messages here, a second, of late
+	seen  float64
 }
 
 // Within counts a message of a tenant, by its index, that came at now. It tells whether it lies within the tenant's share:
@@ -45,9 +50,9 @@
 		}
 		s.saved[i] = min(s.saved[i]+max(q, 0)*part*past/1e6, depth)
 	}
-	if s.saved[tenant] < 1 {
-		return false
+	if s.seen++; s.saved[tenant] >= 1 {
+		s.saved[tenant]--
+		return true
 	}
-	s.saved[tenant]--
-	return true
+	return s.seen*s.Part < proof
 }
