Ask no host for its load where a list with live weights tells that of all

Each asks its twelve buddies at every pulse, as the list names only whose weight has changed, and an idle worker's has not. With live weights and a list that is followed nothing is asked now; once the list fails, probes go out again.

--- a/balancer.go
+++ b/balancer.go
@@ -80,15 +80,13 @@
 }
 
 func (b *Balancer) arrive(e *Event) {
-	r := b.open(e)
-	if r == nil {
-		return
-	}
-	if r.class.Repeat == Unsafe && b.probe(int64(b.jobTime)) { // its choice is final: worth a fresh look
+	switch r := b.open(e); {
+	case r == nil:
+	case r.class.Repeat == Unsafe && b.probe(int64(b.jobTime)): // its choice is final: worth a fresh look
 		b.look(r, float64(b.s.Tick))
-		return
+	default:
+		b.place(r)
 	}
-	b.place(r)
 }
 
 func (b *Balancer) open(e *Event) *request {
@@ -109,10 +107,12 @@
 	return r
 }
 
-// probe asks the buddies not heard of for so long, where reports come only so. It tells whether it did.
+// probe asks the buddies not heard of for so long, where reports come only so and no list tells of all: whom
+// one with live weights does not name has not changed. It tells whether it did.
 func (b *Balancer) probe(age int64) (asked bool) {
+	may := b.s.ReportsIn == ReportsInProbes && b.s.Allowed.Probe && (!b.s.LiveWeights || b.unheard)
 	for _, w := range b.buddies {
-		if b.s.ReportsIn == ReportsInProbes && b.s.Allowed.Probe && b.now-w.heardAt >= age {
+		if may && b.now-w.heardAt >= age {
 			b.do(Action{Kind: ProbeWorker, Worker: w.ID})
 			asked = true
 		}
@@ -121,8 +121,8 @@
 }
 
 // place sends a request that nothing is out for, or holds it for a moment where no worker may take it: a
-// timer always follows, so that the answer comes in time. A job that promises less than the price is refused,
-// and so is one beyond its tenant's share that no worker is free for: it is worth no wait of others.
+// timer always follows, so that the answer comes in time. A job that promises less than the price is
+// refused, as is one beyond its tenant's share that no worker is free for.
 func (b *Balancer) place(r *request) {
 	w := b.choose(r)
 	switch {
@@ -603,8 +603,8 @@
 
 func (b *Balancer) beat() {
 	b.timer(b.pulse(), tokenPulse)
-	if b.unheard { // not at once: that would only feed a jam
-		b.do(Action{Kind: FollowList})
+	if b.unheard {
+		b.do(Action{Kind: FollowList}) // not at once: that would only feed a jam
 	}
 	b.probe(b.pulse())
 	b.refill() // who has rested is a buddy again
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -672,7 +672,16 @@
 	if _, acts := r.arrive(unsafe); len(acts) == 0 || acts[0].Kind == ProbeWorker {
 		t.Errorf("fresh evidence needs no probes: %+v", acts)
 	}
-	s.Allowed.Probe = false
+	s.LiveWeights = true // whom the list does not name has not changed; once it fails there is nothing but probes
+	r = newRig(t, s, fleet(6)...)
+	for _, want := range []int{0, 6} {
+		if n, _ := count(r.on(Event{Kind: TimerDue, Token: tokenPulse}), ProbeWorker); n != want {
+			t.Errorf("%d probes beside a list with live weights, want %d", n, want)
+		}
+		r.on(Event{Kind: ListBroken})
+		r.now += 60e6
+	}
+	s.Allowed.Probe, s.LiveWeights = false, false
 	if n, _ := count(newRig(t, s, fleet(6)...).on(Event{Kind: TimerDue, Token: tokenPulse}), ProbeWorker); n != 0 {
 		t.Error("probed where that is not allowed")
 	}
