Work out a chosen worker's backlog once; hold the older cold cases to the rule as before

send asked for the backlog twice, once for the wait foretold and once for the region. The test of cold workers had been moved for all its cases from what a worker can do when a window begins to what it can do at its end; for the cases of 80 and 300 dispatchers it is as strict as it was, and only the new ones, of two and four, go by the end of the window, as the rule is worded.

--- a/balancer.go
+++ b/balancer.go
@@ -150,10 +150,10 @@
 }
 
 func (b *Balancer) send(r *request, w *worker) {
-	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: b.backlog(w), region: b.region(w)}
+	wait := b.backlog(w)
+	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: wait, region: b.regionOf(w, wait)}
 	r.tries, r.out = append(r.tries, a), r.out+1
-	w.own, w.lastTry = append(w.own, a), b.now
-	w.silent = cmp.Or(w.silent, b.now)
+	w.own, w.lastTry, w.silent = append(w.own, a), b.now, cmp.Or(w.silent, b.now)
 	w.coldSpent, w.coldOwn = w.coldSpent+r.work, w.coldOwn+r.work
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
 	b.tell(hearsay.Sent, a)
@@ -603,8 +603,8 @@
 
 func (b *Balancer) beat() {
 	b.timer(b.pulse(), tokenPulse)
-	if b.unheard {
-		b.do(Action{Kind: FollowList}) // not at once: that would only feed a jam
+	if b.unheard { // not at once: that would only feed a jam
+		b.do(Action{Kind: FollowList})
 	}
 	b.probe(b.pulse())
 	b.refill() // who has rested is a buddy again
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -351,10 +351,13 @@
 	for _, at := range sent {
 		all += float64(len(at)) * job
 		for i, from := range at {
-			sum, then := 0.0, from // the rule goes by what the worker can do at the end of the window
+			sum, then := 0.0, from
 			for _, t := range at[i:] {
 				if t < from+s.Contract.FallTime {
-					sum, then = sum+job, t
+					sum += job
+					if dispatchers <= 4 { // in equal parts: held to the rule as it is, by what the worker can do at the end of the window
+						then = t
+					}
 				}
 			}
 			warm := s.Contract.ColdFrom + (1-s.Contract.ColdFrom)*float64(then-born)/float64(s.Contract.RampTime)
