Open a silent watch of the list anew before what it missed counts as told

At fault: Watch.pause, 150 ms times a quarter of the dispatchers after a first failure, 5.6 to 11.3 s of 300. That spares a service that is short of room. A silent one is not, and what it has to tell counts as told 6 s after it fell silent.

Now the pause after silence leaves time for one more call within those 6 s; where lists come unasked, pause and call together stay under the drain grace, as that agent answers at once and at no cost. The watch is opened anew by a call that does not wait. Test: TestPause, both ways, up to 2,000 dispatchers.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -88,7 +88,7 @@
 	if x != nil {
 		news = x
 	}
-	list := inventory.New(c.Discovery, news, c.Settings.Dispatchers, inventory.Unread(&c.Settings))
+	list := inventory.New(c.Discovery, news, inventory.TermsOf(&c.Settings))
 	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
 	clients.Others(place.tell)
 	if c.PeerListen != "" && c.Settings.Allowed.PeerMessages {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -28,6 +28,8 @@
 	backOff = 150 * time.Millisecond  // after a failed call; a watch goes on if the next call comes within 200 ms
 	growth  = 4                       // by which a back-off may grow
 	few     = 4                       // so many dispatchers may call as if each were alone
+	silence = 6 * time.Second         // after which what a silent discovery has to tell counts as told
+	patient = 4                       // of so many calls in a row to an agent that does not answer at once, one is given time
 )
 
 // Lister is told of the list; for ListBroken there are no entries.
@@ -44,8 +46,8 @@
 	kick   chan bool
 	moves  chan string
 	share  time.Duration // by which the back-off is longer than a lone dispatcher's
-	unread time.Duration // how long what discovery has may stay unread, at most
-	target string        // of the last move; the mover's
+	terms  Terms
+	target string // of the last move; the mover's
 	tried  chan struct{}
 
 	mu   sync.Mutex
@@ -59,10 +61,23 @@
 	Hosts     map[string]dispatch.Entry
 }
 
-// New returns a watch that tells core of the list. So many dispatchers share discovery, and what it has for us may stay
-// unread for so long at a start.
-func New(addr string, core Lister, dispatchers int, unread time.Duration) *Watch {
-	return &Watch{core: core, share: time.Duration(max(dispatchers/few, 1)), unread: unread, client: newAgent(addr),
+// Terms are what the contract says of discovery.
+type Terms struct {
+	Dispatchers int // that share it
+	Asked       bool
+	Grace       time.Duration // of a host that drains
+	AskEvery    time.Duration // where it must be asked: how often, at least
+}
+
+// TermsOf takes the terms from the settings.
+func TermsOf(s *topazfall.Settings) Terms {
+	return Terms{s.Dispatchers, s.AskForList, time.Duration(s.Contract.DrainGrace) * time.Microsecond,
+		time.Duration(s.Contract.AskEvery) * time.Microsecond}
+}
+
+// New returns a watch that tells core of the list, under these terms.
+func New(addr string, core Lister, terms Terms) *Watch {
+	return &Watch{core: core, share: time.Duration(max(terms.Dispatchers/few, 1)), terms: terms, client: newAgent(addr),
 		kick: make(chan bool, 1), moves: make(chan string, 1), target: addr, tried: make(chan struct{})}
 }
 
@@ -148,23 +163,42 @@
 	w.last.Discovery, w.last.Seq = w.client.Addr, l.seq
 }
 
-// pause is how long to wait after so many failures in a row. What one dispatcher tries again at once is a storm from
-// many: they fail together, and a service that is short of room gets nothing done for calls that nobody waits for any
-// more. So the pauses grow, from one that is longer for many, and chance spreads them.
-func (w *Watch) pause(failures int) time.Duration {
-	p := backOff * w.share * time.Duration(min(1<<min(failures-1, 8), growth))
+// pause is how long to wait after so many failures in a row, the last of them for want of any answer if silent is set.
+//
+// Where lists come unasked, the agent on the own machine answers at once and at no cost, and what it has counts as told:
+// the pause and the next call together stay under the grace of a drain. Where discovery is asked, what one dispatcher tries
+// again at once is a storm from many: they fail together, and a service that is short of room gets nothing done for calls
+// that nobody waits for any more. So the pauses grow, from one that is longer for many, and chance spreads them. But a
+// silent discovery is not short of room, and what it has to tell counts as told soon.
+func (w *Watch) pause(failures int, silent bool) time.Duration {
+	p := backOff * time.Duration(min(1<<min(failures-1, 8), growth))
+	switch {
+	case !w.terms.Asked:
+		p = min(p, w.terms.unread())
+	case silent: // one call has waited in vain, the next may take its time as well
+		p = min(p*w.share, silence-2*(wait+grace))
+	default:
+		p *= w.share
+	}
 	return p/2 + rand.N(p/2+1)
 }
 
-// Unread is how long what discovery has may stay unread, by the contract. Where it comes unasked it counts as told from
+// limit is how long a call may take that asks for what there is now, after so many failures in a row.
+func (w *Watch) limit(failures int) time.Duration {
+	if !w.terms.Asked && failures%patient != 0 {
+		return w.terms.unread()
+	}
+	return wait + grace
+}
+
+// unread is how long what discovery has may stay unread, by the contract. Where it comes unasked it counts as told from
 // then on, and the grace of a host that drains may be running already; where it must be asked for, only if that is not
 // done for a longer time.
-func Unread(s *topazfall.Settings) time.Duration {
-	bound := s.Contract.DrainGrace
-	if s.AskForList {
-		bound = max(bound, s.Contract.AskEvery)
+func (t Terms) unread() time.Duration {
+	if t.Asked {
+		return max(t.Grace, t.AskEvery) / 2
 	}
-	return time.Duration(bound) * time.Microsecond / 2
+	return t.Grace / 2
 }
 
 // lead is how long to wait with the first call. Where a list is known it will do for a moment, and all may be starting
@@ -173,7 +207,7 @@
 	if !w.known || w.share <= 1 {
 		return 0
 	}
-	return rand.N(min(backOff*w.share*growth/2, w.unread) + 1)
+	return rand.N(min(backOff*w.share*growth/2, w.terms.unread()) + 1)
 }
 
 // Run watches until the program ends.
@@ -186,7 +220,7 @@
 		}
 	}
 	for first := true; ; first = false {
-		err := w.call()
+		err := w.call(failures)
 		if first {
 			close(w.tried)
 		}
@@ -211,7 +245,7 @@
 			w.known = w.known && !whole
 		case addr := <-w.moves:
 			w.move(addr)
-		case <-time.After(w.pause(failures)):
+		case <-time.After(w.pause(failures, errors.Is(err, fasthttp.ErrTimeout))):
 		}
 	}
 }
@@ -226,8 +260,9 @@
 	w.client, w.known = newAgent(addr), false
 }
 
-// call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for.
-func (w *Watch) call() error {
+// call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for. After failures
+// the watch is opened anew by a call that does not wait for news: whether it is answered shows at once.
+func (w *Watch) call(failures int) error {
 	select {
 	case whole := <-w.kick:
 		w.known = w.known && !whole
@@ -235,8 +270,11 @@
 	}
 	path, limit := "/v1/endpoints", grace
 	if w.known {
-		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
-		limit += wait
+		pause := wait
+		if limit += wait; failures > 0 {
+			pause, limit = 0, w.limit(failures)
+		}
+		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms=" + strconv.FormatInt(pause.Milliseconds(), 10)
 	}
 	answer := make(chan answer, 1) // what comes after a move is dropped with it
 	go func(a *agent) { answer <- a.get(path, limit) }(w.client)
@@ -281,7 +319,7 @@
 }
 
 func newAgent(addr string) *agent {
-	a := &agent{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 2, NoDefaultUserAgentHeader: true,
+	a := &agent{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 8, NoDefaultUserAgentHeader: true,
 		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20}}
 	a.Dial = func(addr string) (net.Conn, error) {
 		c, err := fasthttp.DialTimeout(addr, grace)
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -11,25 +11,32 @@
 	"topazfall/internal/decide/addresses"
 )
 
-// A dispatcher among few tries again in time for its watch to go on; one of many leaves the others their share, by
-// chance, and none stays away for long.
+// A dispatcher among few tries again in time for its watch to go on; one of many leaves a discovery that is asked to the
+// others by chance, and none stays away for long. A watch that has fallen silent is open again before what it missed counts
+// as told, and an agent that answers at once is heard again within the grace of a drain, however many there are.
 func TestPause(t *testing.T) {
-	for _, dispatchers := range []int{1, 3, 8, 48} {
-		w, seen := New("", nil, dispatchers, grace), map[time.Duration]bool{}
-		for failures := 1; failures < 99; failures++ {
-			p := w.pause(failures)
-			seen[p] = true
-			require.Positive(t, p)
-			require.LessOrEqual(t, p, 8*time.Second)
-			if dispatchers < 8 {
-				require.LessOrEqual(t, p, 600*time.Millisecond)
-			}
-			if failures > 5 { // so many calls a second of all together
-				require.LessOrEqual(t, float64(dispatchers)/p.Seconds(), 14.)
+	for _, asked := range []bool{false, true} {
+		for _, dispatchers := range []int{1, 3, 8, 48, 300, 2000} {
+			terms := Terms{dispatchers, asked, 250 * time.Millisecond, 10 * time.Second}
+			w, seen := New("", nil, terms), map[time.Duration]bool{}
+			for failures := 1; failures < 99; failures++ {
+				p, silent := w.pause(failures, false), w.pause(failures, true)
+				seen[p] = true
+				require.Positive(t, p)
+				require.Less(t, wait+grace+silent+w.limit(failures), silence+terms.Grace)
+				if dispatchers < 8 || !asked {
+					require.LessOrEqual(t, p, 600*time.Millisecond)
+				}
+				if !asked && failures%patient != 0 {
+					require.LessOrEqual(t, max(p, silent)+w.limit(failures), terms.Grace)
+				}
+				if asked && failures > 5 { // so many calls a second of all together, where it says that it has no room
+					require.LessOrEqual(t, float64(dispatchers)/p.Seconds(), 14.)
+				}
 			}
+			require.Greater(t, len(seen), 50, "not all at the same time")
+			require.True(t, dispatchers > 7 || w.pause(1, true) < 200*time.Millisecond)
 		}
-		require.Greater(t, len(seen), 50, "not all at the same time")
-		require.True(t, dispatchers > 7 || w.pause(1) < 200*time.Millisecond)
 	}
 }
 
@@ -41,7 +48,8 @@
 	for _, ask := range []bool{false, true} {
 		s.AskForList = ask
 		for _, dispatchers := range []int{1, 8, 80, 300, 2000} {
-			w, longest, calls := New("", nil, dispatchers, Unread(&s)), time.Duration(0), map[time.Duration]int{}
+			s.Dispatchers = dispatchers
+			w, longest, calls := New("", nil, TermsOf(&s)), time.Duration(0), map[time.Duration]int{}
 			require.Zero(t, w.lead(), "without a list there is nothing to wait with")
 			w.known = true
 			for range dispatchers * 100 { // a hundred joint starts
@@ -49,7 +57,7 @@
 				longest = max(longest, lead)
 				calls[lead.Truncate(time.Second)]++
 			}
-			require.LessOrEqual(t, longest, Unread(&s))
+			require.LessOrEqual(t, longest, w.terms.unread())
 			require.True(t, ask || longest <= 250*time.Millisecond)
 			require.True(t, dispatchers < 2*few || longest > 200*time.Millisecond, longest)
 			for second, n := range calls { // spread over the seconds that the contract leaves
