Bound copies, take jobs that leave as a sign of life, tell of jobs that leave a backlog

A copy goes where a worker was silent since before the send. To a dispatcher that sends to each worker once in ten seconds every late worker is silent: all are late after a release (jobs on a cold one run two to six times their hint), each late job is copied, and the copies keep them late. Ruled out: dead connections (26 refused of 1,400), the list (seen within a second), jobs of the killed (gone by 20 s).

At fault: Balancer.second (no bound), worker.silent (blind to the list), Balancer.tell (only what must not run twice).

Tests: TestCopiesAreFewWhereAllAreLate, TestABacklogIsTold.

--- a/balancer.go
+++ b/balancer.go
@@ -23,6 +23,7 @@
 	cover    = 3   // dispatchers that share a worker, at least
 	distrust = 32  // pulses for which a fault that is not repeated counts
 	smallest = 6   // buddies, at least: what two jobs a second keep fresh
+	spares   = 4   // of so many sends one may be a copy: a fleet of which every third worker is silent
 )
 
 // New returns a balancer for one dispatcher, or an error that names the setting that cannot work.
@@ -32,7 +33,7 @@
 	}
 	job := float64(s.Classes[0].Deadline) / 10 // until jobs tell better
 	return &Balancer{s: s, startLag: float64(5 * max(s.Tick, 1000)), jobTime: job, least: job,
-		requests: map[uint64]*request{}, workers: map[string]*worker{}, kinds: map[string]*kind{},
+		copies: 1, requests: map[uint64]*request{}, workers: map[string]*worker{}, kinds: map[string]*kind{},
 		patience: make([]int64, len(s.Classes)), shares: share.Shares{Quotas: s.quotas(), Part: s.part()}}, nil
 }
 
@@ -141,20 +142,17 @@
 // hopeless tells of a request that no worker may take whether to hold it is in vain: all have been tried, or
 // its aim is lost by the time one could. The client is told at once, and may ask again.
 func (b *Balancer) hopeless(r *request) bool {
-	if float64(r.aim-b.now) < r.hint && r.class.LateWorth <= b.loss {
-		return true
-	}
-	return len(r.tries) > 0 && !slices.ContainsFunc(b.ranked, func(w *worker) bool {
+	lost := float64(r.aim-b.now) < r.hint && r.class.LateWorth <= b.loss
+	return lost || len(r.tries) > 0 && !slices.ContainsFunc(b.ranked, func(w *worker) bool {
 		return w.State == Ready && !r.tried(w) && (r.class.Kind == "" || r.class.Kind == w.Kind)
 	})
 }
 
 func (b *Balancer) send(r *request, w *worker) {
-	wait := b.backlog(w)
-	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: wait, region: b.regionOf(w, wait)}
+	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: b.backlog(w), region: b.region(w)}
 	r.tries, r.out = append(r.tries, a), r.out+1
 	w.own, w.lastTry, w.silent = append(w.own, a), b.now, cmp.Or(w.silent, b.now)
-	w.coldSpent, w.coldOwn = w.coldSpent+r.work, w.coldOwn+r.work
+	w.coldSpent, w.coldOwn, b.copies = w.coldSpent+r.work, w.coldOwn+r.work, min(b.copies+1./spares, 1)
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
 	b.tell(hearsay.Sent, a)
 	b.follow(r, a)
@@ -263,7 +261,8 @@
 // second looks after a job that has not begun. While it waits as foretold it is left alone: a worker may run
 // what is called off all the same. If it is late by a job time and its aim is lost, even if its hint errs by
 // half, it is withdrawn, unless a late answer is worth the price. Where a repeat is harmless and its worker
-// was silent since, it gets a copy elsewhere, or a third try in place of one; the first to begin stays.
+// was silent since, it gets a copy elsewhere, or a third try in place of one; the first to begin stays. Where
+// all are late, copies only make them later: their number is bounded.
 func (b *Balancer) second(r *request) {
 	newest := r.tries[0]
 	for _, a := range r.tries {
@@ -279,11 +278,12 @@
 	case late && float64(r.aim-b.now)+r.hint < r.hint*w.pace && r.class.LateWorth < b.loss:
 		b.giveUp(r)
 	case !b.s.Allowed.SecondCopies || r.class.Repeat == Unsafe || b.now <= newest.doubt || w.silent == 0 ||
-		w.silent > newest.sent:
+		w.silent > newest.sent || b.copies < 1:
 	case r.out > 1 && len(r.tries) < b.s.Allowed.Attempts:
 		b.recall(r, newest) // its outcome brings us here again
 	default:
 		if w := b.choose(r); w != nil {
+			b.copies--
 			b.send(r, w)
 		}
 	}
@@ -659,7 +659,7 @@
 	}
 	w.listed = l.State != Gone
 	if b.s.LiveWeights && w.listed { // a report of every worker, also to who sends too little to hear of any
-		b.report(w, Load{Queue: -1, Inflight: w.kind.inflight(l.Weight), Free: -1})
+		b.report(w, Load{Queue: -1, Inflight: w.shown(l.Weight), Free: -1})
 	}
 }
 
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -530,6 +530,40 @@
 	}
 }
 
+// Where all workers are late, as when most are cold, each job looks as if its worker were silent: one dispatcher of many has
+// sent there nothing else. Copies then only make all later. So has a worker from which jobs leave, by the list, given a sign.
+func TestCopiesAreFewWhereAllAreLate(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		s, ws := settings(), fleet(6)
+		s.LiveWeights = true
+		weigh(ws, 5)
+		r := newRig(t, s, ws...)
+		weigh(ws, 5/(1+1./5)) // what a core is
+		r.on(Event{Kind: ListPatch, List: ws})
+		messages, copies := 40, 0
+		for range messages {
+			weigh(ws, 5/(1+7./5))
+			r.on(Event{Kind: ListPatch, List: ws})
+			id, acts := r.arrive(safe)
+			r.sends(acts)
+			if leaving {
+				weigh(ws, 5/(1+6./5))
+				r.on(Event{Kind: ListPatch, List: ws})
+			}
+			for r.now = r.b.requests[id].tries[0].doubt + 1; len(r.b.requests[id].tries) < s.Allowed.Attempts; r.now += 100e3 {
+				n, _ := count(r.on(Event{Kind: TimerDue, Token: id<<2 | tokenLook}), Send)
+				if copies += n; n == 0 {
+					break
+				}
+			}
+			r.on(Event{Kind: ClientGone, Request: id})
+		}
+		if most := messages/(spares-1) + 1; copies > most || leaving && copies > 0 || !leaving && copies < most/2 {
+			t.Errorf("jobs leaving %v: %d copies of %d messages, at most %d", leaving, copies, messages, most)
+		}
+	}
+}
+
 func TestReportsMoveTheChoice(t *testing.T) {
 	r := newRig(t, settings(), fleet(6)...)
 	_, acts := r.arrive(unsafe)
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -179,6 +179,33 @@
 	}
 }
 
+// A word about a job is worth its price where it leaves a backlog, of whatever class it is: to all who read the list the worker
+// still looks freer.
+func TestABacklogIsTold(t *testing.T) {
+	for _, c := range []struct {
+		inHand float64 // on three cores, by the list
+		work   int64   // in job times
+		told   bool
+	}{{0, 1, false}, {1, 1, false}, {4, 1, true}, {9, 1, true}, {4, 0, false}} {
+		s, ws := settings(), fleet(6)
+		s.LiveWeights, s.Allowed.PeerMessages, s.Dispatchers = true, true, 30
+		weigh(ws, 3)
+		r := newRig(t, s, ws...)
+		for _, n := range []float64{1, c.inHand} { // the first shows what a core is
+			weigh(ws, 3/(1+n/3))
+			r.now += 1e6
+			r.on(Event{Kind: ListPatch, List: ws})
+		}
+		r.b.jobTime = 150e3
+		r.id++
+		acts := r.on(Event{Kind: Arrival, Request: r.id, Class: safe, Tenant: -1, Due: r.now + 5e6, Hint: c.work*150e3 + 1000})
+		r.sends(acts)
+		if n, _ := count(acts, TellPeer); n > 0 != c.told {
+			t.Errorf("%v in hand, %d job times: %d words", c.inHand, c.work, n)
+		}
+	}
+}
+
 // A worker that fails what it gets always looks free. Each of many would find that out by jobs of its own.
 func TestOneFailingWorkerCostsTheTierFewJobs(t *testing.T) {
 	const dispatchers = 80
--- a/hearsay.go
+++ b/hearsay.go
@@ -12,12 +12,14 @@
 // restByWord bounds what words can do: while one in so many of the listed workers rests, none goes to rest for a word more.
 const restByWord = 3
 
-// tell lets those who share a worker know that a job has been sent there, or has ended. Only what occupies it for long
-// and can go nowhere else is worth its price: the rest has mostly ended before the list is heard again. Of a cold worker
-// all is told, as what it bears is spent together.
+// tell lets those who share a worker know that a job has been sent there, or has ended. Worth its price is what occupies it
+// for long and can go nowhere else, and what leaves it with a backlog: to all who read the list it still looks freer than
+// others, and each would send there. What is short has mostly ended before the list is heard again. Of a cold worker all is
+// told, as what it bears is spent together.
 func (b *Balancer) tell(op hearsay.Op, a *attempt) {
 	if op == hearsay.Sent {
-		a.told = b.hasPeers() && a.w.listed && (b.cold(a.w) || a.r.class.Repeat == Unsafe && a.r.work > b.jobTime)
+		final, queued := a.r.class.Repeat == Unsafe && a.r.work > b.jobTime, b.region(a.w) > 0 && 2*a.r.work > b.jobTime
+		a.told = b.hasPeers() && a.w.listed && (b.cold(a.w) || final || queued)
 	}
 	if a.told {
 		b.inform(op, a.w, a.r.work)
--- a/state.go
+++ b/state.go
@@ -28,6 +28,7 @@
 	startLag float64 // how soon a job begins on a free worker
 	patience []int64 // the longest time to a deadline seen, by class
 	loss     float64 // share of the worth lost on late jobs
+	copies   float64 // that may be sent now
 	unheard  bool    // the list service failed us
 	heir     int64   // when it took over what another had learned
 	replaced bool    // another process takes the new jobs
@@ -72,6 +73,7 @@
 	reportOf  int64         // the time that the last report is of
 	kind      *kind
 	size      float64 // in standard cores: the largest weight that the list gave it
+	inHand    float64 // jobs, by the last live weight; below 0 where it could not tell
 	held      float64 // jobs waiting by the last report that moved x; below 0: free slots
 	heardAt   int64
 	own       []*attempt // this dispatcher's, still out
@@ -137,6 +139,16 @@
 	return math.Round(crowd * k.cores)
 }
 
+// shown is how many jobs a live weight says the worker has in hand, or -1. Fewer than before are a sign of life: one has
+// left it.
+func (w *worker) shown(weight float64) float64 {
+	before := w.inHand
+	if w.inHand = w.kind.inflight(weight); w.inHand >= 0 && w.inHand < before {
+		w.silent = 0
+	}
+	return w.inHand
+}
+
 // kind finds what is known of a kind, or begins with a machine of one slot whose every backlog is as likely as another.
 func (b *Balancer) kind(name string) *kind {
 	k := b.kinds[name]
