Tell workers apart that have more waiting than the last threshold of backlog

At fault: Balancer.report, which takes a report over only where TH_2k is crossed. Beyond the last threshold there is none, so a worker that showed three waiting jobs still has three when it shows thirty. Now a report in the last region always moves what is held.

Test: TestCrowdedWorkersAreToldApart.

--- a/balancer.go
+++ b/balancer.go
@@ -467,8 +467,8 @@
 	seen, before := max(0, jobs+1)*b.jobTime/w.kind.slots,
 		max(0, w.held+others+own+1)*b.jobTime/w.kind.slots
 	w.sample(b.region(w), b.column(seen))
-	if b.regionOf(w, seen)/2 != b.regionOf(w, before)/2 || w.heardAt == 0 { // TH_2k is crossed
-		w.held = max(jobs-own, -w.kind.slots)
+	if x := b.regionOf(w, seen); x/2 != b.regionOf(w, before)/2 || x == regions-1 || w.heardAt == 0 {
+		w.held = max(jobs-own, -w.kind.slots) // TH_2k is crossed, or beyond the last there is none to cross
 	}
 	w.heardAt = b.now
 	b.meanHeld, b.commonAt = b.common(w)+(jobs-own-b.common(w))/8, b.now
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -564,6 +564,21 @@
 	}
 }
 
+// Beyond the last threshold there is none to cross: a report of three jobs that wait must not hide a later one of thirty.
+func TestCrowdedWorkersAreToldApart(t *testing.T) {
+	r := newRig(t, settings(), fleet(2)...)
+	for _, queues := range [][2]float64{{3, 30}, {30, 3}, {6, 4}} {
+		r.now += 1e6
+		for i, q := range queues {
+			r.b.report(r.b.workers[fmt.Sprintf("w%d", i)], Load{Queue: q, Inflight: -1, Free: -1, Util: -1})
+		}
+		_, acts := r.arrive(unsafe)
+		if want := fmt.Sprintf("w%d", map[bool]int{true: 0, false: 1}[queues[0] < queues[1]]); r.sends(acts).Worker != want {
+			t.Errorf("queues %v: sent to %s", queues, r.sends(acts).Worker)
+		}
+	}
+}
+
 func TestReportsMoveTheChoice(t *testing.T) {
 	r := newRig(t, settings(), fleet(6)...)
 	_, acts := r.arrive(unsafe)
