Reach an only host by its next address when the first resets what is sent

At fault: Balancer.choose, for which a worker is tried whatever became of it, so that the only one leaves nobody; route.across, which said nothing of a kept connection that broke, so that the next try went to the same address (the log of the new test: both tries within 0.8 ms on the socket file); Set, whose proofs by probe and lookup say nothing of what must not run twice. Now a worker that broke a connection comes last instead of never; a kept connection that breaks gives its address a mild doubt; an address that has reset three messages that must not run twice gets none any more.

All 40 lookups served, at most 3 disputes lost, in four cases (probes or none; all requests reset, or jobs alone). Tests: TestOnlyHostResetsAtItsFirstAddress, TestBrokenConnectionToTheOnlyWorker, and the random one counts what each address has lost.

--- a/balancer.go
+++ b/balancer.go
@@ -176,7 +176,7 @@
 		return
 	}
 	r := a.r
-	a.done, a.notRun, r.out = true, e.Outcome.NotRun(), r.out-1
+	a.done, a.notRun, a.broken, r.out = true, e.Outcome.NotRun(), e.Outcome == Severed, r.out-1
 	b.tell(hearsay.Ended, a)
 	b.judge(a, e)
 	a.w.own = slices.DeleteFunc(a.w.own, func(o *attempt) bool { return o == a })
@@ -291,14 +291,14 @@
 
 // ---- the choice of a worker ----
 
-// choose returns the legal buddy with the least risk; ties follow the preferred list. Where no buddy may
-// take the job (tried already, out, or not in the job's group) any listed worker may.
+// choose returns the legal buddy with the least risk; ties follow the preferred list. Where none may take the
+// job (tried, out, not in its group) any listed worker may; last, one that is tried, if the connection broke.
 func (b *Balancer) choose(r *request) *worker {
-	for _, among := range [][]*worker{b.buddies, b.others} {
+	for i, among := range [][]*worker{b.buddies, b.others, r.broken()} {
 		var best *worker
 		least := math.MaxInt
 		for _, w := range among {
-			if b.now < w.downUntil || !b.maySend(r, w) || r.tried(w) {
+			if b.now < w.downUntil || !b.maySend(r, w) || i < 2 && r.tried(w) {
 				continue
 			}
 			// The running time counts a fifth beside the risk: it spreads more than hints tell, and a slow
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -564,6 +564,23 @@
 	}
 }
 
+// Where nobody else is left, a worker to which the connection broke is tried once more if a repeat is harmless: it may be
+// reached another way. One that refused connections, or turned the job away, is not.
+func TestBrokenConnectionToTheOnlyWorker(t *testing.T) {
+	for _, c := range []struct {
+		class int
+		o     Outcome
+		again int
+	}{{safe, Severed, 1}, {keyed, Severed, 1}, {unsafe, Severed, 0}, {safe, RefusedConn, 0}, {safe, Saturated, 0}} {
+		r := newRig(t, settings(), fleet(1)...)
+		id, acts := r.arrive(c.class)
+		w := r.sends(acts).Worker
+		if n, _ := count(r.done(id, 0, w, c.o), Send); n != c.again {
+			t.Errorf("class %d, outcome %d: %d further sends, want %d", c.class, c.o, n, c.again)
+		}
+	}
+}
+
 // Beyond the last threshold there is none to cross: a report of three jobs that wait must not hide a later one of thirty.
 func TestCrowdedWorkersAreToldApart(t *testing.T) {
 	r := newRig(t, settings(), fleet(2)...)
--- a/cmd/topazfall/addresses_test.go
+++ b/cmd/topazfall/addresses_test.go
@@ -226,6 +226,32 @@
 	require.LessOrEqual(t, total, len(doors), "each address cost one at the most")
 }
 
+// The only host, and its first address takes connections and resets the jobs on them; whatever else is asked, a probe or
+// another's lookup, is answered. A lookup moves on to the next address, and no more than three disputes are lost there.
+func TestOnlyHostResetsAtItsFirstAddress(t *testing.T) {
+	for _, f := range []host.Fault{host.ResetWhole, host.ResetJobs} {
+		for _, probe := range []bool{false, true} {
+			t.Run(fmt.Sprint(f, " probe=", probe), func(t *testing.T) {
+				s := enact(t, 1, program.Options{Probe: probe})
+				s.fault(local, f)
+				lost := 0
+				for range 40 {
+					id, _ := s.served("lookup")
+					runs, _ := s.runs(id)
+					require.LessOrEqual(t, runs, 2)
+					id, a := s.send("dispute-extract")
+					if runs, sights := s.runs(id); a.Status != 200 {
+						lost++
+						require.Equal(t, []int{502, 1, 1}, []int{a.Status, runs, sights})
+					}
+					time.Sleep(20 * time.Millisecond) // rests of an address begin with a quarter of a second
+				}
+				require.LessOrEqual(t, lost, 3)
+			})
+		}
+	}
+}
+
 // A connection that is reset as soon as it is up, or when a part of a large request has come: as long as the last byte
 // was not written the message never ran, and may move.
 func TestResetBeforeTheEnd(t *testing.T) {
--- a/internal/decide/addresses/addresses_test.go
+++ b/internal/decide/addresses/addresses_test.go
@@ -252,9 +252,9 @@
 func TestReset(t *testing.T) {
 	s := newSet(1, six, four)
 	first(t, s, ms, true, Fine)
-	s.Reset(5*ms, six, 2*ms)
+	s.Reset(5*ms, six, 2*ms, true)
 	require.Equal(t, four, first(t, s, 6*ms, true, Fine))
-	s.Reset(7*ms, four, 6*ms)
+	s.Reset(7*ms, four, 6*ms, true)
 	require.Equal(t, GiveUp, s.Race(10*ms, 260*ms, true).Step(10*ms).Move, "rather no host than a second run")
 	s.Answered(11*ms, six, 4*ms, false)
 	require.Equal(t, GiveUp, s.Race(11*ms, 261*ms, true).Step(11*ms).Move, "an answer to what began before says nothing")
@@ -271,7 +271,7 @@
 	require.Equal(t, six, first(t, s, now+6*ms, true, Fine))
 
 	s.SetLimits(func() Limits { l := Defaults; l.Probe = true; return l }())
-	s.Reset(now+10*ms, six, now+6*ms)
+	s.Reset(now+10*ms, six, now+6*ms, true)
 	a, how := s.Trial(now + 11*ms)
 	require.Equal(t, four, a, "six rests")
 	require.Equal(t, Probe, how)
@@ -301,7 +301,7 @@
 func TestMemory(t *testing.T) {
 	s := newSet(1, six, four)
 	first(t, s, ms, true, Fine)
-	s.Reset(5*ms, six, 2*ms)
+	s.Reset(5*ms, six, 2*ms, true)
 	young := newSet(2, four, six)
 	young.Inherit(6*ms, append(s.Memory(), Memory{Address: "nobody"}, Memory{Address: four.String(), State: 99}))
 	require.ElementsMatch(t, s.Memory(), young.Memory())
@@ -329,7 +329,7 @@
 		limits := Defaults
 		limits.Probe = rapid.Bool().Draw(t, "probe")
 		s.SetLimits(limits)
-		bad := map[Address]bool{} // has reset, by this test's own books
+		bad, lost := map[Address]bool{}, map[Address]int{} // has reset, by this test's own books
 		last := map[Address]int64{}
 		now := int64(1)
 		trials := 0
@@ -385,8 +385,14 @@
 							delete(bad, step.Address)
 						}
 					case 1:
-						s.Reset(now+1, step.Address, now)
+						s.Reset(now+1, step.Address, now, once)
 						bad[step.Address] = true
+						if once {
+							lost[step.Address]++
+						}
+						if lost[step.Address] > mostLost {
+							t.Fatalf("%s has reset %d that must not run twice", step.Address, lost[step.Address])
+						}
 					case 2: // called off
 					case 3: // nothing was written
 						r.Failed(now, step.Address, rapid.SampledFrom([]Failure{Refused, Elsewhere}).Draw(t, "unwritten"))
--- a/internal/decide/addresses/race.go
+++ b/internal/decide/addresses/race.go
@@ -104,7 +104,7 @@
 	for len(r.order) > 0 {
 		b := r.order[0]
 		r.order = r.order[1:]
-		if r.find(b.Address) != nil || r.set.find(b.Address) != b || r.once && b.doubt == Severe {
+		if r.find(b.Address) != nil || r.set.find(b.Address) != b || b.bars(r.once) {
 			continue
 		}
 		if b.rest > now {
@@ -161,7 +161,7 @@
 	if !kept {
 		t.b.opened(now, took)
 	}
-	if r.over || r.winner != nil || r.set.find(a) != t.b || r.once && t.b.doubt == Severe {
+	if r.over || r.winner != nil || r.set.find(a) != t.b || t.b.bars(r.once) {
 		t.spare = true
 		t.let()
 		return false
--- a/internal/decide/addresses/set.go
+++ b/internal/decide/addresses/set.go
@@ -79,6 +79,7 @@
 	failures int
 	failed   int64 // when it last did
 	reset    int64 // when it last reset a request
+	lost     int   // messages that must not run twice which it has reset
 	rest     int64 // until when it is left alone
 	good     int64 // since when
 	trial    bool  // one is under way to prove it
@@ -131,6 +132,13 @@
 	return nil
 }
 
+// mostLost is how many messages that must not run twice an address may reset until none of them goes there any more. What
+// proves it good again, a probe or a message that may be repeated, is then known to say nothing of them.
+const mostLost = 3
+
+// bars tells whether the address must not be used for a message, which must not run twice if once is set.
+func (b *belief) bars(once bool) bool { return once && (b.doubt == Severe || b.lost >= mostLost) }
+
 // resting is the rank of the addresses that are left alone.
 const resting = 5
 
@@ -138,7 +146,7 @@
 // used for it.
 func (b *belief) rank(now int64, once bool) (int, bool) {
 	switch {
-	case once && b.doubt == Severe:
+	case b.bars(once):
 		return 0, false
 	case b.rest > now:
 		return resting, true
@@ -326,14 +334,25 @@
 }
 
 // Reset notes that a connection ended, without an answer, when a request was on it that began at a time: part of it or
-// all.
-func (s *Set) Reset(now int64, a Address, began int64) {
+// all. Once is set if it must not run twice.
+func (s *Set) Reset(now int64, a Address, began int64, once bool) {
 	if b := s.find(a); b != nil {
 		b.trial = false
+		if once {
+			b.lost++
+		}
 		s.failed(b, now, began, WasReset)
 	}
 }
 
+// Broke notes that a kept connection ended, without an answer, when a request was on it. Hosts close idle ones, so that it
+// says little: another address that is good goes first until this one has answered again.
+func (s *Set) Broke(a Address) {
+	if b := s.find(a); b != nil {
+		b.doubt = max(b.doubt, Mild)
+	}
+}
+
 // delay is how long to wait for this address before the next is begun beside it: as long as its connections have taken
 // but for outliers, and no longer than leaves all that remain a share of the time.
 func (s *Set) delay(b *belief, left int64, remaining int) int64 {
@@ -353,6 +372,7 @@
 	Failures int
 	Failed   int64 // when it last did, 0 for never
 	Reset    int64 // when it last reset a request
+	Lost     int   // messages that must not run twice which it has reset
 	Rest     int64 // until when it is left alone
 	Good     int64 // since when, if it is
 	Connect  int64 // mean connect time, 0 where none is known
@@ -360,7 +380,7 @@
 }
 
 func (b *belief) memory() Memory {
-	return Memory{b.String(), b.state, b.doubt, b.failures, b.failed, b.reset, b.rest, b.good, b.mean, b.spread}
+	return Memory{b.String(), b.state, b.doubt, b.failures, b.failed, b.reset, b.lost, b.rest, b.good, b.mean, b.spread}
 }
 
 // News returns the addresses of which something else is believed than when it was last asked.
@@ -393,6 +413,7 @@
 		if b := s.find(a); b != nil {
 			b.state, b.doubt, b.failures = k.State, k.Doubt, min(max(k.Failures, 0), 64)
 			b.failed, b.reset, b.good = min(k.Failed, now), min(k.Reset, now), min(k.Good, now)
+			b.lost = min(max(k.Lost, 0), mostLost)
 			b.rest = min(k.Rest, now+s.limits.RestMost)
 			b.mean, b.spread = max(k.Connect, 0), max(k.Spread, 0)
 		}
--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -31,11 +31,12 @@
 	ResetUnread         // each connection is reset as soon as it is up
 	ResetMidway         // it is reset when the request has begun to come
 	ResetWhole          // it is reset when the request has come whole, and the job runs
+	ResetJobs           // the same, but what is no job is answered
 	ResetAccepted       // it is reset after the 202, and the job runs
 	Garbage             // the answer is none
 )
 
-var faults = [...]string{"serve", "refuse", "silent", "accept-late", "reset-unread", "reset-midway", "reset-whole",
+var faults = [...]string{"serve", "refuse", "silent", "accept-late", "reset-unread", "reset-midway", "reset-whole", "reset-jobs",
 	"reset-accepted", "garbage"}
 
 func (f Fault) String() string { return faults[f] }
@@ -336,10 +337,10 @@
 		case strings.HasPrefix(path, "/jobs/"):
 			d.h.callOff(strings.TrimPrefix(path, "/jobs/"))
 		case job:
-			d.h.run(id, f != ResetWhole)
+			d.h.run(id, f != ResetWhole && f != ResetJobs)
 			answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 		}
-		if f == ResetWhole {
+		if f == ResetWhole || f == ResetJobs && job {
 			reset(c)
 			return
 		}
--- a/internal/south/route.go
+++ b/internal/south/route.go
@@ -326,9 +326,11 @@
 		case err == nil:
 			rt.set.Answered(now, a, began, !m.proves)
 		case err == errNotSent || r != nil && r.Ended() || isTimeout(err): // no word on the address
-		case n > 0 && fresh: // hosts close idle connections, so that a kept one says little
+		case n > 0 && fresh:
 			s.o.Figures.Resets.Add(1)
-			rt.set.Reset(now, a, began)
+			rt.set.Reset(now, a, began, m.once)
+		case n > 0:
+			rt.set.Broke(a)
 		}
 		if !moved {
 			w.race.Settle()
--- a/state.go
+++ b/state.go
@@ -58,7 +58,7 @@
 	w                      *worker
 	sent, started, heard   int64 // heard: of its running, last
 	done, notRun, recalled bool
-	unusable               bool    // its worker said that of the job
+	unusable, broken       bool    // its worker said that of the job; the connection to it broke
 	told                   bool    // others know of it
 	wait                   float64 // until it would begin, by what was known when it was sent
 	doubt                  int64   // from when on its worker is doubted, if it is silent
@@ -247,6 +247,16 @@
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.w == w })
 }
 
+// broken lists the workers that broke the connection of an attempt.
+func (r *request) broken() (ws []*worker) {
+	for _, a := range r.tries {
+		if a.broken {
+			ws = append(ws, a.w)
+		}
+	}
+	return ws
+}
+
 func (r *request) count(which func(*attempt) bool) (n int) {
 	for _, a := range r.tries {
 		if which(a) {
