Let the parties of the played exchanges listen on an address of their test's own

Seen: one run of the tests in which TestExchanges/refused waited 20 s for its second host. The log of the program: the relay to the host that is down was written and met an end of file, where the connection should be refused. At fault: the stand-ins of all tests that run at one time listen on 127.0.0.1, so that the port of one that goes down may be another's a moment later. Now each test has its own address for them, as the program has.

--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -153,7 +153,7 @@
 
 func (p *player) start(known string, set []string) {
 	for _, name := range "abde" {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", p.addr) // an address of the test's own: nobody takes the port of a party that is down
 		p.noError("listen", err)
 		p.Cleanup(func() { ln.Close() })
 		p.parties[byte(name)] = &party{ln, make(chan arrival, 99)}
