--- a/internal/decide/custody/custody_test.go
+++ b/internal/decide/custody/custody_test.go
@@ -418,7 +418,7 @@
 }
 
 // most bounds the states of one walk, for the time of the tests.
-var most = flag.Int("most", 150_000, "states of a walk")
+var most = flag.Int("most", 450_000, "states of a walk")
 
 // Whoever asks finds the same keepers, the work is spread, and one more instance moves no message between two others.
 func TestKeepers(t *testing.T) {
