Work out a chosen worker's backlog once again, and none where nobody is told

A last reading of the change: to save a line, Balancer.send worked the backlog out a second time for the region, at each send; tell asked for the region also where there is nobody to tell. In custody a loop and a copy of maps stood for what the library has.

--- a/balancer.go
+++ b/balancer.go
@@ -149,8 +149,8 @@
 }
 
 func (b *Balancer) send(r *request, w *worker) {
-	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: b.backlog(w), region: b.region(w)}
-	r.tries, r.out = append(r.tries, a), r.out+1
+	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: b.backlog(w)}
+	a.region, r.tries, r.out = b.regionOf(w, a.wait), append(r.tries, a), r.out+1
 	w.own, w.lastTry, w.silent = append(w.own, a), b.now, cmp.Or(w.silent, b.now)
 	w.coldSpent, w.coldOwn, b.copies = w.coldSpent+r.work, w.coldOwn+r.work, min(b.copies+1./spares, 1)
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
--- a/hearsay.go
+++ b/hearsay.go
@@ -17,9 +17,9 @@
 // others, and each would send there. What is short has mostly ended before the list is heard again. Of a cold worker all is
 // told, as what it bears is spent together.
 func (b *Balancer) tell(op hearsay.Op, a *attempt) {
-	if op == hearsay.Sent {
-		final, queued := a.r.class.Repeat == Unsafe && a.r.work > b.jobTime, b.region(a.w) > 0 && 2*a.r.work > b.jobTime
-		a.told = b.hasPeers() && a.w.listed && (b.cold(a.w) || final || queued)
+	if op == hearsay.Sent && b.hasPeers() && a.w.listed {
+		final := a.r.class.Repeat == Unsafe && a.r.work > b.jobTime
+		a.told = b.cold(a.w) || final || 2*a.r.work > b.jobTime && b.region(a.w) > 0
 	}
 	if a.told {
 		b.inform(op, a.w, a.r.work)
--- a/internal/decide/custody/custody_test.go
+++ b/internal/decide/custody/custody_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"math/bits"
 	"slices"
 	"strings"
@@ -91,19 +92,11 @@
 // keeper gives the clone a keeper of its own to change.
 func (w *world) keeper(i int) *Keeper {
 	k := *w.keepers[i]
-	k.lives, k.told, k.regs = copied(k.lives), copied(k.told), copied(k.regs)
+	k.lives, k.told, k.regs = maps.Clone(k.lives), maps.Clone(k.told), maps.Clone(k.regs)
 	w.keepers[i] = &k
 	return &k
 }
 
-func copied[K comparable, V any](m map[K]V) map[K]V {
-	c := make(map[K]V, len(m))
-	for k, v := range m {
-		c[k] = v
-	}
-	return c
-}
-
 // names are how the nodes are called in a key: what differs by the names of the keepers alone is one state.
 type names [256]byte
 
@@ -139,7 +132,11 @@
 		o, p = p, o
 	}
 	b = append(b, as.of(o.Node), byte(o.Life), as.of(p.Node), byte(p.Life))
-	for _, set := range []bool{m.Fresh, m.Sure, m.ID != ""} {
+	return flags(b, m.Fresh, m.Sure, m.ID != "")
+}
+
+func flags(b []byte, all ...bool) []byte {
+	for _, set := range all {
 		if set {
 			b = append(b, 1)
 		} else {
@@ -197,14 +194,7 @@
 	slices.SortFunc(blocks, slices.Compare)
 	for i, h := range w.holders {
 		b = append(b, byte(h.mode), byte(h.seq), byte(h.seen), byte(w.sends[i]), byte(w.answers[i]), byte(h.epoch.N), as.of(h.epoch.By))
-		b = h.next.append(h.record.append(b))
-		for _, set := range []bool{h.asking, w.has[i]} {
-			if set {
-				b = append(b, 1)
-			} else {
-				b = append(b, 0)
-			}
-		}
+		b = flags(h.next.append(h.record.append(b)), h.asking, w.has[i])
 		votes := make([][]byte, 0, Of)
 		for _, v := range h.votes {
 			votes = append(votes, v.append(nil, as))
--- a/internal/decide/custody/holder.go
+++ b/internal/decide/custody/holder.go
@@ -1,5 +1,7 @@
 package custody
 
+import "slices"
+
 // Mode is what a holder is doing.
 type Mode uint8
 
@@ -102,12 +104,7 @@
 }
 
 func (h *Holder) voted(k Node) bool {
-	for _, v := range h.votes {
-		if v.From == k {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(h.votes, func(v Msg) bool { return v.From == k })
 }
 
 // Handle takes the answer of a keeper; out is what is to be sent.
@@ -186,10 +183,5 @@
 
 // outlived tells whether a knows of a later life of b.
 func outlived(a, b Msg) bool {
-	for _, o := range a.Others {
-		if o.Node == b.From && o.Life > b.Life {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(a.Others[:], func(o Life) bool { return o.Node == b.From && o.Life > b.Life })
 }
