Read on while a message waits, so that a client that sent more is seen leaving

By reading: conn.watch read one byte ahead and stopped, and did not begin at all where a byte was kept from before (north/conn.go, watch, 'if c.have'). A client that had sent anything beyond its message was never seen leaving, and its message was sent on whenever a host could be had.

Checked and ruled out by the same tests: clients that send nothing ahead are seen by closing, half closing and resetting alike, in the module, while dialling, between attempts and across a hand-over (before, between and after).

Now the watch reads on and passes over what comes, 1 MiB at most (as after an error); such a connection was closed after its answer before as well. The byte kept for a next message is gone with it: it was never used.

The new tests play each way of leaving after 0, 1, 2 bytes and 300 KiB at each place of waiting. Without the change all with bytes ahead fail.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -21,6 +21,7 @@
 	proveTime  = 2500 * time.Millisecond // from accepting a connection till it has brought something of use
 	lingerTime = time.Second             // for an error to arrive before its connection is closed
 	lingerMost = 1 << 20                 // bytes passed over meanwhile
+	aheadSize  = 4 << 10                 // of the pieces in which that is read while a message waits
 	largeFrom  = 16 << 10                // a request of more bytes needs a place among the large ones
 )
 
@@ -294,7 +295,7 @@
 }
 
 // conn is a connection from outside. A handler does not read, so it would not see the connection end: while
-// it waits, one byte is read ahead and kept for the next message.
+// it waits, what its client sends on is read and passed over.
 type conn struct {
 	net.Conn
 	l        *listener
@@ -313,8 +314,7 @@
 	got     int       // bytes read since the last request ended
 	kept    bool      // it came from another process, and may be quiet
 	stray   bool      // the latest request began with bytes that came along with the one before
-	ahead   [1]byte
-	have    bool
+	ahead   int       // bytes that were read while the latest message waited; its watch's until stopped
 	stopped chan struct{}
 }
 
@@ -373,14 +373,8 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Read gives the byte read ahead first.
+// Read is bounded for large requests, and ends where the connection goes to another process.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.have && len(p) > 0 {
-		c.have = false
-		p[0] = c.ahead[0]
-		c.got++
-		return 1, nil
-	}
 	if c.got >= largeFrom && !c.large.Load() {
 		if left := c.l.large.Add(-1); left < 0 || left < c.l.half.Load() && !c.trusted.Load() {
 			c.l.large.Add(1)
@@ -401,31 +395,41 @@
 	return n, err
 }
 
-// watch reads ahead until unwatch. The channel is closed when the client has closed the connection.
+// watch reads until unwatch, and passes over what comes: a client that has sent more than its message may leave as any
+// other, and only who reads on sees it. The channel is closed when the client has closed the connection, or one direction
+// of it, or has reset it; or when it has sent so much that it cannot be meant for anybody to read.
 func (c *conn) watch() <-chan struct{} {
 	gone := make(chan struct{})
-	c.stopped = make(chan struct{})
+	c.stopped, c.ahead = make(chan struct{}), 0
 	c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(c.stopped)
-		if c.have {
-			return
-		}
-		n, err := c.Conn.Read(c.ahead[:])
-		c.have = n > 0
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			close(gone)
+		part := make([]byte, 1) // most clients send nothing
+		for c.ahead <= lingerMost {
+			n, err := c.Conn.Read(part)
+			c.ahead += n
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return
+			}
+			if err != nil {
+				break
+			}
+			if len(part) < aheadSize {
+				part = make([]byte, aheadSize)
+			}
 		}
+		close(gone)
 	}()
 	return gone
 }
 
-// unwatch ends the reading ahead. It tells whether the client has sent more before it had its answer.
+// unwatch ends the reading. It tells whether the client has sent more before it had its answer: the connection is then
+// of no further use, as what came is lost.
 func (c *conn) unwatch() (more bool) {
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-c.stopped
 	c.Conn.SetReadDeadline(time.Time{})
-	return c.have
+	return c.ahead > 0
 }
 
 // limiter lets so many through a second. Whoever sends rubbish at full speed must not fill the log too.
--- /dev/null
+++ b/internal/north/leaving_test.go
@@ -0,0 +1,220 @@
+package north
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazfall"
+	"topazfall/internal/decide/addresses"
+	"topazfall/internal/dispatch"
+	"topazfall/internal/exchange"
+	"topazfall/internal/figures"
+)
+
+const patience = 20 * time.Second // no verdict hangs on how fast a machine is
+
+// hosts stands in for the south side: a relay stays before its first byte until the test lets it go on.
+type hosts struct{ sent, off chan *exchange.Relay }
+
+func (h hosts) Send(r *exchange.Relay)                { h.sent <- r }
+func (h hosts) CallOff(r *exchange.Relay)             { r.End(); h.off <- r }
+func (h hosts) Probe(*exchange.Host)                  {}
+func (h hosts) Readdress(string, []addresses.Address) {}
+func (h hosts) Follow()                               {}
+func (h hosts) Fetch()                                {}
+func (h hosts) CallBack([]byte) (bool, error)         { return false, nil }
+
+// dispatcher is a north side on loopback with its core.
+type dispatcher struct {
+	*testing.T
+	hosts
+	core *dispatch.Core
+	side *Side
+	addr string
+}
+
+func serving(t *testing.T, names ...string) *dispatcher {
+	s := topazfall.Settings{Dispatchers: 1, Tick: 4000,
+		Classes: []topazfall.Class{{Name: "job", Deadline: 60e6, Aim: 60e6}},
+		Allowed: topazfall.Allowed{Attempts: 4, DialTimeout: 250e3, Cancel: true}}
+	f := &figures.Figures{}
+	core, err := dispatch.New(s, f)
+	require.NoError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &dispatcher{T: t, hosts: hosts{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}, core: core, addr: ln.Addr().String()}
+	d.side = New(ln, core, d.hosts, &s, Options{Conns: 9, Messages: 9, Large: 9, Figures: f})
+	go core.Run(d.hosts, d.hosts)
+	go d.side.Serve()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		d.side.Close(ctx)
+	})
+	d.list(topazfall.Ready, names...)
+	return d
+}
+
+func (d *dispatcher) list(state topazfall.WorkerState, names ...string) {
+	var entries []dispatch.Entry
+	for _, n := range names {
+		entries = append(entries, dispatch.Entry{Addr: "127.0.0.1:1", Worker: topazfall.Worker{ID: n, State: state}})
+	}
+	d.core.List(topazfall.ListWhole, entries)
+	d.core.Sync()
+}
+
+// message sends one whole message on a connection of its own.
+func (d *dispatcher) message() *net.TCPConn {
+	c, err := net.Dial("tcp", d.addr)
+	require.NoError(d, err)
+	d.Cleanup(func() { c.Close() })
+	_, err = fmt.Fprintf(c, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: %d\r\nX-Priority-Class: job\r\n"+
+		"X-Timeout-Ms: 60000\r\nContent-Length: 0\r\n\r\n", time.Now().UnixNano())
+	require.NoError(d, err)
+	return c.(*net.TCPConn)
+}
+
+func (d *dispatcher) next(from chan *exchange.Relay, what string) *exchange.Relay {
+	select {
+	case r := <-from:
+		return r
+	case <-time.After(patience):
+		require.Fail(d, "not "+what)
+		return nil
+	}
+}
+
+// over waits until nothing is in hand.
+func (d *dispatcher) over() {
+	require.Eventually(d, func() bool { return d.core.InHand() == 0 }, patience, time.Millisecond, "a message stays in hand")
+	d.core.Sync() // what its end has led to is done as well
+	d.core.Sync()
+}
+
+// ways are those in which a client leaves, after it has sent so many bytes ahead.
+var ways = map[string]func(*net.TCPConn) error{
+	"closed": func(c *net.TCPConn) error { return c.Close() },
+	"half":   func(c *net.TCPConn) error { return c.CloseWrite() },
+	"reset":  func(c *net.TCPConn) error { c.SetLinger(0); return c.Close() },
+}
+
+var sentAhead = []int{0, 1, 2, 300 << 10} // the last is more than the sockets hold
+
+func everyWay(t *testing.T, play func(t *testing.T, leave func(*net.TCPConn))) {
+	for name, way := range ways {
+		for _, ahead := range sentAhead {
+			t.Run(fmt.Sprint(name, " after ", ahead), func(t *testing.T) {
+				t.Parallel()
+				play(t, func(c *net.TCPConn) {
+					c.SetWriteDeadline(time.Now().Add(patience))
+					_, err := c.Write(make([]byte, ahead)) // ends only when all but some of it has been read
+					require.NoError(t, err)
+					require.NoError(t, way(c))
+				})
+			})
+		}
+	}
+}
+
+// A client that leaves while the connection to a host is being opened: nothing is written on it any more.
+func TestClientLeavesDuringDial(t *testing.T) {
+	everyWay(t, func(t *testing.T, leave func(*net.TCPConn)) {
+		d := serving(t, "a", "b")
+		c := d.message()
+		r := d.next(d.sent, "sent")
+		leave(c)
+		require.Same(t, r, d.next(d.off, "called off"))
+		require.False(t, r.Start(d.core.Now()))
+		d.over()
+		require.Empty(t, d.sent)
+	})
+}
+
+// One that leaves while its message waits for a host: a host that comes does not get it.
+func TestClientLeavesWhileNoHostIsThere(t *testing.T) {
+	everyWay(t, func(t *testing.T, leave func(*net.TCPConn)) {
+		d := serving(t)
+		c := d.message()
+		require.Eventually(t, func() bool { return d.core.InHand() == 1 }, patience, time.Millisecond)
+		leave(c)
+		d.over()
+		d.list(topazfall.Ready, "a")
+		require.Empty(t, d.sent)
+	})
+}
+
+// One that leaves between two attempts: there is no second.
+func TestClientLeavesBetweenAttempts(t *testing.T) {
+	everyWay(t, func(t *testing.T, leave func(*net.TCPConn)) {
+		d := serving(t, "a", "b")
+		c := d.message()
+		r := d.next(d.sent, "sent")
+		leave(c)
+		require.Same(t, r, d.next(d.off, "called off"))
+		d.core.Ended(r, topazfall.Saturated, topazfall.NoLoad) // what came while it left
+		d.over()
+		require.Empty(t, d.sent)
+	})
+}
+
+// One that leaves while its message goes to another process, before or after that has it, or whose leaving the old one
+// has seen already: nothing is sent there.
+func TestClientLeavesDuringHandOver(t *testing.T) {
+	for _, when := range []string{"before", "between", "after"} {
+		t.Run(when, func(t *testing.T) {
+			everyWay(t, func(t *testing.T, leave func(*net.TCPConn)) {
+				old, young := serving(t), serving(t) // no host is listed: the message waits
+				c := old.message()
+				require.Eventually(t, func() bool { return old.core.InHand() == 1 }, patience, time.Millisecond)
+				handed := make(chan struct{})
+				if when == "before" {
+					go leave(c)
+				}
+				old.side.PassOn(func(k Kept) error {
+					if k.Begun == nil {
+						return net.ErrClosed
+					}
+					nc := double(t, k.Conn)
+					if when == "between" {
+						go leave(c) // what it sends ahead is read by whoever has the connection
+					}
+					young.side.Continue(nc, *k.Begun, k.More)
+					close(handed)
+					return nil
+				})
+				if when != "before" {
+					select {
+					case <-handed:
+					case <-time.After(patience):
+						require.Fail(t, "not handed over")
+					}
+				}
+				if when == "after" {
+					leave(c)
+				}
+				old.over()
+				young.over()
+				young.list(topazfall.Ready, "a")
+				require.Empty(t, young.sent)
+				require.Empty(t, old.sent)
+			})
+		})
+	}
+}
+
+// double is the connection as another process gets it.
+func double(t *testing.T, sc syscall.Conn) net.Conn {
+	f, err := sc.(*net.TCPConn).File()
+	require.NoError(t, err)
+	defer f.Close()
+	nc, err := net.FileConn(f)
+	require.NoError(t, err)
+	return nc
+}
