Answer a message that has come when idle connections are closed, though nobody read it yet

By reading: closeIdle goes by whether the server has seen a first byte (track, StateActive). Between the byte's arrival in the socket and that line a connection counts as idle, and closing it with bytes unread resets it: the client cannot tell whether its message was taken. At SIGTERM this is the moment 0.6 s after, when all idle clients are sent elsewhere.

Now a connection with something unread is left to the goroutine that serves it, which refuses the message before anything is done for it. What crosses the closing on its way is as before. The new test holds a byte unread over closeIdle; it fails without the change.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -163,6 +163,24 @@
 	return sc
 }
 
+// unread tells whether something has come that nobody has read yet.
+func (c *conn) unread() (some bool) {
+	sc := c.socket()
+	if sc == nil {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) { // not Read, which waits for whoever reads
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
 // busy is the number of connections that have begun a request without its end.
 func (l *listener) busy() (n int) {
 	l.mu.Lock()
@@ -184,15 +202,16 @@
 	return l.unproven.Len() + l.proven.Len()
 }
 
-// closeIdle closes the connections of clients that have no message in hand. A message that crosses the
-// closing has not been read, and its client sends it again elsewhere.
+// closeIdle closes the connections of clients that have no message in hand. One of which a message has come, though
+// nobody has read it yet, gets its answer. A message that crosses the closing has not been read, and its client sends it
+// again elsewhere.
 func (l *listener) closeIdle() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for e := l.proven.Front(); e != nil; {
 		c := e.Value.(*conn)
 		e = e.Next()
-		if c.client && c.idle {
+		if c.client && c.idle && !c.unread() {
 			l.drop(c)
 		}
 	}
--- a/internal/north/conn_test.go
+++ b/internal/north/conn_test.go
@@ -140,12 +140,9 @@
 	require.False(t, c.unwatch())
 	require.False(t, done(gone))
 	gone = c.watch()
-	sent := make(chan error, 1)
-	go func() { // more than the sockets hold: it is read meanwhile
-		_, err := client.Write(make([]byte, lingerMost))
-		sent <- err
-	}()
-	require.NoError(t, <-sent)
+	_, err := client.Write(make([]byte, lingerMost))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !c.unread() }, patience, time.Millisecond)
 	require.True(t, c.unwatch())
 	require.False(t, done(gone))
 	gone = c.watch()
@@ -181,3 +178,21 @@
 		}
 	}
 }
+
+// A message whose first byte is here when the idle connections are closed, and that nobody has read yet, is not cut off:
+// its client could not tell whether it was taken.
+func TestCloseIdleLeavesWhatHasCome(t *testing.T) {
+	l, c, client := pair(t)
+	c.prove(true)
+	track(c, fasthttp.StateIdle)
+	_, err := client.Write([]byte("P"))
+	require.NoError(t, err)
+	require.Eventually(t, c.unread, patience, time.Millisecond)
+	l.closeIdle()
+	require.Equal(t, 1, l.count())
+	_, err = c.Read(make([]byte, 1))
+	require.NoError(t, err)
+	l.closeIdle()
+	require.Zero(t, l.count())
+	require.False(t, c.unread(), "it is closed")
+}
