Send the jobs of a key where what they need is kept, and hint those without one by class

Ruled out: waiting (0.02 s at first), refusals by workers (7), rules, connections.

At fault: wire.go dropped the key ('related requests need no common worker here') and north never read the cookie, so every worker fetched every key; and balancer.open took a missing hint for no work at all, so that the aim lacked its stretch.

Now each key has three homes among the hosts by rendezvous hashing (internal/decide/affinity), as many as dispatchers share a host, the same at all dispatchers; elsewhere a job is expected to take a mean job longer. A missing hint is the mean running time of its class. Nothing changes where there are no keys and all give hints.

Both tests fail without it.

--- a/balancer.go
+++ b/balancer.go
@@ -95,8 +95,8 @@
 		return nil
 	}
 	c := &b.s.Classes[e.Class]
-	r := &request{id: e.Request, class: c, due: e.Due, hint: float64(min(max(e.Hint, 0), 1e12))}
-	r.work, r.worth = cmp.Or(r.hint, b.jobTime), b.worth(e.Tenant)
+	r := &request{id: e.Request, class: c, due: e.Due, key: e.Key, hint: b.hint(c, e.Hint)}
+	r.work, r.worth = r.hint, b.worth(e.Tenant)
 	b.least = min(b.least+b.least/16, r.work) // the smallest of late
 	// A client's later try shares the deadline of its first: it began a whole deadline before it is due. One
 	// whose aim would be lost by that is no such try, as no first is kept for so long: its client waits less.
@@ -294,7 +294,7 @@
 // choose returns the legal buddy with the least risk; ties follow the preferred list. Where none may take the
 // job (tried, out, not in its group) any listed worker may; last, one that is tried, if the connection broke.
 func (b *Balancer) choose(r *request) *worker {
-	for i, among := range [][]*worker{b.buddies, b.others, r.broken()} {
+	for i, among := range [][]*worker{b.near(r), b.others, r.broken()} {
 		var best *worker
 		least := math.MaxInt
 		for _, w := range among {
@@ -323,7 +323,7 @@
 	if r.class.Repeat == Unsafe { // that it fails this one too, by the rule of succession
 		risk += float64(w.errors) / float64(w.errors+1)
 	}
-	return risk + b.crossing(w) + b.share(r, b.backlog(w))
+	return risk + b.crossing(w) + b.share(r, b.backlog(w)+b.setup(r, w))
 }
 
 // ---- legality ----
@@ -497,7 +497,7 @@
 		w.errors = 0
 		w.alive()
 		run := float64(b.now - max(a.started, a.sent))
-		b.jobTime += (run - b.jobTime) / 32
+		b.ran(a.r, run)
 		if a.r.hint > 0 {
 			// Weighed by work: the ratios of small jobs with rough hints would throw it about.
 			ratio, weight := min(max(run/a.r.hint, 0.1), 10), min(a.r.hint/b.jobTime, 2)/8
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1183,3 +1183,69 @@
 		t.Errorf("%d timers, want two for the start and one for the aim", n)
 	}
 }
+
+// Jobs of one key go where what they need is kept, from whichever dispatcher, and beside the buddies; where those have much
+// to do, to others, and on to the next home when one leaves.
+func TestJobsOfAKeyMeet(t *testing.T) {
+	s, key := settings(), uint64(99)
+	s.Dispatchers, s.LiveWeights = 40, true
+	met := map[string]int{}
+	var first *rig
+	for me := range 40 {
+		s.Me = me
+		r := newRig(t, s, fleet(60)...)
+		r.id++
+		met[r.sends(r.on(Event{Kind: Arrival, Request: r.id, Tenant: -1, Due: r.now + 10e6, Hint: 200e3, Key: key})).Worker]++
+		first = r
+	}
+	if len(met) > cover {
+		t.Fatalf("%d workers got the jobs of one key, %d should hold what they need", len(met), cover)
+	}
+	send := func() string {
+		first.id++
+		return first.sends(first.on(Event{Kind: Arrival, Request: first.id, Tenant: -1, Due: first.now + 10e6, Hint: 200e3, Key: key})).Worker
+	}
+	used := map[string]bool{}
+	for range 40 {
+		used[send()] = true
+	}
+	if len(used) <= cover {
+		t.Errorf("forty jobs at once wait at %d workers while others are free", len(used))
+	}
+	for w := range met {
+		first.on(Event{Kind: ListPatch, List: []Worker{{ID: w, Zone: "a", Kind: "std", State: Draining}}})
+	}
+	if w := send(); met[w] > 0 {
+		t.Errorf("%s drains and got a job", w)
+	}
+}
+
+// Where clients give no hints, a job is taken for one like those of its class: its aim grows with its work all the same, and
+// it is not refused as one whose aim is lost.
+func TestNoHints(t *testing.T) {
+	s := settings()
+	s.Classes = s.Classes[:2]
+	s.Classes[safe].Aim, s.Classes[unsafe].Aim = 100e3, 100e3
+	r := newRig(t, s, fleet(1)...)
+	arrive := func(class int) (uint64, []Action) {
+		r.id++
+		return r.id, r.on(Event{Kind: Arrival, Request: r.id, Class: class, Tenant: -1, Due: r.now + 10e6})
+	}
+	for range 60 {
+		for class, run := range []int64{300e3, 900e3} {
+			id, acts := arrive(class)
+			r.sends(acts)
+			r.on(Event{Kind: JobStarted, Request: id, Worker: "w0"})
+			r.now += run
+			r.done(id, 0, "w0", Completed)
+		}
+	}
+	for class, want := range []float64{300e3, 900e3} {
+		id, _ := arrive(class)
+		q := r.b.requests[id]
+		if q == nil || math.Abs(q.hint-want) > want/4 || math.Abs(float64(q.aim-r.now)-(100e3+2*want)) > want {
+			t.Errorf("class %d: %+v", class, q)
+		}
+		r.on(Event{Kind: ClientGone, Request: id})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -143,7 +143,7 @@
 		x.Number = c.number
 		c.byID[x.ID], c.byNum[x.Number] = x, x
 		c.feed(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
-			Due: x.Due, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry})
+			Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry})
 	}
 }
 
@@ -450,7 +450,7 @@
 			c.watch(r)
 		}
 		c.feed(topazfall.Event{Kind: topazfall.Resumed, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
-			Due: x.Due, Hint: x.Hint, Slots: x.Slots, Retry: x.Retry, Tries: b.Tries})
+			Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry, Tries: b.Tries})
 		slog.Info("moved", "id", x.ID, "from", "old", "relays", len(b.Relays))
 	}
 	return x
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -21,11 +21,12 @@
 	Fields []Field
 	Body   []byte
 
-	Class   int   // index into the settings' classes
-	Tenant  int   // index into the settings' tenants, or -1
-	Arrived int64 // on the dispatcher's clock, microseconds
-	Due     int64 // when the final answer must leave, on that clock
-	Hint    int64 // expected work in microseconds, 0 if not known
+	Class   int    // index into the settings' classes
+	Tenant  int    // index into the settings' tenants, or -1
+	Arrived int64  // on the dispatcher's clock, microseconds
+	Due     int64  // when the final answer must leave, on that clock
+	Hint    int64  // expected work in microseconds, 0 if not known
+	Key     uint64 // stands for what the job needs at a host, 0 for nothing
 	Slots   float64
 	Retry   bool
 	Once    bool // it must not run twice
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"topazfall"
+	"topazfall/internal/decide/affinity"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/exchange"
 	"topazfall/internal/figures"
@@ -441,6 +442,8 @@
 			if us, err := strconv.ParseFloat(f.Value, 64); err == nil && us > 0 && us < 1e12 {
 				m.Hint = int64(us)
 			}
+		case "cookie":
+			m.Key = cookieKey(f.Value)
 		case "x-attrs":
 			m.Slots = slots(f.Value)
 		}
@@ -460,6 +463,16 @@
 	return m, ""
 }
 
+// cookieKey finds what the request concerns among the cookies.
+func cookieKey(cookies string) uint64 {
+	for pair := range strings.SplitSeq(cookies, ";") {
+		if name, value, _ := strings.Cut(strings.TrimSpace(pair), "="); name == "key" && value != "" {
+			return affinity.Key(value)
+		}
+	}
+	return 0
+}
+
 // plain tells whether an id can stand in a path as it came.
 func plain(id string) bool {
 	for _, c := range []byte(id) {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,6 +13,7 @@
 
 	"topazfall"
 	"topazfall/internal/config"
+	"topazfall/internal/decide/affinity"
 )
 
 // MsgKind says what one message asks of the adapter.
@@ -246,7 +247,9 @@
 		if i, ok := known.tenants[string(d.part())]; ok {
 			e.Tenant = i
 		}
-		d.part() // the key: related requests need no common worker here
+		if key := d.part(); string(key) != "-" { // an absent one
+			e.Key = affinity.Key(string(key))
+		}
 		e.Due, e.Hint, e.Slots = d.integer(), d.integer(), d.number()
 		d.part() // memory
 		flags := d.integer()
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"topazfall"
+	"topazfall/internal/decide/affinity"
 )
 
 const settings = `{"me": 2, "replicas_of_me": 5, "my_zone": "z", "areas": ["z"], "skus": ["fast", "std"], "new_key": [1],
@@ -53,7 +54,7 @@
 func TestEvents(t *testing.T) {
 	list := "LIST 0 2\nWORKER w1 z fast 4 ready 1.5 -\nWORKER w2 z std 4 gone 1 77\n"
 	for line, want := range map[string]topazfall.Event{
-		"CALL 17 book t 99 8000 120 2 - 3": {Kind: topazfall.Arrival, Request: 17, Class: 1, Tenant: 0, Due: 8000, Hint: 120,
+		"CALL 17 book t 99 8000 120 2 - 3": {Kind: topazfall.Arrival, Request: 17, Class: 1, Tenant: 0, Due: 8000, Hint: 120, Key: affinity.Key("99"),
 			Slots: 2, Retry: true, Load: topazfall.NoLoad},
 		"CALL 17 plan 0 - 8000 120 - - 0": {Kind: topazfall.Arrival, Request: 17, Tenant: -1, Due: 8000, Load: topazfall.NoLoad},
 		"BELL 12":                         {Kind: topazfall.TimerDue, Token: 12, Tenant: -1, Load: topazfall.NoLoad},
--- a/state.go
+++ b/state.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 
+	"topazfall/internal/decide/affinity"
 	"topazfall/internal/decide/hearsay"
 	"topazfall/internal/decide/share"
 )
@@ -37,14 +38,20 @@
 	meanHeld float64 // jobs waiting at a buddy, by its last reports; below 0: free slots
 	commonAt int64
 	shares   share.Shares
+	runs     map[string]*runs // by class
 }
 
+// runs is how long the jobs of a class run.
+type runs struct{ n, mean float64 }
+
 type request struct {
 	id       uint64
 	class    *Class
-	due, aim int64 // aim: when the full worth ends
-	hint     float64
-	work     float64 // the hint, or the mean job where there is none
+	due, aim int64   // aim: when the full worth ends
+	hint     float64 // of its work: the client's, or what jobs of its class take
+	work     float64
+	key      uint64
+	homes    []*worker // who should hold what its key needs
 	tries    []*attempt
 	out      int // attempts without an outcome
 	closed   bool
@@ -233,6 +240,69 @@
 	return b.s.OverShare
 }
 
+// hint is what is known of the work of a job: what its client says, else the mean of its class, or of all until that shows.
+func (b *Balancer) hint(c *Class, told int64) float64 {
+	if told > 0 {
+		return float64(min(told, 1e12))
+	}
+	if k := b.runs[c.Name]; k != nil {
+		return k.mean
+	}
+	return b.jobTime
+}
+
+// ran counts how long a job has run.
+func (b *Balancer) ran(r *request, run float64) {
+	b.jobTime += (run - b.jobTime) / 32
+	k := b.runs[r.class.Name]
+	if k == nil {
+		if b.runs == nil {
+			b.runs = map[string]*runs{}
+		}
+		k = &runs{}
+		b.runs[r.class.Name] = k
+	}
+	k.n = min(k.n+1, 32)
+	k.mean += (run - k.mean) / k.n
+}
+
+// homes lists the workers that should hold what the jobs of a key need, as many as dispatchers share a worker: there are some
+// more keys than workers, and one that is asked for often needs more than one.
+func (b *Balancer) homes(key uint64) (ws []*worker) {
+	if key == 0 {
+		return nil
+	}
+	var places [cover]int
+	for _, i := range affinity.Homes(key, len(b.ranked), cover, func(i int) (uint32, bool) {
+		w := b.ranked[i]
+		return w.name, w.State == Ready && b.now >= w.downUntil
+	}, places[:0]) {
+		ws = append(ws, b.ranked[i])
+	}
+	return ws
+}
+
+// near lists the workers that a request is sent to if any of them may take it: the buddies, and the homes of its key.
+func (b *Balancer) near(r *request) []*worker {
+	r.homes = b.homes(r.key)
+	ws := b.buddies
+	for _, w := range r.homes {
+		if !slices.Contains(b.buddies, w) {
+			ws = append(ws[:len(ws):len(ws)], w)
+		}
+	}
+	return ws
+}
+
+// setup is the time that a worker would have to spend on fetching what the request's key needs: a job's, where it is not one
+// that should hold it.
+func (b *Balancer) setup(r *request, w *worker) float64 {
+	if r.key == 0 || slices.Contains(r.homes, w) {
+		return 0
+	}
+	return b.jobTime
+}
+
 // Avoided is how many of the listed workers get nothing new at that time.
 func (b *Balancer) Avoided(now int64) (n int) {
 	for _, w := range b.ranked {
--- a/topazfall.go
+++ b/topazfall.go
@@ -170,7 +170,7 @@
 
 // The events, with the fields of Event that each one uses.
 const (
-	Arrival     EventKind = iota // Request, Class, Tenant, Due, Hint, Slots, Retry
+	Arrival     EventKind = iota // Request, Class, Tenant, Due, Hint, Key, Slots, Retry
 	AttemptDone                  // Request, Attempt, Worker, Outcome, Took, Final, Load
 	JobStarted                   // Request, Attempt, Worker
 	JobProgress                  // Request, Attempt, Worker, Amount
@@ -195,10 +195,11 @@
 	Request uint64
 	Attempt int
 	Worker  string
-	Class   int   // index into Settings.Classes
-	Tenant  int   // index into Settings.Tenants, or -1
-	Due     int64 // clock time at which the client gives up
-	Hint    int64 // expected work on a standard core; 0 if not known
+	Class   int    // index into Settings.Classes
+	Tenant  int    // index into Settings.Tenants, or -1
+	Due     int64  // clock time at which the client gives up
+	Hint    int64  // expected work on a standard core; 0 if not known
+	Key     uint64 // what the job needs at a worker, which keeps some; 0 for nothing of the kind
 	Slots   float64
 	Retry   bool // the client has tried before
 	Outcome Outcome
