Call a silent agent anew beside the call that waits, several times within a drain's grace

At fault in inventory.go: limit gave every fourth call 2.5 s, and the watch that was open when the silence began as much: an agent that answers new calls alone was heard up to 2.5 s after its return. pause and limit summed to the whole grace. lead put the first call of a process off by half of the grace, and that call could wait a second for news though the agent's word counts from the first moment. take accepted a whole list older than the one held. terms stayed those of the start.

Now, where lists come unasked, the open call stays open for an agent that is only slow, and another is made beside it each quarter of the grace, one at a time. The first call comes at once and does not wait. An old whole list is passed over and asked for once more; who answers that with an older one too has begun anew. Other settings bring other terms. Where discovery must be asked nothing changes.

--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	jsoniter "github.com/json-iterator/go"
@@ -29,7 +30,7 @@
 	growth  = 4                       // by which a back-off may grow
 	few     = 4                       // so many dispatchers may call as if each were alone
 	silence = 6 * time.Second         // after which what a silent discovery has to tell counts as told
-	patient = 4                       // of so many calls in a row to an agent that does not answer at once, one is given time
+	beats   = 4                       // calls within the grace of a drain, to an agent that does not answer
 )
 
 // Lister is told of the list; for ListBroken there are no entries.
@@ -45,8 +46,9 @@
 	known  bool // there is a list that changes can be applied to
 	kick   chan bool
 	moves  chan string
-	share  time.Duration // by which the back-off is longer than a lone dispatcher's
-	terms  Terms
+	terms  atomic.Pointer[Terms]
+	heard  *agent // whose list this is; nil for one that was known before
+	behind bool   // the last whole list was older than the one held
 	target string // of the last move; the mover's
 	tried  chan struct{}
 
@@ -75,12 +77,20 @@
 		time.Duration(s.Contract.AskEvery) * time.Microsecond}
 }
 
+// share is by how much the back-off is longer than a lone dispatcher's.
+func (t Terms) share() time.Duration { return time.Duration(max(t.Dispatchers/few, 1)) }
+
 // New returns a watch that tells core of the list, under these terms.
 func New(addr string, core Lister, terms Terms) *Watch {
-	return &Watch{core: core, share: time.Duration(max(terms.Dispatchers/few, 1)), terms: terms, client: newAgent(addr),
-		kick: make(chan bool, 1), moves: make(chan string, 1), target: addr, tried: make(chan struct{})}
+	w := &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1), target: addr,
+		tried: make(chan struct{})}
+	w.Renew(terms)
+	return w
 }
 
+// Renew makes other terms hold from the next call on.
+func (w *Watch) Renew(terms Terms) { w.terms.Store(&terms) }
+
 // Follow asks for changes from now on, which the watch brings anyway. It ends no back-off: many dispatchers that
 // are unheard for the same cause would only feed it.
 func (w *Watch) Follow() {}
@@ -165,49 +175,38 @@
 
 // pause is how long to wait after so many failures in a row, the last of them for want of any answer if silent is set.
 //
-// Where lists come unasked, the agent on the own machine answers at once and at no cost, and what it has counts as told:
-// the pause and the next call together stay under the grace of a drain. Where discovery is asked, what one dispatcher tries
-// again at once is a storm from many: they fail together, and a service that is short of room gets nothing done for calls
-// that nobody waits for any more. So the pauses grow, from one that is longer for many, and chance spreads them. But a
-// silent discovery is not short of room, and what it has to tell counts as told soon.
-func (w *Watch) pause(failures int, silent bool) time.Duration {
+// Where lists come unasked, the agent on the own machine answers at once and at no cost, and what it has counts as told.
+// Where discovery is asked, what one dispatcher tries again at once is a storm from many: they fail together, and a service
+// that is short of room gets nothing done for calls that nobody waits for any more. So the pauses grow, from one that is
+// longer for many, and chance spreads them. But a silent discovery is not short of room, and what it has to tell counts as
+// told soon.
+func (t Terms) pause(failures int, silent bool) time.Duration {
 	p := backOff * time.Duration(min(1<<min(failures-1, 8), growth))
 	switch {
-	case !w.terms.Asked:
-		p = min(p, w.terms.unread())
+	case !t.Asked:
+		p = min(p, t.beat())
 	case silent: // one call has waited in vain, the next may take its time as well
-		p = min(p*w.share, silence-2*(wait+grace))
+		p = min(p*t.share(), silence-2*(wait+grace))
 	default:
-		p *= w.share
+		p *= t.share()
 	}
 	return p/2 + rand.N(p/2+1)
 }
 
-// limit is how long a call may take that asks for what there is now, after so many failures in a row.
-func (w *Watch) limit(failures int) time.Duration {
-	if !w.terms.Asked && failures%patient != 0 {
-		return w.terms.unread()
-	}
-	return wait + grace
-}
-
-// unread is how long what discovery has may stay unread, by the contract. Where it comes unasked it counts as told from
-// then on, and the grace of a host that drains may be running already; where it must be asked for, only if that is not
-// done for a longer time.
-func (t Terms) unread() time.Duration {
-	if t.Asked {
-		return max(t.Grace, t.AskEvery) / 2
-	}
-	return t.Grace / 2
-}
+// beat is how often an agent that does not answer is called anew, beside the call that waits for it: it may return at any
+// moment, the call that was open before may stay silent, and the grace of a host that drains runs from its return. Most
+// of that is left for the answer, and for what is under way here.
+func (t Terms) beat() time.Duration { return max(t.Grace/beats, 10*time.Millisecond) }
 
 // lead is how long to wait with the first call. Where a list is known it will do for a moment, and all may be starting
-// together: a discovery that is asked serves some calls a second, and those that wait too long for their turn fail.
+// together: a discovery that is asked serves some calls a second, and those that wait too long for their turn fail. There,
+// what it has counts as told only if it is not asked for a longer time; an agent's word counts from the first moment on.
 func (w *Watch) lead() time.Duration {
-	if !w.known || w.share <= 1 {
+	t := w.terms.Load()
+	if !w.known || !t.Asked || t.share() <= 1 {
 		return 0
 	}
-	return rand.N(min(backOff*w.share*growth/2, w.terms.unread()) + 1)
+	return rand.N(min(backOff*t.share()*growth/2, max(t.Grace, t.AskEvery)/2) + 1)
 }
 
 // Run watches until the program ends.
@@ -220,7 +219,7 @@
 		}
 	}
 	for first := true; ; first = false {
-		err := w.call(failures)
+		err := w.call(first || failures > 0)
 		if first {
 			close(w.tried)
 		}
@@ -245,7 +244,7 @@
 			w.known = w.known && !whole
 		case addr := <-w.moves:
 			w.move(addr)
-		case <-time.After(w.pause(failures, errors.Is(err, fasthttp.ErrTimeout))):
+		case <-time.After(w.terms.Load().pause(failures, errors.Is(err, fasthttp.ErrTimeout))):
 		}
 	}
 }
@@ -260,30 +259,51 @@
 	w.client, w.known = newAgent(addr), false
 }
 
-// call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for. After failures
-// the watch is opened anew by a call that does not wait for news: whether it is answered shows at once.
-func (w *Watch) call(failures int) error {
+// call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for. At the start and
+// after failures the watch is opened by a call that does not wait for news: whether it is answered shows at once.
+//
+// Where lists come unasked a call whose answer is late stays open, for an agent that is only slow, and others are made beside
+// it, one at a time. The first that brings a list counts.
+func (w *Watch) call(anew bool) error {
 	select {
 	case whole := <-w.kick:
 		w.known = w.known && !whole
 	default:
 	}
-	path, limit := "/v1/endpoints", grace
+	terms, client := w.terms.Load(), w.client
+	path, pause, limit := "/v1/endpoints", time.Duration(0), grace
+	beside := path
 	if w.known {
-		pause := wait
-		if limit += wait; failures > 0 {
-			pause, limit = 0, w.limit(failures)
+		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms="
+		beside = path + "0"
+		if limit += wait; !anew {
+			pause = wait
 		}
-		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms=" + strconv.FormatInt(pause.Milliseconds(), 10)
+		path += strconv.FormatInt(pause.Milliseconds(), 10)
 	}
-	answer := make(chan answer, 1) // what comes after a move is dropped with it
-	go func(a *agent) { answer <- a.get(path, limit) }(w.client)
-	select {
-	case addr := <-w.moves:
-		w.move(addr)
-		return errMoved
-	case a := <-answer:
-		return w.take(a)
+	answers, second := make(chan answer, 1), make(chan answer, 1) // what comes after a move is dropped with them
+	go func() { answers <- client.get(path, limit) }()
+	late, asking := (<-chan time.Time)(nil), false
+	if !terms.Asked {
+		late = time.After(pause + terms.beat())
+	}
+	for {
+		select {
+		case addr := <-w.moves:
+			w.move(addr)
+			return errMoved
+		case a := <-answers:
+			return w.take(a)
+		case a := <-second:
+			if asking = false; a.err == nil || errors.As(a.err, &unreadable{}) {
+				return w.take(a)
+			}
+		case <-late:
+			if late = time.After(terms.beat()); !asking {
+				asking = true
+				go func() { second <- client.get(beside, terms.beat()) }()
+			}
+		}
 	}
 }
 
@@ -296,6 +316,11 @@
 	switch {
 	case err != nil:
 		return err
+	case l.whole && w.heard == w.client && l.seq < w.seq && !w.behind:
+		// An old list may bring hosts back that drain. One that is asked for after it and is older as well comes from a service
+		// that has begun anew.
+		w.known, w.behind = false, true
+		return fmt.Errorf("a list of %d after one of %d", l.seq, w.seq)
 	case l.whole:
 		w.tell(topazfall.ListWhole, l)
 	case !w.known || l.seq < w.seq: // changes to a list that is not ours
@@ -304,6 +329,7 @@
 	default:
 		w.tell(topazfall.ListPatch, l)
 	}
+	w.heard, w.behind = w.client, false
 	if len(l.entries) > 0 {
 		slog.Info("inventory", "seq", l.seq, "whole", l.whole, "entries", len(l.entries))
 	}
@@ -314,34 +340,52 @@
 type agent struct {
 	fasthttp.HostClient
 	mu     sync.Mutex
-	conn   net.Conn // the latest
+	conns  map[*conn]bool // that are open
 	closed bool
 }
 
+// conn is a connection to discovery.
+type conn struct {
+	net.Conn
+	of *agent
+}
+
 func newAgent(addr string) *agent {
 	a := &agent{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 8, NoDefaultUserAgentHeader: true,
-		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20}}
-	a.Dial = func(addr string) (net.Conn, error) {
-		c, err := fasthttp.DialTimeout(addr, grace)
+		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20}, conns: map[*conn]bool{}}
+	a.DialTimeout = func(addr string, limit time.Duration) (net.Conn, error) {
+		nc, err := fasthttp.DialTimeout(addr, min(limit, grace))
 		if err != nil {
 			return nil, err
 		}
+		c := &conn{nc, a}
 		a.mu.Lock()
 		defer a.mu.Unlock()
-		if a.conn = c; a.closed {
-			c.Close()
+		if a.closed {
+			nc.Close()
+		} else {
+			a.conns[c] = true
 		}
 		return c, nil
 	}
 	return a
 }
 
-// close ends the call under way and the connection.
+// Close closes the connection; it may be called more than once.
+func (c *conn) Close() error {
+	c.of.mu.Lock()
+	delete(c.of.conns, c)
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// close ends the calls under way and the connections.
 func (a *agent) close() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed = true; a.conn != nil {
-		a.conn.Close()
+	a.closed = true
+	for c := range a.conns {
+		c.Conn.Close()
 	}
 }
 
