Hear news of the list before all else, and close no host that a whole list names again

By reading: Core.List waited in line with up to 1,024 other things; a whole list closed all hosts and opened those it names one by one, while relays ask from other goroutines whether they may begin (dispatch.go, List; exchange.go, Relay.Start), so that some were superseded for nothing; and a new process served clients by the list in its file before the agent, whose word counts from its first moment, had been asked.

Ruled out: Relay.Host after an address change or a removal. The old object stays closed, and a return makes a new one (read, and TestDialOutlastsDrainNotice).

Now news has its own queue, which is emptied first; only hosts that are not named any more are closed; and where lists come unasked a start waits for the first answer, a quarter of the grace at most. Tests: one holds the dispatch goroutine while messages and a drain come, the other polls during a list of 20,000 hosts.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -53,6 +53,7 @@
 	south     South
 	inventory Inventory
 	peers     Peers // nil where there are none
+	news      chan func() // of the inventory: a host that drains gets nothing new that is decided after it was heard
 	ops       chan func()
 	inHand    atomic.Int64
 	figures   *figures.Figures
@@ -79,7 +80,7 @@
 	for _, k := range s.Classes {
 		f.AddClasses(k.Name)
 	}
-	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, ops: make(chan func(), 1024), figures: f, byID: map[string]*exchange.Exchange{},
+	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, ops: make(chan func(), 1024), news: make(chan func(), 16), figures: f, byID: map[string]*exchange.Exchange{},
 		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{},
 		claims: addresses.NewClaims()}, nil
 }
@@ -101,9 +102,13 @@
 	for {
 		alarm.set(c.timers.next(), c.Now())
 		select {
+		case op := <-c.news:
+			op()
 		case op := <-c.ops:
+			c.hearNews()
 			op()
 		case <-alarm.C:
+			c.hearNews()
 		}
 		for now := c.Now(); c.timers.next() <= now; {
 			heap.Pop(&c.timers).(timer).ring()
@@ -113,6 +118,19 @@
 	}
 }
 
+// hearNews takes what the inventory has told before anything else is dealt with.
+func (c *Core) hearNews() {
+	for {
+		select {
+		case op := <-c.news:
+			op()
+			c.settle()
+		default:
+			return
+		}
+	}
+}
+
 // lookTime is how often the module is asked whom it avoids, which changes with time as well, and what it has dropped.
 const lookTime = 200_000
 
@@ -230,15 +248,17 @@
 
 // List takes news of the inventory; for ListBroken there are no entries.
 func (c *Core) List(kind topazfall.EventKind, entries []Entry) {
-	c.ops <- func() {
+	c.news <- func() {
 		if kind == topazfall.ListWhole || kind == topazfall.ListStale {
 			old := c.hosts
 			c.hosts = map[string]*exchange.Host{}
 			for _, e := range entries {
 				c.hosts[e.ID] = old[e.ID]
 			}
-			for _, h := range old {
-				h.SetClosed(true) // those still listed are opened again below
+			for id, h := range old {
+				if _, listed := c.hosts[id]; !listed { // the others' state is below: a relay may begin at any moment
+					h.SetClosed(true)
+				}
 			}
 			for _, id := range c.claims.Hosts() {
 				if _, listed := c.hosts[id]; !listed {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -204,3 +204,47 @@
 	require.False(t, c.known["1"])
 	require.Empty(t, s.sent)
 }
+
+// A whole list that names a host again never closes it, not even for a moment: a relay may be about to begin.
+func TestWholeListKeepsHostsOpen(t *testing.T) {
+	c, s := start(t)
+	var entries []Entry
+	for i := range 20_000 { // a long one: what is done in two steps lies apart
+		entries = append(entries, entry("h"+strconv.Itoa(i), topazfall.Ready))
+	}
+	c.List(topazfall.ListWhole, entries)
+	c.Arrive(message(c, "1", time.Minute))
+	host := (<-s.sent).Host
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.List(topazfall.ListWhole, entries)
+		c.Sync()
+	}()
+	for listed := false; !listed; {
+		select {
+		case <-done:
+			listed = true
+		default:
+		}
+		r := exchange.New(exchange.Message{ID: "2"}).Relay(host, 1, 10)
+		require.True(t, r.Start(5), "a host that is listed was closed")
+	}
+}
+
+// News of the inventory goes before all that waits to be dealt with: what is decided after a drain was heard does not go
+// there, however much came before it.
+func TestNewsGoesFirst(t *testing.T) {
+	c, s := start(t, "h", "i")
+	begun, gate := make(chan struct{}), make(chan struct{})
+	c.ops <- func() { close(begun); <-gate }
+	<-begun
+	for i := range 8 {
+		c.Arrive(message(c, strconv.Itoa(i), time.Minute))
+	}
+	c.List(topazfall.ListPatch, []Entry{entry("h", topazfall.Draining)})
+	close(gate)
+	for range 8 {
+		require.Equal(t, "i", (<-s.sent).Host.ID)
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -126,10 +126,16 @@
 	if old == nil {
 		go serve()
 	}
-	if known == 0 {
+	// An empty list, or a silent discovery, is no reason to stay away for ever. But where lists come unasked, what the agent
+	// has counts as told already.
+	patience := firstNews
+	if known > 0 {
+		patience = time.Duration(c.Settings.Contract.DrainGrace) * time.Microsecond / 4
+	}
+	if known == 0 || !c.Settings.AskForList {
 		select {
 		case <-list.Tried():
-		case <-time.After(firstNews): // an empty list is no reason to stay away for ever
+		case <-time.After(patience):
 		}
 	}
 	core.Sync()
@@ -178,6 +184,7 @@
 		now = &c
 		s.clients.Renew(&c.Settings, s.core.Renew(c.Settings)) // the core first: no class may come that it does not know
 		s.hosts.SetTimes(times(now))
+		s.list.Renew(inventory.TermsOf(&c.Settings))
 		s.list.Move(c.Discovery)
 		counts.HangupsTaken.Add(1)
 		slog.Info("reload", "state", "taken", "discovery", c.Discovery, "classes", len(c.Settings.Classes))
