Keep tenants by name across new settings and a hand-over, and the longest wait of all settings

A class that has become one that must not run twice between a message's reading and its arrival went on a kept connection (exchange.Message.Once). succession.leave took the longest deadline from the settings of the start.

Now tenants keep their numbers as classes do (AppendTenants), a message that is handed over names its tenant, Once follows the settings that the module goes by, and the longest wait is that of all settings that held. Where AppendTenants takes the new order the new test fails; the one of the longest wait has nothing to run against before.

Ruled out: SIGHUP before readiness and twice at once (the channel keeps one, the file is read after the last), during the leaving (the goroutine goes on), with a file half written (refused as a whole, kept).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -50,9 +50,10 @@
 	balancer  *topazfall.Balancer
 	settings  topazfall.Settings
 	classes   []topazfall.Class // by index, those that are gone as well
+	tenants   []topazfall.Tenant
 	south     South
 	inventory Inventory
-	peers     Peers // nil where there are none
+	peers     Peers       // nil where there are none
 	news      chan func() // of the inventory: a host that drains gets nothing new that is decided after it was heard
 	ops       chan func()
 	inHand    atomic.Int64
@@ -80,7 +81,7 @@
 	for _, k := range s.Classes {
 		f.AddClasses(k.Name)
 	}
-	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, ops: make(chan func(), 1024), news: make(chan func(), 16), figures: f, byID: map[string]*exchange.Exchange{},
+	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, tenants: s.Tenants, ops: make(chan func(), 1024), news: make(chan func(), 16), figures: f, byID: map[string]*exchange.Exchange{},
 		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{},
 		claims: addresses.NewClaims()}, nil
 }
@@ -159,6 +160,7 @@
 		}
 		c.remember(x.ID)
 		x.Number = c.number
+		x.Once = x.Once || c.classes[x.Class].Repeat == topazfall.Unsafe // by the settings of now, as the module goes
 		c.byID[x.ID], c.byNum[x.Number] = x, x
 		c.feed(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
 			Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry})
@@ -342,17 +344,31 @@
 	c.ops <- func() { c.balancer.Inherit(c.Now(), l.Memory) }
 }
 
-// Renew goes on with other settings. It returns the index of each of their classes, by name.
-func (c *Core) Renew(s topazfall.Settings) map[string]int {
-	done := make(chan map[string]int)
+// Indices say by which number classes and tenants go here, by name. A name keeps its number for as long as the process
+// runs: what is read by the settings before, and what is in hand, is still of the same class and tenant.
+type Indices struct{ Classes, Tenants map[string]int }
+
+// IndicesOf numbers the classes and tenants of a first settings.
+func IndicesOf(s *topazfall.Settings) Indices { return number(s.Classes, s.Tenants) }
+
+func number(classes []topazfall.Class, tenants []topazfall.Tenant) Indices {
+	n := Indices{map[string]int{}, map[string]int{}}
+	for i, k := range classes {
+		n.Classes[k.Name] = i
+	}
+	for i, t := range tenants {
+		n.Tenants[t.Name] = i
+	}
+	return n
+}
+
+// Renew goes on with other settings.
+func (c *Core) Renew(s topazfall.Settings) Indices {
+	done := make(chan Indices)
 	c.ops <- func() {
-		c.settings = s
+		c.settings, c.tenants = s, topazfall.AppendTenants(c.tenants, s.Tenants)
 		c.addClasses(s.Classes)
-		indices := map[string]int{}
-		for i, k := range c.classes {
-			indices[k.Name] = i
-		}
-		done <- indices
+		done <- number(c.classes, c.tenants)
 	}
 	return <-done
 }
@@ -364,7 +380,7 @@
 		c.figures.AddClasses(k.Name)
 	}
 	s := c.settings
-	s.Classes = c.classes
+	s.Classes, s.Tenants = c.classes, c.tenants
 	c.feed(topazfall.Event{Kind: topazfall.NewSettings, Settings: &s})
 }
 
@@ -372,6 +388,7 @@
 type Begun struct {
 	exchange.Message
 	ClassIs topazfall.Class // it may be gone from the settings
+	Of      string          // the tenant's name, if it has one
 	Relays  []BegunRelay
 	Tries   []topazfall.Try
 }
@@ -398,6 +415,9 @@
 		return false
 	}
 	b := Begun{Message: x.Message, ClassIs: c.classes[x.Class], Tries: c.balancer.Tries(x.Number)}
+	if x.Tenant >= 0 {
+		b.Of = c.tenants[x.Tenant].Name
+	}
 	for _, r := range x.Relays {
 		if !r.Done && !r.Accepted() {
 			return false
@@ -446,6 +466,9 @@
 			c.addClasses([]topazfall.Class{b.ClassIs})
 		}
 		x.Class = slices.IndexFunc(c.classes, named)
+		if x.Tenant >= 0 { // its number was the other process's
+			x.Tenant = slices.IndexFunc(c.tenants, func(t topazfall.Tenant) bool { return t.Name == b.Of })
+		}
 		if c.byID[x.ID] != nil {
 			slog.Warn("moved", "id", x.ID, "error", "in hand already")
 			c.finish(x, exchange.Answer{Verdict: exchange.Failed})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -31,9 +31,17 @@
 }
 
 func start(t *testing.T, hosts ...string) (*Core, side) {
-	c, err := New(topazfall.Settings{Dispatchers: 1, Zone: "z", Zones: []string{"z"}, Tick: 4000,
+	return startWith(t, nil, hosts...)
+}
+
+func settings(tenants []topazfall.Tenant) topazfall.Settings {
+	return topazfall.Settings{Tenants: tenants, Dispatchers: 1, Zone: "z", Zones: []string{"z"}, Tick: 4000,
 		Classes: []topazfall.Class{{Name: "once", Deadline: 60e6, Aim: 60e6, Repeat: topazfall.Unsafe}},
-		Allowed: topazfall.Allowed{Attempts: 4, DialTimeout: 250e3, Cancel: true}}, &figures.Figures{})
+		Allowed: topazfall.Allowed{Attempts: 4, DialTimeout: 250e3, Cancel: true}}
+}
+
+func startWith(t *testing.T, tenants []topazfall.Tenant, hosts ...string) (*Core, side) {
+	c, err := New(settings(tenants), &figures.Figures{})
 	require.NoError(t, err)
 	s := side{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}
 	go c.Run(s, s)
@@ -248,3 +256,36 @@
 		require.Equal(t, "i", (<-s.sent).Host.ID)
 	}
 }
+
+// tenants are named by single letters, with the letter as their quota.
+func tenants(names string) (ts []topazfall.Tenant) {
+	for _, n := range names {
+		ts = append(ts, topazfall.Tenant{Name: string(n), Quota: float64(n)})
+	}
+	return ts
+}
+
+// A message that was read by the settings before comes after the new ones hold: it is counted for its own tenant, whatever
+// order they have now, also one that has gone or whose process has another order.
+func TestTenantsKeepTheirNumbers(t *testing.T) {
+	c, s := startWith(t, tenants("abc"), "h")
+	first := IndicesOf(&c.settings)
+	now := c.Renew(settings(tenants("dca")))
+	require.Equal(t, map[string]int{"a": 0, "b": 1, "c": 2}, first.Tenants)
+	require.Equal(t, map[string]int{"a": 0, "b": 1, "c": 2, "d": 3}, now.Tenants)
+	require.Equal(t, []topazfall.Tenant{{Name: "a", Quota: 'a'}, {Name: "b"}, {Name: "c", Quota: 'c'}, {Name: "d", Quota: 'd'}}, c.tenants)
+	for name, number := range now.Tenants {
+		x := message(c, name, time.Minute)
+		x.Tenant = number
+		c.Arrive(x)
+		r := <-s.sent
+		require.True(t, r.Start(c.Now()))
+		r.Accept()
+		var begun Begun
+		require.True(t, c.HandOver(x, func(b Begun) error { begun = b; return nil }))
+		to, _ := startWith(t, tenants("xcda"), "h")
+		y := to.Resume(begun)
+		to.Sync()
+		require.Equal(t, map[string]int{"a": 3, "b": -1, "c": 1, "d": 2}[name], y.Tenant)
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -90,6 +90,7 @@
 	}
 	list := inventory.New(c.Discovery, news, inventory.TermsOf(&c.Settings))
 	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
+	place.holds(&c.Settings)
 	clients.Others(place.tell)
 	if c.PeerListen != "" && c.Settings.Allowed.PeerMessages {
 		others, err := peers.New(peers.Addresses{Listen: c.PeerListen, Peers: c.Peers, All: c.PeersAll}, core)
@@ -182,6 +183,7 @@
 			continue
 		}
 		now = &c
+		s.holds(&c.Settings)
 		s.clients.Renew(&c.Settings, s.core.Renew(c.Settings)) // the core first: no class may come that it does not know
 		s.hosts.SetTimes(times(now))
 		s.list.Renew(inventory.TermsOf(&c.Settings))
--- a/internal/instance/replace.go
+++ b/internal/instance/replace.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"topazfall"
 	"topazfall/internal/config"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/inventory"
@@ -156,6 +157,7 @@
 	takes   bool // the young one accepts
 	leaving bool
 	waiting *net.UnixListener
+	longest time.Duration // a client's wait, by any settings that held
 	told    chan struct{} // closed when the old one has first said what it holds, or has gone
 }
 
@@ -386,6 +388,22 @@
 	return true
 }
 
+// holds notes that settings hold: clients may wait as long as their classes' deadlines, at least as long as the kill does.
+func (s *succession) holds(now *topazfall.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.longest = max(s.longest, 3*time.Second)
+	for _, c := range now.Classes {
+		s.longest = max(s.longest, time.Duration(c.Deadline)*time.Microsecond)
+	}
+}
+
+func (s *succession) longestWait() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.longest
+}
+
 // linked tells whether the process before this one is still there, and whether the one after it accepts.
 func (s *succession) linked() (old, young bool) {
 	s.mu.Lock()
@@ -403,10 +421,7 @@
 	if !passing { // an answer between the two would end its connection, which the young one could go on with
 		s.clients.Leave()
 	}
-	began, longest := time.Now(), 3*time.Second
-	for _, c := range s.c.Settings.Classes {
-		longest = max(longest, time.Duration(c.Deadline)*time.Microsecond)
-	}
+	began := time.Now()
 	for {
 		old, young := s.linked()
 		since := time.Since(began)
@@ -428,7 +443,7 @@
 		if passing && done && passed || !passing && shut && done && since > lateComes+settle {
 			return
 		}
-		if passing && since > longest+lastCall {
+		if passing && since > s.longestWait()+lastCall {
 			return
 		}
 		time.Sleep(5 * time.Millisecond)
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -71,14 +71,14 @@
 	tenants map[string]int
 }
 
-// Renew makes the settings hold for messages that come from now on; classes has the index of each class.
-func (n *Side) Renew(s *topazfall.Settings, classes map[string]int) {
+// Renew makes the settings hold for messages that come from now on; are has the number of each class and tenant.
+func (n *Side) Renew(s *topazfall.Settings, are dispatch.Indices) {
 	t := &tables{classes: map[string]int{}, once: map[string]bool{}, tenants: map[string]int{}}
 	for _, c := range s.Classes {
-		t.classes[c.Name], t.once[c.Name] = classes[c.Name], c.Repeat == topazfall.Unsafe
+		t.classes[c.Name], t.once[c.Name] = are.Classes[c.Name], c.Repeat == topazfall.Unsafe
 	}
-	for i, r := range s.Tenants {
-		t.tenants[r.Name] = i
+	for _, r := range s.Tenants {
+		t.tenants[r.Name] = are.Tenants[r.Name]
 	}
 	n.tables.Store(t)
 }
@@ -87,11 +87,7 @@
 func New(ln net.Listener, core *dispatch.Core, back CallBacks, s *topazfall.Settings, o Options) *Side {
 	n := &Side{core: core, back: back, o: o, ln: listen(ln, o.Conns, o.Large)}
 	n.most.Store(int64(o.Messages))
-	indices := map[string]int{}
-	for i, c := range s.Classes {
-		indices[c.Name] = i
-	}
-	n.Renew(s, indices)
+	n.Renew(s, dispatch.IndicesOf(s))
 	n.server = &fasthttp.Server{
 		Handler: n.handle, ErrorHandler: malformed, Logger: logger{},
 		// The listener bounds the connections; one that it drops may take a moment to end.
--- a/topazfall.go
+++ b/topazfall.go
@@ -185,7 +185,7 @@
 	PeerMessage                  // From, Data
 	HandedOver                   // Request: another process goes on with it
 	Resumed                      // as Arrival, and Tries: a request that another process has begun
-	NewSettings                  // Settings: they passed Check, and their Classes begin with those from before
+	NewSettings                  // Settings: they passed Check, and their Classes and Tenants begin with those from before
 	Replaced                     // Amount: 1 from when another process takes the new jobs, 0 if it does no more
 )
 
@@ -270,6 +270,21 @@
 	return all
 }
 
+// AppendTenants does the same for tenants. Those that are gone have no bound: what they still have in hand is theirs.
+func AppendTenants(old, now []Tenant) (all []Tenant) {
+	for _, t := range old {
+		all = append(all, Tenant{Name: t.Name})
+	}
+	for _, t := range now {
+		if i := slices.IndexFunc(all, func(o Tenant) bool { return o.Name == t.Name }); i >= 0 {
+			all[i] = t
+		} else {
+			all = append(all, t)
+		}
+	}
+	return all
+}
+
 // Check names the first setting that cannot work, and its value.
 func (s *Settings) Check() error {
 	type field struct {
