Keep a host's second or endless answers from other messages and connections

- A host answers a message twice, and the next one is on its way on the same kept connection when the second answer comes: it was taken for the next one's.
A 503 with X-Not-Processed proved then that a job never ran which runs.
Messages that may not be repeated freely, and all where two attempts at a time are not permitted, now go on new connections (exchange.Own; before: only what must not run twice).
One that is there before the next leaves was seen before.
- CallOff closed the connection of a relay whose answer had been read already and whose connection was another's by then: talk gave it back before relay let go of it (south.go, early).
Now say lets go first, and CallOff closes under the lock.
- A 202 that never ends held its goroutine and connection for ever once the job was done by call-back: no read deadline.
- A kept connection's idle time is asked when it is taken, not only by the pool's cleaner: after a stall of the process the host may be closing it right then.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,13 +160,20 @@
 		}
 		c.remember(x.ID)
 		x.Number = c.number
-		x.Once = x.Once || c.classes[x.Class].Repeat == topazfall.Unsafe // by the settings of now, as the module goes
+		c.class(x)
 		c.byID[x.ID], c.byNum[x.Number] = x, x
 		c.feed(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
 			Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry})
 	}
 }
 
+// class marks a message by its class as the settings of now have it, by which the module goes as well.
+func (c *Core) class(x *exchange.Exchange) {
+	k := &c.classes[x.Class]
+	x.Once = x.Once || k.Repeat == topazfall.Unsafe
+	x.Own = k.Repeat != topazfall.Safe || !c.settings.Allowed.SecondCopies
+}
+
 // Gone tells that the client of a message has left.
 func (c *Core) Gone(x *exchange.Exchange) {
 	c.ops <- func() {
@@ -466,6 +473,7 @@
 			c.addClasses([]topazfall.Class{b.ClassIs})
 		}
 		x.Class = slices.IndexFunc(c.classes, named)
+		c.class(x)
 		if x.Tenant >= 0 { // its number was the other process's
 			x.Tenant = slices.IndexFunc(c.tenants, func(t topazfall.Tenant) bool { return t.Name == b.Of })
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -56,6 +56,7 @@
 type Exchange struct {
 	Message
 	Number uint64   // the decision module's name for it
+	Own    bool     // taking another message's answer for its own could have it run twice where that is not permitted
 	Relays []*Relay // in the order they were made; the dispatch goroutine's
 	over   atomic.Bool
 	answer chan Answer
--- a/internal/south/callback.go
+++ b/internal/south/callback.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"slices"
 	"strconv"
+	"time"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -21,7 +22,23 @@
 	if err != nil || !known { // a state that says nothing here says nothing anywhere
 		return err == nil, err
 	}
-	return s.core.Take(n), nil
+	taken = s.core.Take(n)
+	if n.State == dispatch.Over {
+		s.lastWords(n.ID, n.From)
+	}
+	return taken, nil
+}
+
+// lastWords bounds the time for what a host still has to say on the connection of a job that it has told the end of.
+// An answer may come after the call-back, and lets the connection be used again; or it never ends.
+func (s *Side) lastWords(id, host string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r, c := range s.early {
+		if r.Exchange.ID == id && r.Host.ID == host {
+			c.SetReadDeadline(time.Now().Add(probeTime))
+		}
+	}
 }
 
 // ends translates the states that end a job into the module's outcomes.
--- a/internal/south/line.go
+++ b/internal/south/line.go
@@ -17,6 +17,7 @@
 	used  bool  // something was sent on it before; its user's
 	born  int64 // when it came up, on the core's clock
 	took  int64 // how long that took, microseconds
+	idle  int64 // when the last answer on it had come; its user's, as used
 
 	// Of hosts with several addresses: the pool it belongs to, and what gives it back there, to be kept or closed.
 	client *fasthttp.HostClient
--- a/internal/south/route.go
+++ b/internal/south/route.go
@@ -213,7 +213,7 @@
 		if l.born >= began {
 			s.o.Figures.Opened.Add(1)
 		}
-		dead := stale(l)
+		dead := s.spent(l)
 		if !dead && !(fresh && l.used) {
 			if l.give == nil {
 				l.client, l.give = client, func(keep bool) {
@@ -278,7 +278,7 @@
 		out := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(out)
 		by := time.Now().Add(probeTime)
-		_, _, keep, err := s.say(client, l, false, out, by, by, bare("GET", "/status/load", rt.host))
+		_, _, keep, err := s.say(client, l, nil, out, by, by, bare("GET", "/status/load", rt.host))
 		if l.give(keep); err != nil {
 			why = addresses.WasReset
 		}
@@ -309,7 +309,7 @@
 			return false, err
 		}
 		began, moved, fresh := s.core.Now(), false, !l.used
-		n, whole, keep, err := s.say(l.client, l, m.relay, out, writeBy, readBy, func(c net.Conn) []byte {
+		n, whole, keep, err := s.say(l.client, l, r, out, writeBy, readBy, func(c net.Conn) []byte {
 			rt.mu.Lock()
 			defer rt.mu.Unlock()
 			if moved = !rt.set.Has(a); moved {
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -155,8 +155,9 @@
 	l = topazfall.NoLoad
 	out := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(out)
-	m := manner{once: r.Exchange.Once, fresh: s.fresh(r), relay: true, proves: !r.Exchange.Once}
-	written, err := s.talk(r.Host, m, r, out, s.core.At(r.Due), time.Time{}, func(c net.Conn) []byte {
+	m := manner{once: r.Exchange.Once, fresh: s.fresh(r), proves: !r.Exchange.Once}
+	// When it is due it is called off, if it has not ended before: what is still not read then is of no use to anybody.
+	written, err := s.talk(r.Host, m, r, out, s.core.At(r.Due), s.core.At(r.Due).Add(sideCall), func(c net.Conn) []byte {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !r.Start(s.core.Now()) {
@@ -165,9 +166,6 @@
 		s.early[r] = c // from here on a call-off closes the connection
 		return request(r, s.core.Now())
 	})
-	s.mu.Lock()
-	delete(s.early, r)
-	s.mu.Unlock()
 	switch {
 	case err == errNotSent:
 		return topazfall.Superseded, l, true
@@ -198,8 +196,9 @@
 
 // fresh tells whether a relay goes on a new connection. A kept one may be dead without a sign of it, and what
 // is written to it is lost as if it had run: a new one costs some milliseconds, a message that must not run
-// twice all of it. The others use kept ones as long as these live.
-func (s *Side) fresh(r *exchange.Relay) bool { return r.Exchange.Once || s.wary() }
+// twice all of it. And a host may answer the message before a second time, when this one is on its way already: taken for
+// its own, that would end a relay which still runs. The others use kept ones as long as these live.
+func (s *Side) fresh(r *exchange.Relay) bool { return r.Exchange.Own || s.wary() }
 
 func (s *Side) wary() bool { return s.core.Now()-s.burnt.Load() < burntTime.Microseconds() }
 
@@ -209,7 +208,6 @@
 type manner struct {
 	once   bool // it must not run twice
 	fresh  bool // on a new connection
-	relay  bool // it carries a message
 	proves bool // an answer shows that the address does not lose what is written to it
 }
 
@@ -222,7 +220,7 @@
 	}
 	client := s.client(h.Addr)
 	cc, err := client.AcquireConn(0, false)
-	for err == nil && (m.fresh && cc.Conn().(*line).used || stale(cc.Conn())) { // nothing was written to it
+	for err == nil && (m.fresh && cc.Conn().(*line).used || s.spent(cc.Conn().(*line))) { // nothing was written to it
 		client.CloseConn(cc)
 		cc, err = client.AcquireConn(0, false)
 	}
@@ -230,7 +228,7 @@
 		return false, err
 	}
 	c := cc.Conn().(*line)
-	_, written, keep, err := s.say(client, c, m.relay, out, writeBy, readBy, compose)
+	_, written, keep, err := s.say(client, c, r, out, writeBy, readBy, compose)
 	if keep {
 		client.ReleaseConn(cc)
 	} else {
@@ -239,9 +237,9 @@
 	return written, err
 }
 
-// say makes a call on this connection. n is how many bytes were handed to it, written tells whether all were; keep,
+// say makes a call on this connection, for the relay r if that is not nil. n is how many bytes were handed to it, written tells whether all were; keep,
 // whether the connection may be used again.
-func (s *Side) say(client *fasthttp.HostClient, c *line, relay bool, out *fasthttp.Response, writeBy, readBy time.Time,
+func (s *Side) say(client *fasthttp.HostClient, c *line, r *exchange.Relay, out *fasthttp.Response, writeBy, readBy time.Time,
 	compose func(net.Conn) []byte) (n int, written, keep bool, err error) {
 	used := c.used
 	bytes := compose(c)
@@ -252,7 +250,7 @@
 	c.SetWriteDeadline(writeBy)
 	c.SetReadDeadline(readBy)
 	n, err = c.Write(bytes)
-	if relay && n == len(bytes) {
+	if r != nil && n == len(bytes) {
 		s.o.Figures.Forwards.Add(1)
 	}
 	in := client.AcquireReader(c)
@@ -260,15 +258,28 @@
 	if err == nil {
 		err = out.ReadLimitBody(in, largest)
 	}
+	if r != nil { // before the connection can be another's: a call-off must not close that
+		s.mu.Lock()
+		delete(s.early, r)
+		s.mu.Unlock()
+	}
 	if err != nil {
 		if used && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
 			s.burnt.Store(s.core.Now())
 		}
 		return n, n == len(bytes), false, err
 	}
+	c.idle = s.core.Now()
 	return n, true, !out.ConnectionClose() && in.Buffered() == 0, nil
 }
 
+// spent tells that a kept connection is of no use any more: it is stale, or has been idle for so long that the host may be
+// closing it right now. The pool's own cleaner sees to that in time, but for when the process stood still.
+func (s *Side) spent(l *line) bool {
+	idle := s.core.Now() - max(l.idle, l.born)
+	return idle > s.timesNow().ConnIdle.Microseconds()*2/3 || stale(l)
+}
+
 // hop names the fields that belong to the client's connection, or that are written anew.
 var hop = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
 	"transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true, "x-timeout-ms": true}
@@ -293,12 +304,11 @@
 // connection may do; if its 202 is on the way, only DELETE does.
 func (s *Side) CallOff(r *exchange.Relay) {
 	s.mu.Lock()
-	c := s.early[r]
 	wasStarted := r.End()
-	s.mu.Unlock()
-	if c != nil {
+	if c := s.early[r]; c != nil {
 		c.Close()
 	}
+	s.mu.Unlock()
 	if wasStarted {
 		s.side.Add(1)
 		go func() {
