--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -200,14 +200,25 @@
 		d.shut()
 	case f == Silent:
 		d.shut()
-		return d.fill()
+		return retaken(d.fill)
 	case was == Refuse || was == Silent:
 		d.shut()
-		return d.listen()
+		return retaken(d.listen)
 	}
 	return nil
 }
 
+// retaken listens at an address again that was given up for a moment. A connection of somebody else's may have its port by
+// now, for as long as that lasts.
+func retaken(listen func() error) (err error) {
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if err = listen(); !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return err
+}
+
 // fill makes the address one whose connections do not come up: a listener that accepts nothing, its queue full. A full
 // socket file refuses instead of waiting, so that it stays without a listener.
 func (d *door) fill() error {
