Force the crossings of a leaving process by order: a held byte, two signals, no list yet

New test: SIGHUP and SIGTERM before the first list.

The bytes of a relay are composed before it is asked whether they may go, so that nothing but the write is between the two (south.go, relay): they are up to 64 KiB. Not measurable by a test: what is left is that the process may stand still between two lines.

--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// The program is told to read its configuration again, and to end, before it has heard of any host: it does the one, and the
+// other at once.
+func TestSignalsBeforeTheFirstList(t *testing.T) {
+	p := &player{T: t, parties: map[byte]*party{}, conns: map[string]*peer{}, addr: "127.1.1.1:0"}
+	p.start("", nil)
+	p.message("d1") // it asks for the list, and gets no answer
+	p.command("reload " + p.fill("{d}") + " {e}")
+	p.message("e1")
+	p.command("term")
+	p.command("exit 0")
+}
+
 // peer is one connection. Of a host or of discovery it is the one that a message came on: which of several
 // kept connections the program takes depends on how fast it read an answer, and no test hangs on that.
 type peer struct {
@@ -125,6 +137,7 @@
 		}
 		if p.program == nil {
 			p.start(known, set)
+			p.ready()
 		}
 		switch kind {
 		case ">":
@@ -173,6 +186,10 @@
 	p.noError("config", os.WriteFile(path, []byte(told.Replace(p.fill(string(config)))), 0o600))
 	p.told = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0", "LB_DISCOVERY=" + p.fill("{d}"), "TMPDIR=" + p.TempDir()}
 	p.run()
+}
+
+// ready waits until the program takes clients.
+func (p *player) ready() {
 	for end := time.Now().Add(patience); ; time.Sleep(5 * time.Millisecond) {
 		require.True(p, time.Now().Before(end), "the program is not ready")
 		if c, err := net.Dial("tcp", p.addr); err == nil {
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -158,13 +158,14 @@
 	m := manner{once: r.Exchange.Once, fresh: s.fresh(r), proves: !r.Exchange.Once}
 	// When it is due it is called off, if it has not ended before: what is still not read then is of no use to anybody.
 	written, err := s.talk(r.Host, m, r, out, s.core.At(r.Due), s.core.At(r.Due).Add(sideCall), func(c net.Conn) []byte {
+		bytes := request(r, s.core.Now()) // before it is asked whether they may go: they go at once then
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !r.Start(s.core.Now()) {
 			return nil
 		}
 		s.early[r] = c // from here on a call-off closes the connection
-		return request(r, s.core.Now())
+		return bytes
 	})
 	switch {
 	case err == errNotSent:
