--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -218,3 +218,21 @@
 	require.NoError(t, err)
 	return nc
 }
+
+// One that leaves while its message cannot be handed over, as its host has not answered yet: the old process sees it.
+func TestClientLeavesWhileHandOverWaits(t *testing.T) {
+	everyWay(t, func(t *testing.T, leave func(*net.TCPConn)) {
+		d := serving(t, "a", "b")
+		c := d.message()
+		r := d.next(d.sent, "sent")
+		d.side.PassOn(func(k Kept) error {
+			require.Nil(t, k.Begun, "handed over")
+			return net.ErrClosed
+		})
+		leave(c)
+		require.Same(t, r, d.next(d.off, "called off"))
+		require.False(t, r.Start(d.core.Now()))
+		d.over()
+		require.Empty(t, d.sent)
+	})
+}
