Keep the choice among a key's homes in balancer.go, and look-ups of tables in state.go

What near and setup decide stood in state.go, which holds memory and look-ups. Three of these (uniform, column, sample) and region go there in their place; no line of them has changed. Classes and tenants are appended by one function. No change of behaviour: the tests of the module pass as before.

--- a/balancer.go
+++ b/balancer.go
@@ -326,6 +326,25 @@
 	return risk + b.crossing(w) + b.share(r, b.backlog(w)+b.setup(r, w))
 }
 
+// near lists whom to choose from first: the buddies, and the homes of the key, the same at all dispatchers.
+func (b *Balancer) near(r *request) (ws []*worker) {
+	ws, r.homes = b.buddies, b.homes(r.key)
+	for _, w := range r.homes {
+		if !slices.Contains(b.buddies, w) {
+			ws = append(ws[:len(ws):len(ws)], w)
+		}
+	}
+	return ws
+}
+
+// setup is the time that a worker spends on fetching what the key needs: a job's, unless it is a home.
+func (b *Balancer) setup(r *request, w *worker) float64 {
+	if r.key == 0 || slices.Contains(r.homes, w) {
+		return 0
+	}
+	return b.jobTime
+}
+
 // ---- legality ----
 
 // maySend is the one guard of every send.
@@ -530,13 +549,6 @@
 
 // ---- the learned tables ----
 
-// column maps a backlog to a column: none, or steps of a quarter of the job time.
-func (b *Balancer) column(backlog float64) int {
-	return int(min(math.Ceil(max(backlog, 0)*4/b.jobTime), columns-2))
-}
-
-func (b *Balancer) region(w *worker) int { return b.regionOf(w, b.backlog(w)) }
-
 // regionOf cuts backlog by TH1, just under the smallest job time, TH2, just under the mean one, and two
 // multiples of that; all are shared out among a worker's slots.
 func (b *Balancer) regionOf(w *worker, backlog float64) int {
@@ -550,20 +562,6 @@
 	return regions - 1
 }
 
-// sample pairs a region with the backlog (or, in the last column, the failure) that was met there.
-func (w *worker) sample(region, column int) {
-	w.fresh[region][column]++
-	w.kind.fresh[region][column]++
-}
-
-// uniform starts a table: within its region every backlog is as likely as another.
-func (t *table) uniform() {
-	for c, x := range [columns - 1]int{0, 0, 1, 2, 3, 3, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4} {
-		t.p[x][c] = [regions]float64{1. / 2, 1, 1, 1. / 2, 1. / 11}[x]
-	}
-	t.blendWith(nil)
-}
-
 // tail is P(backlog > slack) in region x, linear within a column.
 func (b *Balancer) tail(w *worker, x int, slack float64) float64 {
 	if slack < 0 {
--- a/state.go
+++ b/state.go
@@ -266,8 +266,7 @@
 	k.mean += (run - k.mean) / k.n
 }
 
-// homes lists the workers that should hold what the jobs of a key need, as many as dispatchers share a worker: there are some
-// more keys than workers, and one that is asked for often needs more than one.
+// homes lists the workers that should hold what the jobs of a key need.
 func (b *Balancer) homes(key uint64) (ws []*worker) {
 	if key == 0 {
 		return nil
@@ -282,25 +281,25 @@
 	return ws
 }
 
-// near lists the workers that a request is sent to if any of them may take it: the buddies, and the homes of its key.
-func (b *Balancer) near(r *request) []*worker {
-	r.homes = b.homes(r.key)
-	ws := b.buddies
-	for _, w := range r.homes {
-		if !slices.Contains(b.buddies, w) {
-			ws = append(ws[:len(ws):len(ws)], w)
-		}
+// uniform starts a table: within its region every backlog is as likely as another.
+func (t *table) uniform() {
+	for c, x := range [columns - 1]int{0, 0, 1, 2, 3, 3, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4, 4} {
+		t.p[x][c] = [regions]float64{1. / 2, 1, 1, 1. / 2, 1. / 11}[x]
 	}
-	return ws
+	t.blendWith(nil)
 }
 
-// setup is the time that a worker would have to spend on fetching what the request's key needs: a job's, where it is not one
-// that should hold it.
-func (b *Balancer) setup(r *request, w *worker) float64 {
-	if r.key == 0 || slices.Contains(r.homes, w) {
-		return 0
-	}
-	return b.jobTime
+// column maps a backlog to a column: none, or steps of a quarter of the job time.
+func (b *Balancer) column(backlog float64) int {
+	return int(min(math.Ceil(max(backlog, 0)*4/b.jobTime), columns-2))
+}
+
+func (b *Balancer) region(w *worker) int { return b.regionOf(w, b.backlog(w)) }
+
+// sample pairs a region with the backlog (or, in the last column, the failure) that was met there.
+func (w *worker) sample(region, column int) {
+	w.fresh[region][column]++
+	w.kind.fresh[region][column]++
 }
 
 // Avoided is how many of the listed workers get nothing new at that time.
--- a/topazfall.go
+++ b/topazfall.go
@@ -259,15 +259,7 @@
 // AppendClasses returns old, with the classes in it that now names as they are now, and behind these what is new: so
 // that an index means the same class for ever. Which of them are in use is now's to say.
 func AppendClasses(old, now []Class) []Class {
-	all := slices.Clone(old)
-	for _, c := range now {
-		if i := slices.IndexFunc(all, func(o Class) bool { return o.Name == c.Name }); i >= 0 {
-			all[i] = c
-		} else {
-			all = append(all, c)
-		}
-	}
-	return all
+	return appendNamed(slices.Clone(old), now, func(c Class) string { return c.Name })
 }
 
 // AppendTenants does the same for tenants. Those that are gone have no bound: what they still have in hand is theirs.
@@ -275,11 +267,15 @@
 	for _, t := range old {
 		all = append(all, Tenant{Name: t.Name})
 	}
-	for _, t := range now {
-		if i := slices.IndexFunc(all, func(o Tenant) bool { return o.Name == t.Name }); i >= 0 {
-			all[i] = t
+	return appendNamed(all, now, func(t Tenant) string { return t.Name })
+}
+
+func appendNamed[T any](all, now []T, name func(T) string) []T {
+	for _, v := range now {
+		if i := slices.IndexFunc(all, func(o T) bool { return name(o) == name(v) }); i >= 0 {
+			all[i] = v
 		} else {
-			all = append(all, t)
+			all = append(all, v)
 		}
 	}
 	return all
