Close no connection of which a message is being read, and send none of a client that has left

A message whose client had left while it lay in the socket, or was on its way to the process that replaces this one, was given to the module before anybody looked.

conn.Read now waits for the first byte without taking it, marks the connection busy, and only then reads; a dropped one is not read. evict passes over what has come. message and Continue pass over what was sent ahead and see a client that has left before the module hears of the message.

TestCloseIdleLeavesWhatHasCome wanted a connection closed whose first byte had been read, which is the fault: it now wants it kept until the server has it idle again, and closed then.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -163,22 +163,76 @@
 	return sc
 }
 
+// raw is the connection for a look at what the kernel has of it; nil where there is none.
+func (c *conn) raw() syscall.RawConn {
+	if sc := c.socket(); sc != nil {
+		if raw, err := sc.SyscallConn(); err == nil {
+			return raw
+		}
+	}
+	return nil
+}
+
+// peek looks at what has come and leaves it there: n is 0 where the other side has ended its sending.
+func peek(fd uintptr) (n int, err error) {
+	var b [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
 // unread tells whether something has come that nobody has read yet.
 func (c *conn) unread() (some bool) {
-	sc := c.socket()
-	if sc == nil {
-		return false
+	if raw := c.raw(); raw != nil {
+		raw.Control(func(fd uintptr) { // not Read, which waits for whoever reads
+			n, err := peek(fd)
+			some = err == nil && n > 0
+		})
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
+	return some
+}
+
+// skip passes over what the client has sent ahead of its answer, without waiting for it. It tells whether there was any, and
+// whether the client has left already: such a message may have lain in the socket for long.
+func (c *conn) skip() (more, left bool) {
+	raw := c.raw()
+	if raw == nil {
+		return false, false
 	}
-	raw.Control(func(fd uintptr) { // not Read, which waits for whoever reads
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		some = err == nil && n > 0
+	ahead := 0
+	raw.Read(func(fd uintptr) bool {
+		part := make([]byte, 1) // most clients send nothing
+		for ahead <= lingerMost {
+			n, _, err := syscall.Recvfrom(int(fd), part, syscall.MSG_DONTWAIT)
+			if n <= 0 || err != nil {
+				left = err != syscall.EAGAIN && err != syscall.EINTR
+				return true
+			}
+			if ahead += n; len(part) < aheadSize {
+				part = make([]byte, aheadSize)
+			}
+		}
+		left = true // as for watch
+		return true
 	})
-	return some
+	return ahead > 0, left
+}
+
+// begin waits for the first byte of a request, and makes the connection a busy one before anybody reads that byte: who
+// closes idle connections sees it in the socket till then. It tells whether the connection is still to be read; one that
+// was closed meanwhile is not, as its client sends what crossed the closing once more elsewhere.
+func (c *conn) begin() bool {
+	came := false
+	if raw := c.raw(); raw != nil {
+		raw.Read(func(fd uintptr) bool { // ends as well when the connection is closed or the deadline is over
+			n, err := peek(fd)
+			came = err == nil && n > 0
+			return err != syscall.EAGAIN
+		})
+	}
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	c.idle = c.idle && !came
+	return c.place != nil
 }
 
 // busy is the number of connections that have begun a request without its end.
@@ -211,12 +265,15 @@
 	for e := l.proven.Front(); e != nil; {
 		c := e.Value.(*conn)
 		e = e.Next()
-		if c.client && c.idle && !c.unread() {
+		if c.client && c.resting() {
 			l.drop(c)
 		}
 	}
 }
 
+// resting tells that the connection is between requests, and that none has come; l.mu is held.
+func (c *conn) resting() bool { return c.idle && !c.unread() }
+
 // track follows what the server does with a connection.
 func track(nc net.Conn, state fasthttp.ConnState) {
 	c, ok := nc.(*conn)
@@ -280,15 +337,15 @@
 	return c
 }
 
-// evict closes the oldest unproven connection, else the proven one that has been idle for longest: should a
-// message cross that, it has not been read.
+// evict closes the oldest unproven connection, else the proven one that has been idle for longest and to which nothing has
+// come: should a message cross that, it has not been read.
 func (l *listener) evict() bool {
 	if e := l.unproven.Front(); e != nil {
 		l.drop(e.Value.(*conn))
 		return true
 	}
 	for e := l.proven.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*conn); c.idle {
+		if c := e.Value.(*conn); c.resting() {
 			l.drop(c)
 			return true
 		}
@@ -403,7 +460,7 @@
 	} else if c.got < largeFrom {
 		p = p[:min(len(p), largeFrom-c.got)]
 	}
-	if c.passed() {
+	if c.passed() || c.got == 0 && !c.begin() {
 		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(p)
--- a/internal/north/conn_test.go
+++ b/internal/north/conn_test.go
@@ -193,6 +193,109 @@
 	_, err = c.Read(make([]byte, 1))
 	require.NoError(t, err)
 	l.closeIdle()
+	require.Equal(t, 1, l.count(), "read, though the server does not know yet")
+	track(c, fasthttp.StateIdle)
+	l.closeIdle()
 	require.Zero(t, l.count())
 	require.False(t, c.unread(), "it is closed")
 }
+
+// stepped is a connection whose reader stops once it has come so far that nothing but the bytes it got tells of them.
+type stepped struct {
+	*net.TCPConn
+	begun, on chan struct{}
+}
+
+func (s *stepped) step() {
+	s.begun <- struct{}{}
+	<-s.on
+}
+
+func (s *stepped) Read(p []byte) (int, error) {
+	n, err := s.TCPConn.Read(p)
+	s.step()
+	return n, err
+}
+
+func step(c *conn) *stepped {
+	s := &stepped{c.Conn.(*net.TCPConn), make(chan struct{}, 9), make(chan struct{})}
+	c.Conn = s
+	return s
+}
+
+type read struct {
+	n   int
+	err error
+}
+
+func reading(c *conn) chan read {
+	done := make(chan read, 1)
+	go func() {
+		n, err := c.Read(make([]byte, 9))
+		done <- read{n, err}
+	}()
+	return done
+}
+
+// Idle connections are closed, or one has to go for a new one, when a first byte has just been read and nobody has been told:
+// its message is answered on a connection that is still there.
+func TestClosingLeavesWhatIsBeingRead(t *testing.T) {
+	for name, closing := range map[string]func(*listener){
+		"idle": (*listener).closeIdle,
+		"most": func(l *listener) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.evict()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, c, client := pair(t)
+			c.prove(true)
+			track(c, fasthttp.StateIdle)
+			s := step(c)
+			done := reading(c)
+			_, err := client.Write([]byte("P"))
+			require.NoError(t, err)
+			<-s.begun
+			closing(l)
+			require.Equal(t, 1, l.count())
+			close(s.on)
+			require.Equal(t, read{n: 1}, <-done)
+		})
+	}
+}
+
+// A byte comes right after the decision to close: nobody reads it, as its client sends all of it elsewhere.
+func TestNothingIsReadAfterTheClosing(t *testing.T) {
+	l, c, client := pair(t)
+	c.prove(true)
+	track(c, fasthttp.StateIdle)
+	s := step(c)
+	l.mu.Lock()
+	_, err := client.Write([]byte("P"))
+	require.NoError(t, err)
+	require.Eventually(t, c.unread, patience, time.Millisecond)
+	done := reading(c)
+	select {
+	case <-s.begun: // it has been read
+	case <-time.After(50 * time.Millisecond): // it is left where it is
+	}
+	l.drop(c)
+	l.mu.Unlock()
+	close(s.on)
+	require.Equal(t, read{err: io.EOF}, <-done)
+}
+
+// Where all places are taken, one of which a message has come stays, though nobody has read it yet.
+func TestEvictLeavesWhatHasCome(t *testing.T) {
+	l := listening(t, 1, 0)
+	c, client := connect(t, l)
+	c.prove(true)
+	track(c, fasthttp.StateIdle)
+	_, err := client.Write([]byte("P"))
+	require.NoError(t, err)
+	require.Eventually(t, c.unread, patience, time.Millisecond)
+	late, _ := connect(t, l)
+	require.Nil(t, late)
+	require.True(t, open(c))
+}
--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -40,14 +41,18 @@
 }
 
 func serving(t *testing.T, names ...string) *dispatcher {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return servingOn(t, ln, names...)
+}
+
+func servingOn(t *testing.T, ln net.Listener, names ...string) *dispatcher {
 	s := topazfall.Settings{Dispatchers: 1, Tick: 4000,
 		Classes: []topazfall.Class{{Name: "job", Deadline: 60e6, Aim: 60e6}},
 		Allowed: topazfall.Allowed{Attempts: 4, DialTimeout: 250e3, Cancel: true}}
 	f := &figures.Figures{}
 	core, err := dispatch.New(s, f)
 	require.NoError(t, err)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
 	d := &dispatcher{T: t, hosts: hosts{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}, core: core, addr: ln.Addr().String()}
 	d.side = New(ln, core, d.hosts, &s, Options{Conns: 9, Messages: 9, Large: 9, Figures: f})
 	go core.Run(d.hosts, d.hosts)
@@ -123,6 +128,68 @@
 	}
 }
 
+// late is a listener that accepts nothing until it is told to.
+type late struct {
+	net.Listener
+	on       chan struct{}
+	accepted atomic.Int64
+}
+
+func (l *late) Accept() (net.Conn, error) {
+	<-l.on
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return c, err
+}
+
+// A client that leaves before anybody has read its message: it is not sent when it is read at last.
+func TestClientLeavesBeforeItsMessageIsRead(t *testing.T) {
+	for name, leave := range ways {
+		for _, ahead := range []int{0, 1, 5000} {
+			t.Run(fmt.Sprint(name, " after ", ahead), func(t *testing.T) {
+				t.Parallel()
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				require.NoError(t, err)
+				l := &late{Listener: ln, on: make(chan struct{})}
+				d := servingOn(t, l, "a", "b")
+				c := d.message()
+				_, err = c.Write(make([]byte, ahead))
+				require.NoError(t, err)
+				require.NoError(t, leave(c))
+				close(l.on)
+				require.Eventually(t, func() bool { return l.accepted.Load() == 1 && d.side.Conns() == 0 }, patience, time.Millisecond)
+				d.over()
+				require.Empty(t, d.sent)
+			})
+		}
+	}
+}
+
+// One that leaves while its message, of which nothing has been sent, is on its way to another process.
+func TestClientLeavesOnTheWay(t *testing.T) {
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			d := serving(t, "a", "b")
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer ln.Close()
+			c, err := net.Dial("tcp", ln.Addr().String())
+			require.NoError(t, err)
+			nc, err := ln.Accept()
+			require.NoError(t, err)
+			require.NoError(t, leave(c.(*net.TCPConn)))
+			_, err = nc.Read(make([]byte, 1))
+			require.Error(t, err, "its leaving is here")
+			d.side.Continue(nc, dispatch.Begun{Message: exchange.Message{ID: "m", Method: "POST", Path: "/api", Tenant: -1, Slots: 1,
+				Arrived: d.core.Now(), Due: d.core.Now() + 60e6}, ClassIs: topazfall.Class{Name: "job"}}, false)
+			d.over()
+			require.Empty(t, d.sent)
+		})
+	}
+}
+
 // A client that leaves while the connection to a host is being opened: nothing is written on it any more.
 func TestClientLeavesDuringDial(t *testing.T) {
 	everyWay(t, func(t *testing.T, leave func(*net.TCPConn)) {
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -284,6 +285,13 @@
 		return
 	}
 	c.prove(true)
+	more, left := c.skip()
+	if left { // nothing is done for it
+		slog.Info("gone", "id", m.ID)
+		ctx.SetConnectionClose()
+		say(ctx, fasthttp.StatusBadGateway, "failed")
+		return
+	}
 	defer n.inHand.Add(-1)
 	// Beyond the clients' share, connections are kept for the hosts: a call-back that finds none is an
 	// answer lost.
@@ -295,7 +303,7 @@
 	}
 	x := exchange.New(m)
 	n.core.Arrive(x)
-	if !n.conclude(ctx, c, x, false) { // nothing of it may be written here
+	if !n.conclude(ctx, c, x, more) { // nothing of it may be written here
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(net.Conn) {})
 	}
@@ -346,6 +354,13 @@
 
 // Continue goes on with a message that another process has begun, and with its connection.
 func (n *Side) Continue(nc net.Conn, b dispatch.Begun, more bool) {
+	ahead, left := (&conn{Conn: nc}).skip()
+	if left && !slices.ContainsFunc(b.Relays, func(r dispatch.BegunRelay) bool { return !r.Done }) {
+		slog.Info("gone", "id", b.ID)
+		nc.Close()
+		return
+	}
+	more = more || ahead
 	x := n.core.Resume(b) // first: what comes over the link next may be about it
 	go func() {
 		c := n.ln.admit(nc)
