Take a host's 202 as soon as its head is here, and call off what cannot be read

A message that may be repeated was sent to a second host with the first neither ended nor given up, one that must not run twice was failed while its job ran. With a body that never ended the relay counted as unanswered, could not be handed to a replacement and was called off after 3.2 s.

At fault: relay() asked the answer's status only after ReadLimitBody had had all of it. The head is read first now and a 202 counts at once. Where the head itself cannot be read and it is we who end the connection, the host is sent DELETE before the relay ends; a connection that the host ended or reset needs none. Two tests seen to fail without the change.

--- a/internal/south/crossing_test.go
+++ b/internal/south/crossing_test.go
@@ -21,6 +21,7 @@
 // got is a request that has come to a host, which answers when the test says so.
 type got struct {
 	net.Conn
+	call  string
 	id    string
 	ended chan struct{} // closed when the other side has closed the connection
 }
@@ -60,7 +61,8 @@
 				defer close(ended)
 				var req fasthttp.Request
 				for in := bufio.NewReader(c); req.Read(in) == nil; {
-					h.got <- got{c, string(req.Header.Peek("X-Request-ID")), ended}
+					call := string(req.Header.Method()) + " " + string(req.Header.RequestURI())
+					h.got <- got{c, call, string(req.Header.Peek("X-Request-ID")), ended}
 				}
 			}()
 		}
@@ -198,6 +200,43 @@
 	require.Empty(t, h.early)
 }
 
+// A host that has answered 202 has the job, whatever else comes on the connection or does not: its call-backs tell the rest. A
+// second attempt would run beside it, and what must not run twice would be given up in vain.
+func TestSpoiltAfter202(t *testing.T) {
+	for _, rest := range []string{"Content-Length: 9\r\n\r\nx", "Content-Length: 70000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nxyz\r\n"} {
+		h := newHosting(t)
+		r, end := h.relays("1", false)
+		first := h.next()
+		first.answer(t, "HTTP/1.1 202 Accepted\r\n"+rest)
+		require.Eventually(t, r.Accepted, patience, time.Millisecond, "it can be handed over from now on")
+		first.Close()
+		require.False(t, take(t, end).ended)
+		require.Eventually(t, func() bool { return h.conns.Load() == 0 }, patience, time.Millisecond)
+		require.Empty(t, h.got)
+	}
+}
+
+// Where the answer cannot be read it is not known whether the host has taken the job: it is called off before the relay
+// ends, so that no repeat runs beside it. A host that has ended the connection is asked for nothing.
+func TestUnreadableAnswerIsCalledOff(t *testing.T) {
+	for _, answer := range []string{"HTTP/1.1 202 Accepted\r\nContent-Length: -1\r\n\r\n", "accepted\r\n\r\n", ""} {
+		h := newHosting(t)
+		_, end := h.relays("1", false)
+		first := h.next()
+		first.answer(t, answer)
+		if answer == "" {
+			first.Close()
+		} else {
+			off := h.next()
+			require.Equal(t, "DELETE /jobs/1", off.call)
+			require.Empty(t, end)
+			off.answer(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		require.Equal(t, ending{topazfall.Severed, true}, take(t, end))
+		require.Empty(t, h.got)
+	}
+}
+
 type nowhere struct{ *Side }
 
 func (nowhere) Follow() {}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -3,6 +3,7 @@
 package south
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"log/slog"
@@ -170,6 +171,8 @@
 	switch {
 	case err == errNotSent:
 		return topazfall.Superseded, l, true
+	case r.Accepted(): // what else there is of the answer, or is not, says nothing of the job
+		return 0, l, false
 	case err != nil && r.Ended(): // called off: its outcome is known
 		return 0, l, false
 	case err != nil:
@@ -177,10 +180,10 @@
 		if !written {
 			return topazfall.RefusedConn, l, true
 		}
+		if !broke(err) { // it is we who end it: the host may have taken the job, and must not run it beside a repeat
+			s.call("DELETE", "/jobs/"+r.Exchange.ID, r.Host, probeTime, nil)
+		}
 		return topazfall.Severed, l, true
-	case out.StatusCode() == fasthttp.StatusAccepted:
-		r.Accept()
-		return 0, l, false
 	}
 	l = headerLoad(out.Header.Peek("X-Server-Load"))
 	switch status := out.StatusCode(); {
@@ -257,7 +260,7 @@
 	in := client.AcquireReader(c)
 	defer client.ReleaseReader(in)
 	if err == nil {
-		err = out.ReadLimitBody(in, largest)
+		err = answer(out, in, r)
 	}
 	if r != nil { // before the connection can be another's: a call-off must not close that
 		s.mu.Lock()
@@ -265,7 +268,7 @@
 		s.mu.Unlock()
 	}
 	if err != nil {
-		if used && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)) {
+		if used && broke(err) {
 			s.burnt.Store(s.core.Now())
 		}
 		return n, n == len(bytes), false, err
@@ -274,6 +277,34 @@
 	return n, true, !out.ConnectionClose() && in.Buffered() == 0, nil
 }
 
+// answer reads a host's answer, for the relay r if that is not nil: a 202 counts as soon as its head is here.
+func answer(out *fasthttp.Response, in *bufio.Reader, r *exchange.Relay) error {
+	err := out.Header.Read(in)
+	for err == nil && out.StatusCode() < fasthttp.StatusOK {
+		err = out.Header.Read(in)
+	}
+	if err != nil {
+		return err
+	}
+	switch out.StatusCode() {
+	case fasthttp.StatusAccepted:
+		if r != nil {
+			r.Accept()
+		}
+	case fasthttp.StatusNoContent, fasthttp.StatusNotModified: // without a body
+		return nil
+	}
+	if err = out.ReadBody(in, largest); err == nil && out.Header.ContentLength() == -1 {
+		err = out.Header.ReadTrailer(in)
+	}
+	return err
+}
+
+// broke tells that the other side has ended or reset the connection.
+func broke(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // spent tells that a kept connection is of no use any more: it is stale, or has been idle for so long that the host may be
 // closing it right now. The pool's own cleaner sees to that in time, but for when the process stood still.
 func (s *Side) spent(l *line) bool {
