Count every message that is taken before the taking in ends

A handler that had looked at the flag before and was off its core for longer gave its message to the core after that look, and the process ended with it.

Shut now waits for whoever is between the two lines (Side.take). The test holds each side in turn; without the change the second half has its message sent to a host. Race detector clean.

--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -1,6 +1,7 @@
 package north
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -303,3 +304,35 @@
 		require.Empty(t, d.sent)
 	})
 }
+
+// The taking in ends while a message is being taken. Either it is in hand when Shut returns, and is waited for, or it is refused:
+// one that is taken after the last look at what is in hand would be lost.
+func TestShutWaitsForWhatIsBeingTaken(t *testing.T) {
+	d := serving(t, "a")
+	d.side.taking.RLock() // as whoever takes one
+	shut := make(chan struct{})
+	go func() {
+		d.side.Shut()
+		close(shut)
+	}()
+	select {
+	case <-shut:
+		require.Fail(t, "a message may be on its way into the core")
+	case <-time.After(50 * time.Millisecond):
+	}
+	d.side.taking.RUnlock()
+	<-shut
+
+	d = serving(t, "a")
+	d.side.taking.Lock() // as Shut
+	c := d.message()
+	require.Eventually(t, func() bool { return d.side.Busy() == 1 }, patience, time.Millisecond)
+	d.side.shut = true
+	d.side.taking.Unlock()
+	c.SetReadDeadline(time.Now().Add(patience))
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, answer, " 503 ")
+	require.Zero(t, d.core.InHand())
+	require.Empty(t, d.sent)
+}
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -61,7 +62,8 @@
 	ready   atomic.Bool
 	leaving atomic.Bool
 	others  atomic.Pointer[func(body []byte) error]
-	shut    atomic.Bool
+	taking  sync.RWMutex // held while a message is taken, so that Shut returns when all that were are counted
+	shut    bool
 	passing atomic.Bool // connections go to another process, and are not closed
 }
 
@@ -141,7 +143,9 @@
 // that of what has begun to come.
 func (n *Side) PassOn(to func(Kept) error) {
 	n.passing.Store(true)
-	n.shut.Store(false)
+	n.taking.Lock()
+	n.shut = false
+	n.taking.Unlock()
 	n.leaving.Store(true)
 	n.ln.passOn(to)
 }
@@ -166,9 +170,11 @@
 }
 
 // Shut ends the taking in: idle clients are sent elsewhere, and what still comes is refused before anything
-// is done for it. Call-backs are taken as before.
+// is done for it. Call-backs are taken as before. What was taken before is in hand when it returns.
 func (n *Side) Shut() {
-	n.shut.Store(true)
+	n.taking.Lock()
+	n.shut = true
+	n.taking.Unlock()
 	n.ln.closeIdle()
 }
 
@@ -295,20 +301,31 @@
 	defer n.inHand.Add(-1)
 	// Beyond the clients' share, connections are kept for the hosts: a call-back that finds none is an
 	// answer lost.
-	if n.inHand.Add(1) > n.most.Load() || n.shut.Load() {
+	x := n.take(m)
+	if x == nil {
 		n.o.Figures.End(m.Class, figures.Declined)
 		ctx.SetConnectionClose()
 		say(ctx, fasthttp.StatusServiceUnavailable, "not taken")
 		return
 	}
-	x := exchange.New(m)
-	n.core.Arrive(x)
 	if !n.conclude(ctx, c, x, more) { // nothing of it may be written here
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(net.Conn) {})
 	}
 }
 
+// take gives a message to the core, or returns nil if none is taken any more, or at the moment.
+func (n *Side) take(m exchange.Message) *exchange.Exchange {
+	n.taking.RLock()
+	defer n.taking.RUnlock()
+	if n.inHand.Add(1) > n.most.Load() || n.shut {
+		return nil
+	}
+	x := exchange.New(m)
+	n.core.Arrive(x)
+	return x
+}
+
 // conclude waits for the final answer to a message and puts it into ctx. It tells whether there is one: if not,
 // another process goes on with the message and its connection.
 func (n *Side) conclude(ctx *fasthttp.RequestCtx, c *conn, x *exchange.Exchange, more bool) bool {
