Begin nothing for a client that has left, also before the core hears of it

Relay.Start now asks a mark that the north side sets at once.

Tests seen to fail without the mark, at the core that does not run and at the north side with relays that begin at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -176,6 +176,7 @@
 
 // Gone tells that the client of a message has left.
 func (c *Core) Gone(x *exchange.Exchange) {
+	x.Leave()
 	c.ops <- func() {
 		if c.finish(x, exchange.Answer{Verdict: exchange.Failed}) {
 			c.feed(topazfall.Event{Kind: topazfall.ClientGone, Request: x.Number})
@@ -462,9 +463,13 @@
 	}
 }
 
-// Resume goes on with a message that another process has begun. It gets its final answer here.
-func (c *Core) Resume(b Begun) *exchange.Exchange {
+// Resume goes on with a message that another process has begun. It gets its final answer here. left says that its client has
+// left, of which Gone tells the rest.
+func (c *Core) Resume(b Begun, left bool) *exchange.Exchange {
 	x := exchange.New(b.Message)
+	if left {
+		x.Leave()
+	}
 	c.inHand.Add(1)
 	c.figures.Outstanding.Add(1)
 	c.ops <- func() {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// A client leaves while the core has other things to do: nothing is sent for it any more, though its leaving is not dealt with.
+func TestNoStartAfterTheClientLeft(t *testing.T) {
+	c, err := New(settings(nil), &figures.Figures{}) // and it does not run
+	require.NoError(t, err)
+	x := message(c, "1", time.Minute)
+	r := x.Relay(&exchange.Host{ID: "h"}, c.Now(), x.Due)
+	c.Gone(x)
+	require.False(t, r.Start(c.Now()))
+	r = c.Resume(Begun{Message: x.Message}, true).Relay(&exchange.Host{ID: "h"}, c.Now(), x.Due)
+	require.False(t, r.Start(c.Now()))
+}
+
 // Nor is it started once it is called off, the message is over, or its time is up.
 func TestNoStartAfterTheEnd(t *testing.T) {
 	for name, end := range map[string]func(*exchange.Exchange, *exchange.Relay){
@@ -175,7 +187,7 @@
 	require.Empty(t, s.off, "nothing is called off")
 
 	to, t2 := start(t, "h")
-	y := to.Resume(begun)
+	y := to.Resume(begun, false)
 	require.True(t, to.Take(Note{ID: "1", From: "h", State: Over, Outcome: topazfall.Completed, Result: []byte("r"), Load: topazfall.NoLoad}))
 	require.Equal(t, exchange.Answer{Verdict: exchange.Served, Body: []byte("r")}, <-y.Answer())
 	require.Equal(t, x.Path, y.Path)
@@ -284,7 +296,7 @@
 		var begun Begun
 		require.True(t, c.HandOver(x, func(b Begun) error { begun = b; return nil }))
 		to, _ := startWith(t, tenants("xcda"), "h")
-		y := to.Resume(begun)
+		y := to.Resume(begun, false)
 		to.Sync()
 		require.Equal(t, map[string]int{"a": 3, "b": -1, "c": 1, "d": 2}[name], y.Tenant)
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,6 +59,7 @@
 	Own    bool     // taking another message's answer for its own could have it run twice where that is not permitted
 	Relays []*Relay // in the order they were made; the dispatch goroutine's
 	over   atomic.Bool
+	left   atomic.Bool
 	answer chan Answer
 }
 
@@ -74,6 +75,9 @@
 	return true
 }
 
+// Leave notes that the client has left: nothing more is sent for the message, also before its end is dealt with.
+func (x *Exchange) Leave() { x.left.Store(true) }
+
 // Over tells that the exchange has its final answer.
 func (x *Exchange) Over() bool { return x.over.Load() }
 
@@ -118,10 +122,11 @@
 	return r
 }
 
-// Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message or
+// Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message, its client or
 // the relay's own time; what was legal when it was decided is not sent then.
 func (r *Relay) Start(now int64) bool {
-	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && r.stage.CompareAndSwap(waiting, started)
+	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.left.Load() &&
+		r.stage.CompareAndSwap(waiting, started)
 }
 
 // Accept notes that the host has taken the job: from here on its call-backs tell the rest, and no connection is bound
--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -22,9 +22,18 @@
 const patience = 20 * time.Second // no verdict hangs on how fast a machine is
 
 // hosts stands in for the south side: a relay stays before its first byte until the test lets it go on.
-type hosts struct{ sent, off chan *exchange.Relay }
+type hosts struct {
+	sent, off chan *exchange.Relay
+	eager     *atomic.Bool // relays begin at once
+	began     chan bool    // whether they could
+}
 
-func (h hosts) Send(r *exchange.Relay)                { h.sent <- r }
+func (h hosts) Send(r *exchange.Relay) {
+	if h.eager.Load() {
+		h.began <- r.Start(r.Sent)
+	}
+	h.sent <- r
+}
 func (h hosts) CallOff(r *exchange.Relay)             { r.End(); h.off <- r }
 func (h hosts) Probe(*exchange.Host)                  {}
 func (h hosts) Readdress(string, []addresses.Address) {}
@@ -54,7 +63,8 @@
 	f := &figures.Figures{}
 	core, err := dispatch.New(s, f)
 	require.NoError(t, err)
-	d := &dispatcher{T: t, hosts: hosts{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}, core: core, addr: ln.Addr().String()}
+	d := &dispatcher{T: t, core: core, addr: ln.Addr().String(),
+		hosts: hosts{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9), &atomic.Bool{}, make(chan bool, 9)}}
 	d.side = New(ln, core, d.hosts, &s, Options{Conns: 9, Messages: 9, Large: 9, Figures: f})
 	go core.Run(d.hosts, d.hosts)
 	go d.side.Serve()
@@ -172,10 +182,11 @@
 func TestClientLeavesOnTheWay(t *testing.T) {
 	for name, leave := range ways {
 		t.Run(name, func(t *testing.T) {
-			d := serving(t, "a", "b")
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			defer ln.Close()
+			d := serving(t, "a", "b")
+			d.eager.Store(true)
 			c, err := net.Dial("tcp", ln.Addr().String())
 			require.NoError(t, err)
 			nc, err := ln.Accept()
@@ -186,7 +197,9 @@
 			d.side.Continue(nc, dispatch.Begun{Message: exchange.Message{ID: "m", Method: "POST", Path: "/api", Tenant: -1, Slots: 1,
 				Arrived: d.core.Now(), Due: d.core.Now() + 60e6}, ClassIs: topazfall.Class{Name: "job"}}, false)
 			d.over()
-			require.Empty(t, d.sent)
+			for len(d.began) > 0 {
+				require.False(t, <-d.began)
+			}
 		})
 	}
 }
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -372,13 +371,8 @@
 // Continue goes on with a message that another process has begun, and with its connection.
 func (n *Side) Continue(nc net.Conn, b dispatch.Begun, more bool) {
 	ahead, left := (&conn{Conn: nc}).skip()
-	if left && !slices.ContainsFunc(b.Relays, func(r dispatch.BegunRelay) bool { return !r.Done }) {
-		slog.Info("gone", "id", b.ID)
-		nc.Close()
-		return
-	}
 	more = more || ahead
-	x := n.core.Resume(b) // first: what comes over the link next may be about it
+	x := n.core.Resume(b, left) // first: what comes over the link next may be about it
 	go func() {
 		c := n.ln.admit(nc)
 		if c == nil { // all places are taken by busy connections
