Answer what the system has accepted and nobody has taken when the listening ends

Side.Close now takes them first and serves them as any other (503, as nothing is taken any more). Where the accepting is paused the queue belongs to the process that replaces this one and is left alone.

The test holds the accepting; without the change its client's connection is reset.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -85,6 +85,38 @@
 	}
 }
 
+// rest takes what waits to be accepted, without waiting for more. While the accepting is paused that is for whoever else
+// listens on the socket.
+func (l *listener) rest() (all []*conn) {
+	l.mu.Lock()
+	paused := l.resumed != nil
+	l.mu.Unlock()
+	sc, ok := l.Listener.(syscall.Conn)
+	if !ok || paused {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	raw.Control(func(fd uintptr) {
+		for range l.most { // not Accept, which waits, and at a deadline that is over looks for nothing
+			c, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if err != nil {
+				return
+			}
+			f := os.NewFile(uintptr(c), "accepted")
+			if nc, err := net.FileConn(f); err == nil {
+				if c := l.admit(nc); c != nil {
+					all = append(all, c)
+				}
+			}
+			f.Close()
+		}
+	})
+	return all
+}
+
 // Close ends the listening, also while it is paused.
 func (l *listener) Close() error {
 	l.resume()
--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -141,14 +142,20 @@
 
 // late is a listener that accepts nothing until it is told to.
 type late struct {
-	net.Listener
+	*net.TCPListener
 	on       chan struct{}
 	accepted atomic.Int64
 }
 
+func newLate(t *testing.T) *late {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return &late{TCPListener: ln.(*net.TCPListener), on: make(chan struct{})}
+}
+
 func (l *late) Accept() (net.Conn, error) {
 	<-l.on
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	if err == nil {
 		l.accepted.Add(1)
 	}
@@ -161,12 +168,10 @@
 		for _, ahead := range []int{0, 1, 5000} {
 			t.Run(fmt.Sprint(name, " after ", ahead), func(t *testing.T) {
 				t.Parallel()
-				ln, err := net.Listen("tcp", "127.0.0.1:0")
-				require.NoError(t, err)
-				l := &late{Listener: ln, on: make(chan struct{})}
+				l := newLate(t)
 				d := servingOn(t, l, "a", "b")
 				c := d.message()
-				_, err = c.Write(make([]byte, ahead))
+				_, err := c.Write(make([]byte, ahead))
 				require.NoError(t, err)
 				require.NoError(t, leave(c))
 				close(l.on)
@@ -350,3 +355,23 @@
 	require.Zero(t, d.core.InHand())
 	require.Empty(t, d.sent)
 }
+
+// A message waits in the system's queue when the listening ends, as nobody had the time to accept its connection: it is answered.
+func TestCloseAnswersWhatNobodyAccepted(t *testing.T) {
+	l := newLate(t)
+	d := servingOn(t, l, "a")
+	c := d.message()
+	d.side.Shut()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	closed := make(chan error, 1)
+	go func() { closed <- d.side.Close(ctx) }()
+	c.SetReadDeadline(time.Now().Add(patience))
+	answer, err := io.ReadAll(c)
+	close(l.on) // to find that there is no listener any more
+	require.NoError(t, err)
+	require.NoError(t, <-closed)
+	require.Contains(t, string(answer), "HTTP/1.1 503 ")
+	require.Contains(t, string(answer), "not taken")
+	require.Empty(t, d.sent)
+}
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -177,8 +177,24 @@
 	n.ln.closeIdle()
 }
 
-// Close ends the listening and the idle connections, and waits for the busy ones.
-func (n *Side) Close(ctx context.Context) error { return n.server.ShutdownWithContext(ctx) }
+// Close ends the listening and the idle connections, and waits for the busy ones. What the system has accepted and nobody
+// has taken yet would be reset by that, and is served first.
+func (n *Side) Close(ctx context.Context) error {
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		var rest sync.WaitGroup
+		for _, c := range n.ln.rest() {
+			rest.Go(func() { n.server.ServeConn(c) })
+		}
+		rest.Wait()
+	}()
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
+	return n.server.ShutdownWithContext(ctx)
+}
 
 func (n *Side) handle(ctx *fasthttp.RequestCtx) {
 	c := ctx.Conn().(*conn)
