--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -301,3 +301,19 @@
 		require.Equal(t, map[string]int{"a": 3, "b": -1, "c": 1, "d": 2}[name], y.Tenant)
 	}
 }
+
+// A message that was read when its class could be repeated comes after settings by which it must not run twice.
+func TestClassBecomesOneThatMustNotRunTwice(t *testing.T) {
+	for _, now := range []topazfall.RepeatRule{topazfall.Safe, topazfall.Unsafe} {
+		c, s := start(t, "h")
+		x := message(c, "1", time.Minute) // by the settings before
+		next := settings(nil)
+		next.Classes[0].Repeat = now
+		next.Allowed.SecondCopies = true
+		c.Renew(next)
+		c.Arrive(x)
+		<-s.sent
+		require.Equal(t, now == topazfall.Unsafe, x.Once)
+		require.Equal(t, now == topazfall.Unsafe, x.Own)
+	}
+}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -1,6 +1,10 @@
 package instance
 
 import (
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -36,3 +40,15 @@
 		require.Equal(t, step.want, s.longestWait())
 	}
 }
+
+// A signal to end comes while the address is still another's: the process goes, and has taken nothing.
+func TestToldToEndBeforeItBegan(t *testing.T) {
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer other.Close()
+	stop := make(chan os.Signal, 1)
+	stop <- syscall.SIGTERM
+	ln, _, _, err := enter(filepath.Join(t.TempDir(), "none"), other.Addr().String(), stop)
+	require.Error(t, err)
+	require.Nil(t, ln)
+}
