Take no end of a job without a result for one: an empty 200 is a body that no host made

Found by reading the call-backs beside the rule that only a host's result is served. A done without the field was answered to the client as an empty 200; it is an unreadable call-back now (400), and the host may tell it again.

--- a/internal/south/callback.go
+++ b/internal/south/callback.go
@@ -80,6 +80,9 @@
 		if n.Outcome, known = ends[f.State]; !known {
 			return n, false, nil
 		}
+		if n.Outcome == topazfall.Completed && (len(f.Result) == 0 || string(f.Result) == "null") { // an empty one would be served that no host made
+			return n, false, fmt.Errorf("id %q from %q is done without a result", f.ID, f.From)
+		}
 	}
 	if len(f.Result) > 0 && f.Result[0] == '"' {
 		var text string
@@ -87,7 +90,7 @@
 			return n, false, err
 		}
 		n.Result = []byte(text)
-	} else if string(f.Result) != "null" {
+	} else {
 		n.Result = f.Result // what is no string goes on as it came
 	}
 	return n, true, nil
