Doubt no address for what spoils an answer after its 202; pages follow

The outcome of such a relay is its job's, but route.go still counted the end of the connection as a reset of the address, by which what must not run twice would keep off it. The test of the plain host is played on one with several addresses as well, and fails without the change.

--- a/internal/south/crossing_test.go
+++ b/internal/south/crossing_test.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"topazfall"
+	"topazfall/internal/decide/addresses"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/exchange"
 	"topazfall/internal/figures"
@@ -204,15 +205,23 @@
 // second attempt would run beside it, and what must not run twice would be given up in vain.
 func TestSpoiltAfter202(t *testing.T) {
 	for _, rest := range []string{"Content-Length: 9\r\n\r\nx", "Content-Length: 70000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nxyz\r\n"} {
-		h := newHosting(t)
-		r, end := h.relays("1", false)
-		first := h.next()
-		first.answer(t, "HTTP/1.1 202 Accepted\r\n"+rest)
-		require.Eventually(t, r.Accepted, patience, time.Millisecond, "it can be handed over from now on")
-		first.Close()
-		require.False(t, take(t, end).ended)
-		require.Eventually(t, func() bool { return h.conns.Load() == 0 }, patience, time.Millisecond)
-		require.Empty(t, h.got)
+		for _, several := range []bool{false, true} {
+			h := newHosting(t)
+			if h.host.Several = several; several {
+				list, faults := addresses.List([]string{h.host.Addr})
+				require.Empty(t, faults)
+				h.Readdress(h.host.ID, list)
+			}
+			r, end := h.relays("1", false)
+			first := h.next()
+			first.answer(t, "HTTP/1.1 202 Accepted\r\n"+rest)
+			require.Eventually(t, r.Accepted, patience, time.Millisecond, "it can be handed over from now on")
+			first.Close()
+			require.False(t, take(t, end).ended)
+			require.Eventually(t, func() bool { return h.conns.Load() == 0 }, patience, time.Millisecond)
+			require.Empty(t, h.got)
+			require.Zero(t, h.o.Figures.Resets.Load(), "its address has lost nothing")
+		}
 	}
 }
 
--- a/internal/south/route.go
+++ b/internal/south/route.go
@@ -325,7 +325,7 @@
 			w.race.Failed(now, a, addresses.Elsewhere)
 		case err == nil:
 			rt.set.Answered(now, a, began, !m.proves)
-		case err == errNotSent || r != nil && r.Ended() || isTimeout(err): // no word on the address
+		case err == errNotSent || r != nil && (r.Ended() || r.Accepted()) || isTimeout(err): // no word on the address
 		case n > 0 && fresh:
 			s.o.Figures.Resets.Add(1)
 			rt.set.Reset(now, a, began, m.once)
