Send nothing of a message whose connection had to go while it was read

Observed by reading: where all places are taken the oldest connection that has proved nothing goes, busy or not. The test stops the reader with the message in hand; without the change it is sent.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -426,17 +426,18 @@
 	stopped chan struct{}
 }
 
-// prove notes that the connection has brought something of use.
-func (c *conn) prove(client bool) {
+// prove notes that the connection has brought something of use. It tells whether it is still there: an unproven one may have
+// had to go while its request was being read.
+func (c *conn) prove(client bool) bool {
 	c.trusted.Store(true)
 	c.l.mu.Lock()
 	defer c.l.mu.Unlock()
 	c.client = c.client || client
-	if c.isProven || c.place == nil {
-		return
+	if c.place != nil && !c.isProven {
+		c.l.unproven.Remove(c.place)
+		c.isProven, c.place = true, c.l.proven.PushBack(c)
 	}
-	c.l.unproven.Remove(c.place)
-	c.isProven, c.place = true, c.l.proven.PushBack(c)
+	return c.place != nil
 }
 
 // free gives the place of a large request back.
--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -375,3 +375,50 @@
 	require.Contains(t, string(answer), "not taken")
 	require.Empty(t, d.sent)
 }
+
+// slow is a listener whose connections are read by somebody who stops with a whole request in hand.
+type slow struct {
+	*net.TCPListener
+	begun, on chan struct{}
+}
+
+func (l *slow) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	return &slowConn{c, l}, err
+}
+
+type slowConn struct {
+	*net.TCPConn
+	l *slow
+}
+
+func (c *slowConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 1 { // the first byte is read alone
+		c.l.begun <- struct{}{}
+		<-c.l.on
+	}
+	return n, err
+}
+
+// A connection that has proved nothing yet has to go for another while its first message is in its reader's hands: the
+// message is not sent, as its client has seen it fail.
+func TestNothingIsSentForOneThatHadToGo(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &slow{ln.(*net.TCPListener), make(chan struct{}, 9), make(chan struct{})}
+	d := servingOn(t, l, "a")
+	c := d.message()
+	<-l.begun
+	d.side.ln.mu.Lock()
+	gone := d.side.ln.evict()
+	d.side.ln.mu.Unlock()
+	close(l.on)
+	require.True(t, gone)
+	c.SetReadDeadline(time.Now().Add(patience))
+	_, err = c.Read(make([]byte, 1))
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return d.side.server.GetOpenConnectionsCount() == 0 }, patience, time.Millisecond)
+	d.over()
+	require.Empty(t, d.sent)
+}
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -305,9 +305,8 @@
 		reject(ctx, fasthttp.StatusBadRequest, fault)
 		return
 	}
-	c.prove(true)
 	more, left := c.skip()
-	if left { // nothing is done for it
+	if !c.prove(true) || left { // nothing is done for it
 		slog.Info("gone", "id", m.ID)
 		ctx.SetConnectionClose()
 		say(ctx, fasthttp.StatusBadGateway, "failed")
