--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -89,7 +89,7 @@
 // listens on the socket.
 func (l *listener) rest() (all []*conn) {
 	l.mu.Lock()
-	paused := l.resumed != nil
+	paused, most := l.resumed != nil, l.most
 	l.mu.Unlock()
 	sc, ok := l.Listener.(syscall.Conn)
 	if !ok || paused {
@@ -100,7 +100,7 @@
 		return nil
 	}
 	raw.Control(func(fd uintptr) {
-		for range l.most { // not Accept, which waits, and at a deadline that is over looks for nothing
+		for range most { // not Accept, which waits, and at a deadline that is over looks for nothing
 			c, _, err := syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 			if err != nil {
 				return
