Let the test of the taking in fail without the lock of whoever takes a message

The test now gives the handler up to 200 ms to take what it must not, under the lock; without the lock in Side.take it fails five times of five, and without the one in Shut at its first half.

--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -346,8 +346,12 @@
 	d.side.taking.Lock() // as Shut
 	c := d.message()
 	require.Eventually(t, func() bool { return d.side.Busy() == 1 }, patience, time.Millisecond)
+	for begin := time.Now(); time.Since(begin) < 200*time.Millisecond && d.core.InHand() == 0; time.Sleep(time.Millisecond) {
+	}
+	taken := d.core.InHand()
 	d.side.shut = true
 	d.side.taking.Unlock()
+	require.Zero(t, taken, "it was taken while nothing may be")
 	c.SetReadDeadline(time.Now().Add(patience))
 	answer, err := bufio.NewReader(c).ReadString('\n')
 	require.NoError(t, err)
