Pass over what is sent ahead in one loop, and find a raw socket in one way

Seen in a last reading of the change: skip had the loop of watch a second time, rest and conn.raw each asked for the raw socket in their own way, a connection was made up to call skip on it, and two tests had the same gate. passOver, rawOf and stepped serve all of them.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -91,12 +91,8 @@
 	l.mu.Lock()
 	paused, most := l.resumed != nil, l.most
 	l.mu.Unlock()
-	sc, ok := l.Listener.(syscall.Conn)
-	if !ok || paused {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	raw := rawOf(l.Listener)
+	if raw == nil || paused {
 		return nil
 	}
 	raw.Control(func(fd uintptr) {
@@ -195,9 +191,9 @@
 	return sc
 }
 
-// raw is the connection for a look at what the kernel has of it; nil where there is none.
-func (c *conn) raw() syscall.RawConn {
-	if sc := c.socket(); sc != nil {
+// rawOf is a connection or a listener for a look at what the kernel has of it; nil where there is none.
+func rawOf(of any) syscall.RawConn {
+	if sc, ok := of.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			return raw
 		}
@@ -214,7 +210,7 @@
 
 // unread tells whether something has come that nobody has read yet.
 func (c *conn) unread() (some bool) {
-	if raw := c.raw(); raw != nil {
+	if raw := rawOf(c.Conn); raw != nil {
 		raw.Control(func(fd uintptr) { // not Read, which waits for whoever reads
 			n, err := peek(fd)
 			some = err == nil && n > 0
@@ -223,30 +219,40 @@
 	return some
 }
 
-// skip passes over what the client has sent ahead of its answer, without waiting for it. It tells whether there was any, and
-// whether the client has left already: such a message may have lain in the socket for long.
-func (c *conn) skip() (more, left bool) {
-	raw := c.raw()
-	if raw == nil {
-		return false, false
-	}
-	ahead := 0
-	raw.Read(func(fd uintptr) bool {
-		part := make([]byte, 1) // most clients send nothing
-		for ahead <= lingerMost {
-			n, _, err := syscall.Recvfrom(int(fd), part, syscall.MSG_DONTWAIT)
-			if n <= 0 || err != nil {
-				left = err != syscall.EAGAIN && err != syscall.EINTR
-				return true
-			}
-			if ahead += n; len(part) < aheadSize {
-				part = make([]byte, aheadSize)
-			}
+// passOver reads and drops what is sent ahead of an answer, until read fails; err is nil where so much came that it cannot be
+// meant for anybody to read.
+func passOver(read func([]byte) (int, error)) (ahead int, err error) {
+	part := make([]byte, 1) // most clients send nothing
+	for ahead <= lingerMost {
+		n, err := read(part)
+		ahead += n
+		if err != nil {
+			return ahead, err
 		}
-		left = true // as for watch
-		return true
-	})
-	return ahead > 0, left
+		if len(part) < aheadSize {
+			part = make([]byte, aheadSize)
+		}
+	}
+	return ahead, nil
+}
+
+// skip passes over what a client has sent ahead of its answer, without waiting for it. It tells whether there was any, and
+// whether the client has left already: such a message may have lain in the socket for long.
+func skip(nc net.Conn) (more, left bool) {
+	if raw := rawOf(nc); raw != nil {
+		raw.Read(func(fd uintptr) bool {
+			ahead, err := passOver(func(p []byte) (int, error) {
+				n, _, err := syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
+				if n == 0 && err == nil {
+					err = io.EOF
+				}
+				return max(n, 0), err
+			})
+			more, left = ahead > 0, err != syscall.EAGAIN && err != syscall.EINTR
+			return true
+		})
+	}
+	return more, left
 }
 
 // begin waits for the first byte of a request, and makes the connection a busy one before anybody reads that byte: who
@@ -254,7 +260,7 @@
 // was closed meanwhile is not, as its client sends what crossed the closing once more elsewhere.
 func (c *conn) begin() bool {
 	came := false
-	if raw := c.raw(); raw != nil {
+	if raw := rawOf(c.Conn); raw != nil {
 		raw.Read(func(fd uintptr) bool { // ends as well when the connection is closed or the deadline is over
 			n, err := peek(fd)
 			came = err == nil && n > 0
@@ -509,25 +515,14 @@
 // of it, or has reset it; or when it has sent so much that it cannot be meant for anybody to read.
 func (c *conn) watch() <-chan struct{} {
 	gone := make(chan struct{})
-	c.stopped, c.ahead = make(chan struct{}), 0
+	c.stopped = make(chan struct{})
 	c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(c.stopped)
-		part := make([]byte, 1) // most clients send nothing
-		for c.ahead <= lingerMost {
-			n, err := c.Conn.Read(part)
-			c.ahead += n
-			if errors.Is(err, os.ErrDeadlineExceeded) {
-				return
-			}
-			if err != nil {
-				break
-			}
-			if len(part) < aheadSize {
-				part = make([]byte, aheadSize)
-			}
+		var err error
+		if c.ahead, err = passOver(c.Conn.Read); !errors.Is(err, os.ErrDeadlineExceeded) {
+			close(gone)
 		}
-		close(gone)
 	}()
 	return gone
 }
--- a/internal/north/conn_test.go
+++ b/internal/north/conn_test.go
@@ -200,25 +200,24 @@
 	require.False(t, c.unread(), "it is closed")
 }
 
-// stepped is a connection whose reader stops once it has come so far that nothing but the bytes it got tells of them.
+// stepped is a connection whose reader stops, with more than so many bytes in hand, before anybody else knows of them.
 type stepped struct {
 	*net.TCPConn
 	begun, on chan struct{}
-}
-
-func (s *stepped) step() {
-	s.begun <- struct{}{}
-	<-s.on
+	above     int
 }
 
 func (s *stepped) Read(p []byte) (int, error) {
 	n, err := s.TCPConn.Read(p)
-	s.step()
+	if n > s.above {
+		s.begun <- struct{}{}
+		<-s.on
+	}
 	return n, err
 }
 
 func step(c *conn) *stepped {
-	s := &stepped{c.Conn.(*net.TCPConn), make(chan struct{}, 9), make(chan struct{})}
+	s := &stepped{c.Conn.(*net.TCPConn), make(chan struct{}, 9), make(chan struct{}), 0}
 	c.Conn = s
 	return s
 }
--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -388,21 +388,7 @@
 
 func (l *slow) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
-	return &slowConn{c, l}, err
-}
-
-type slowConn struct {
-	*net.TCPConn
-	l *slow
-}
-
-func (c *slowConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 1 { // the first byte is read alone
-		c.l.begun <- struct{}{}
-		<-c.l.on
-	}
-	return n, err
+	return &stepped{c, l.begun, l.on, 1}, err // the first byte is read alone
 }
 
 // A connection that has proved nothing yet has to go for another while its first message is in its reader's hands: the
--- a/internal/north/north.go
+++ b/internal/north/north.go
@@ -305,7 +305,7 @@
 		reject(ctx, fasthttp.StatusBadRequest, fault)
 		return
 	}
-	more, left := c.skip()
+	more, left := skip(c.Conn)
 	if !c.prove(true) || left { // nothing is done for it
 		slog.Info("gone", "id", m.ID)
 		ctx.SetConnectionClose()
@@ -385,7 +385,7 @@
 
 // Continue goes on with a message that another process has begun, and with its connection.
 func (n *Side) Continue(nc net.Conn, b dispatch.Begun, more bool) {
-	ahead, left := (&conn{Conn: nc}).skip()
+	ahead, left := skip(nc)
 	more = more || ahead
 	x := n.core.Resume(b, left) // first: what comes over the link next may be about it
 	go func() {
