Split the dispatch core by concern into four files

Call-backs, settings and what goes to a replacing process now have files of their own; the loop, the list of hosts and the carrying out of actions stay. Functions are moved as they were, three long lines are wrapped, and nothing else is changed.

go test ./internal/dispatch ./internal/north ./internal/south: passed before and after.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 	"container/heap"
 	"context"
 	"log/slog"
-	"slices"
 	"sync/atomic"
 
 	"topazfall"
@@ -81,9 +80,10 @@
 	for _, k := range s.Classes {
 		f.AddClasses(k.Name)
 	}
-	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, tenants: s.Tenants, ops: make(chan func(), 1024), news: make(chan func(), 16), figures: f, byID: map[string]*exchange.Exchange{},
-		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{},
-		claims: addresses.NewClaims()}, nil
+	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, tenants: s.Tenants,
+		ops: make(chan func(), 1024), news: make(chan func(), 16), figures: f,
+		byID: map[string]*exchange.Exchange{}, byNum: map[uint64]*exchange.Exchange{},
+		known: map[string]bool{}, hosts: map[string]*exchange.Host{}, claims: addresses.NewClaims()}, nil
 }
 
 // SetPeers names what carries words to other dispatchers. It comes before Run.
@@ -167,13 +167,6 @@
 	}
 }
 
-// class marks a message by its class as the settings of now have it, by which the module goes as well.
-func (c *Core) class(x *exchange.Exchange) {
-	k := &c.classes[x.Class]
-	x.Once = x.Once || k.Repeat == topazfall.Unsafe
-	x.Own = k.Repeat != topazfall.Safe || !c.settings.Allowed.SecondCopies
-}
-
 // Gone tells that the client of a message has left.
 func (c *Core) Gone(x *exchange.Exchange) {
 	x.Leave()
@@ -190,72 +183,6 @@
 	c.ops <- func() { c.end(r, o, l, nil) }
 }
 
-// State is what a host says of a job.
-type State int
-
-// The states that hosts tell of.
-const (
-	Started State = iota
-	Running
-	Over
-)
-
-// Note is one call-back of a host.
-type Note struct {
-	ID, From string
-	State    State
-	Share    float64
-	Outcome  topazfall.Outcome // of Over
-	Result   []byte
-	Load     topazfall.Load
-}
-
-// Noted takes a call-back. It may come before the host's answer to the relay, come again, or be about an
-// earlier life of this dispatcher: it counts only for a relay that is still out at the host it comes from.
-func (c *Core) Noted(n Note) { c.ops <- func() { c.note(n) } }
-
-// Take is Noted, and tells whether the message is in hand here.
-func (c *Core) Take(n Note) bool {
-	taken := make(chan bool, 1)
-	c.ops <- func() {
-		taken <- c.byID[n.ID] != nil
-		c.note(n)
-	}
-	return <-taken
-}
-
-func (c *Core) note(n Note) {
-	r := c.find(n.ID, n.From)
-	if r == nil {
-		return
-	}
-	e := topazfall.Event{Request: r.Exchange.Number, Attempt: r.N, Worker: r.Host.ID, Amount: n.Share}
-	switch n.State {
-	case Started:
-		e.Kind = topazfall.JobStarted
-		if r.Begun == 0 {
-			r.Begun = c.Now()
-		}
-		c.feed(e)
-	case Running:
-		e.Kind = topazfall.JobProgress
-		c.feed(e)
-	case Over:
-		c.end(r, n.Outcome, n.Load, n.Result)
-	}
-}
-
-func (c *Core) find(id, host string) *exchange.Relay {
-	if x := c.byID[id]; x != nil {
-		for _, r := range x.Relays {
-			if !r.Done && r.Host.ID == host {
-				return r
-			}
-		}
-	}
-	return nil
-}
-
 // List takes news of the inventory; for ListBroken there are no entries.
 func (c *Core) List(kind topazfall.EventKind, entries []Entry) {
 	c.news <- func() {
@@ -324,130 +251,6 @@
 	}
 }
 
-// Legacy is what another process needs to go on in this one's place.
-type Legacy struct {
-	Known  []string // ids, the oldest first
-	Memory topazfall.Memory
-}
-
-// Legacy returns what there is now.
-func (c *Core) Legacy() Legacy {
-	l := make(chan Legacy, 1)
-	c.ops <- func() {
-		out := Legacy{Memory: c.balancer.Memory()}
-		for i := range uint64(remembered) {
-			if id := c.order[(c.number+1+i)%remembered]; id != "" {
-				out.Known = append(out.Known, id)
-			}
-		}
-		l <- out
-	}
-	return <-l
-}
-
-// Inherit goes on with a legacy. The list that it speaks of must have come before.
-func (c *Core) Inherit(l Legacy) {
-	c.Learn(l.Known)
-	c.Sync() // the list is with the module
-	c.ops <- func() { c.balancer.Inherit(c.Now(), l.Memory) }
-}
-
-// Indices say by which number classes and tenants go here, by name. A name keeps its number for as long as the process
-// runs: what is read by the settings before, and what is in hand, is still of the same class and tenant.
-type Indices struct{ Classes, Tenants map[string]int }
-
-// IndicesOf numbers the classes and tenants of a first settings.
-func IndicesOf(s *topazfall.Settings) Indices { return number(s.Classes, s.Tenants) }
-
-func number(classes []topazfall.Class, tenants []topazfall.Tenant) Indices {
-	n := Indices{map[string]int{}, map[string]int{}}
-	for i, k := range classes {
-		n.Classes[k.Name] = i
-	}
-	for i, t := range tenants {
-		n.Tenants[t.Name] = i
-	}
-	return n
-}
-
-// Renew goes on with other settings.
-func (c *Core) Renew(s topazfall.Settings) Indices {
-	done := make(chan Indices)
-	c.ops <- func() {
-		c.settings, c.tenants = s, topazfall.AppendTenants(c.tenants, s.Tenants)
-		c.addClasses(s.Classes)
-		done <- number(c.classes, c.tenants)
-	}
-	return <-done
-}
-
-// addClasses makes classes known, to the module as well.
-func (c *Core) addClasses(now []topazfall.Class) {
-	c.classes = topazfall.AppendClasses(c.classes, now)
-	for _, k := range now {
-		c.figures.AddClasses(k.Name)
-	}
-	s := c.settings
-	s.Classes, s.Tenants = c.classes, c.tenants
-	c.feed(topazfall.Event{Kind: topazfall.NewSettings, Settings: &s})
-}
-
-// Begun is a message in hand that goes from one process to another.
-type Begun struct {
-	exchange.Message
-	ClassIs topazfall.Class // it may be gone from the settings
-	Of      string          // the tenant's name, if it has one
-	Relays  []BegunRelay
-	Tries   []topazfall.Try
-}
-
-// BegunRelay is one of its relays.
-type BegunRelay struct {
-	Host, Addr       string
-	Sent, Begun, Due int64
-	Outcome          topazfall.Outcome
-	Done             bool
-}
-
-// HandOver gives a message in hand away by means of to, and tells whether it is gone. One that is over is not, nor one
-// of which a relay is still between here and its host. As to is called from the dispatch goroutine, all that is told of
-// the message comes either before it or finds it no more.
-func (c *Core) HandOver(x *exchange.Exchange, to func(Begun) error) bool {
-	gone := make(chan bool, 1)
-	c.ops <- func() { gone <- c.handOver(x, to) }
-	return <-gone
-}
-
-func (c *Core) handOver(x *exchange.Exchange, to func(Begun) error) bool {
-	if x.Over() || c.byNum[x.Number] != x {
-		return false
-	}
-	b := Begun{Message: x.Message, ClassIs: c.classes[x.Class], Tries: c.balancer.Tries(x.Number)}
-	if x.Tenant >= 0 {
-		b.Of = c.tenants[x.Tenant].Name
-	}
-	for _, r := range x.Relays {
-		if !r.Done && !r.Accepted() {
-			return false
-		}
-		b.Relays = append(b.Relays, BegunRelay{r.Host.ID, r.Host.Addr, r.Sent, r.Begun, r.Due, r.Outcome, r.Done})
-	}
-	if len(b.Tries) != len(b.Relays) || to(b) != nil { // what is queued for the module comes first
-		return false
-	}
-	c.finish(x, exchange.Answer{Verdict: exchange.Moved})
-	for _, r := range x.Relays {
-		if !r.Done {
-			r.Done = true
-			c.inHand.Add(-1)
-		}
-	}
-	c.feed(topazfall.Event{Kind: topazfall.HandedOver, Request: x.Number})
-	c.forget(x)
-	slog.Info("moved", "id", x.ID, "to", "young")
-	return true
-}
-
 // EndUnanswered calls off the relays that their hosts have not answered for so long. What may run again goes to another
 // host, the rest is failed: better than no answer at all, where this process is about to be killed.
 func (c *Core) EndUnanswered(age int64) {
@@ -463,84 +266,6 @@
 	}
 }
 
-// Resume goes on with a message that another process has begun. It gets its final answer here. left says that its client has
-// left, of which Gone tells the rest.
-func (c *Core) Resume(b Begun, left bool) *exchange.Exchange {
-	x := exchange.New(b.Message)
-	if left {
-		x.Leave()
-	}
-	c.inHand.Add(1)
-	c.figures.Outstanding.Add(1)
-	c.ops <- func() {
-		named := func(k topazfall.Class) bool { return k.Name == b.ClassIs.Name }
-		if !slices.ContainsFunc(c.classes, named) {
-			c.addClasses([]topazfall.Class{b.ClassIs})
-		}
-		x.Class = slices.IndexFunc(c.classes, named)
-		c.class(x)
-		if x.Tenant >= 0 { // its number was the other process's
-			x.Tenant = slices.IndexFunc(c.tenants, func(t topazfall.Tenant) bool { return t.Name == b.Of })
-		}
-		if c.byID[x.ID] != nil {
-			slog.Warn("moved", "id", x.ID, "error", "in hand already")
-			c.finish(x, exchange.Answer{Verdict: exchange.Failed})
-			return
-		}
-		c.remember(x.ID)
-		x.Number = c.number
-		c.byID[x.ID], c.byNum[x.Number] = x, x
-		for _, old := range b.Relays {
-			h := c.hosts[old.Host]
-			if h == nil || !h.Several && h.Addr != old.Addr {
-				h = &exchange.Host{ID: old.Host, Addr: old.Addr}
-			}
-			r := x.Relay(h, old.Sent, old.Due)
-			r.Begun, r.Outcome, r.Done = old.Begun, old.Outcome, old.Done
-			r.Resume()
-			if r.Done {
-				r.End()
-				continue
-			}
-			c.inHand.Add(1)
-			c.watch(r)
-		}
-		c.feed(topazfall.Event{Kind: topazfall.Resumed, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
-			Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry, Tries: b.Tries})
-		slog.Info("moved", "id", x.ID, "from", "old", "relays", len(b.Relays))
-	}
-	return x
-}
-
-// Learn makes ids known that another process has had.
-func (c *Core) Learn(ids []string) {
-	c.ops <- func() {
-		for _, id := range ids {
-			if !c.known[id] {
-				c.remember(id)
-			}
-		}
-	}
-}
-
-func (c *Core) remember(id string) {
-	c.number++
-	oldest := &c.order[c.number%remembered]
-	delete(c.known, *oldest)
-	*oldest, c.known[id] = id, true
-}
-
-// Replaced tells whether another process takes the new messages.
-func (c *Core) Replaced(by bool) {
-	c.ops <- func() {
-		e := topazfall.Event{Kind: topazfall.Replaced}
-		if by {
-			e.Amount = 1
-		}
-		c.feed(e)
-	}
-}
-
 // Sync returns when all that was told before has been dealt with.
 func (c *Core) Sync() {
 	done := make(chan struct{})
@@ -655,7 +380,8 @@
 	c.forget(x)
 }
 
-var outcomes = [...]string{"completed", "errored", "saturated", "overdue", "refused_conn", "severed", "recalled", "superseded", "unusable"}
+var outcomes = [...]string{"completed", "errored", "saturated", "overdue", "refused_conn", "severed", "recalled",
+	"superseded", "unusable"}
 
 func (c *Core) finish(x *exchange.Exchange, a exchange.Answer) bool {
 	if x == nil || !x.Finish(a) {
@@ -670,8 +396,8 @@
 }
 
 // endings says how a verdict counts. A message that was not taken is no job.
-var endings = map[exchange.Verdict]figures.Ending{exchange.Served: figures.Succeeded, exchange.Refused: figures.Declined,
-	exchange.Failed: figures.Aborted, exchange.TimedOut: figures.Aborted}
+var endings = map[exchange.Verdict]figures.Ending{exchange.Served: figures.Succeeded,
+	exchange.Refused: figures.Declined, exchange.Failed: figures.Aborted, exchange.TimedOut: figures.Aborted}
 
 // forget drops an exchange that owes and awaits nothing any more.
 func (c *Core) forget(x *exchange.Exchange) {
