Look into sockets in one package, and keep connections beyond their last time limit

The north and the south side each looked into raw sockets by lines of their own; internal/socket has these now (Look, Peek, Discard, PassOver). The south side's look was a Read of the raw connection, which fails once the connection's read deadline is over. That deadline is left from the exchange before (0.5 s for a probe, 2 s for a call-off, the job's time and 2 s for a relay), so that a good connection counted as stale after it and the next message had to open another. The shared look takes no notice of deadlines.

TestKeptBeyondTheLimitOfTheLastExchange failed on the line before (the second message came on a new connection) and passes.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -15,13 +15,13 @@
 	"github.com/valyala/fasthttp"
 
 	"topazfall/internal/dispatch"
+	"topazfall/internal/socket"
 )
 
 const (
 	proveTime  = 2500 * time.Millisecond // from accepting a connection till it has brought something of use
 	lingerTime = time.Second             // for an error to arrive before its connection is closed
 	lingerMost = 1 << 20                 // bytes passed over meanwhile
-	aheadSize  = 4 << 10                 // of the pieces in which that is read while a message waits
 	largeFrom  = 16 << 10                // a request of more bytes needs a place among the large ones
 )
 
@@ -91,7 +91,7 @@
 	l.mu.Lock()
 	paused, most := l.resumed != nil, l.most
 	l.mu.Unlock()
-	raw := rawOf(l.Listener)
+	raw := socket.Raw(l.Listener)
 	if raw == nil || paused {
 		return nil
 	}
@@ -191,68 +191,14 @@
 	return sc
 }
 
-// rawOf is a connection or a listener for a look at what the kernel has of it; nil where there is none.
-func rawOf(of any) syscall.RawConn {
-	if sc, ok := of.(syscall.Conn); ok {
-		if raw, err := sc.SyscallConn(); err == nil {
-			return raw
-		}
-	}
-	return nil
-}
-
-// peek looks at what has come and leaves it there: n is 0 where the other side has ended its sending.
-func peek(fd uintptr) (n int, err error) {
-	var b [1]byte
-	n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
-
 // unread tells whether something has come that nobody has read yet.
-func (c *conn) unread() (some bool) {
-	if raw := rawOf(c.Conn); raw != nil {
-		raw.Control(func(fd uintptr) { // not Read, which waits for whoever reads
-			n, err := peek(fd)
-			some = err == nil && n > 0
-		})
-	}
-	return some
-}
-
-// passOver reads and drops what is sent ahead of an answer, until read fails; err is nil where so much came that it cannot be
-// meant for anybody to read.
-func passOver(read func([]byte) (int, error)) (ahead int, err error) {
-	part := make([]byte, 1) // most clients send nothing
-	for ahead <= lingerMost {
-		n, err := read(part)
-		ahead += n
-		if err != nil {
-			return ahead, err
-		}
-		if len(part) < aheadSize {
-			part = make([]byte, aheadSize)
-		}
-	}
-	return ahead, nil
-}
+func (c *conn) unread() bool { return socket.Look(c.Conn) == socket.Readable }
 
 // skip passes over what a client has sent ahead of its answer, without waiting for it. It tells whether there was any, and
 // whether the client has left already: such a message may have lain in the socket for long.
 func skip(nc net.Conn) (more, left bool) {
-	if raw := rawOf(nc); raw != nil {
-		raw.Read(func(fd uintptr) bool {
-			ahead, err := passOver(func(p []byte) (int, error) {
-				n, _, err := syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT)
-				if n == 0 && err == nil {
-					err = io.EOF
-				}
-				return max(n, 0), err
-			})
-			more, left = ahead > 0, err != syscall.EAGAIN && err != syscall.EINTR
-			return true
-		})
-	}
-	return more, left
+	n, state := socket.Discard(nc, lingerMost)
+	return n > 0, state != socket.Quiet
 }
 
 // begin waits for the first byte of a request, and makes the connection a busy one before anybody reads that byte: who
@@ -260,11 +206,11 @@
 // was closed meanwhile is not, as its client sends what crossed the closing once more elsewhere.
 func (c *conn) begin() bool {
 	came := false
-	if raw := rawOf(c.Conn); raw != nil {
+	if raw := socket.Raw(c.Conn); raw != nil {
 		raw.Read(func(fd uintptr) bool { // ends as well when the connection is closed or the deadline is over
-			n, err := peek(fd)
-			came = err == nil && n > 0
-			return err != syscall.EAGAIN
+			state := socket.Peek(fd)
+			came = state == socket.Readable
+			return state != socket.Quiet
 		})
 	}
 	c.l.mu.Lock()
@@ -520,7 +466,7 @@
 	go func() {
 		defer close(c.stopped)
 		var err error
-		if c.ahead, err = passOver(c.Conn.Read); !errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.ahead, err = socket.PassOver(c.Conn.Read, lingerMost); !errors.Is(err, os.ErrDeadlineExceeded) {
 			close(gone)
 		}
 	}()
--- a/internal/south/line.go
+++ b/internal/south/line.go
@@ -4,9 +4,10 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 
 	"github.com/valyala/fasthttp"
+
+	"topazfall/internal/socket"
 )
 
 // line is a connection to a host that is counted while it is open.
@@ -34,21 +35,5 @@
 // sent what nobody asked for. A message written to it would count as sent and be lost.
 func stale(c net.Conn) bool {
 	l, ok := c.(*line)
-	if !ok {
-		return false
-	}
-	raw, err := l.Conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return true
-	}
-	fresh := false
-	if raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		fresh = err == syscall.EAGAIN
-		return true
-	}) != nil {
-		return true
-	}
-	return !fresh
+	return ok && socket.Look(l.Conn) != socket.Quiet
 }
--- a/internal/south/line_test.go
+++ b/internal/south/line_test.go
@@ -57,3 +57,23 @@
 	require.ErrorIs(t, err, errTooMany)
 	require.EqualValues(t, 1, s.conns.Load(), "a dial that was not made is not counted")
 }
+
+// The time limit of the last exchange on a kept connection says nothing of the connection: after it is over the next
+// one goes on it all the same.
+func TestKeptBeyondTheLimitOfTheLastExchange(t *testing.T) {
+	h := newHosting(t)
+	client := h.client(h.host.Addr)
+	_, end := h.relays("1", false)
+	first := h.next()
+	first.answer(t, accepted)
+	require.False(t, take(t, end).ended)
+	cc, err := client.AcquireConn(0, false)
+	require.NoError(t, err)
+	cc.Conn().SetReadDeadline(time.Unix(1, 0)) // as when the limit is over
+	client.ReleaseConn(cc)
+	_, end = h.relays("2", false)
+	second := h.next()
+	require.True(t, first.Conn == second.Conn)
+	second.answer(t, accepted)
+	require.False(t, take(t, end).ended)
+}
