Send no copy to a worker at which an attempt of the request is still out

When all others are out of reach, a request goes again to a worker that broke the connection of its first attempt. While that second attempt was out and its worker silent, the module took the same worker once more for a copy: two attempts at one worker at a time, which is a duplicate also where copies are allowed. The workers that broke a connection are now named only while they have no attempt that is out.

TestNoCopyWhereAnAttemptIsOut failed before. go test . passed.

--- a/balancer_test.go
+++ b/balancer_test.go
@@ -1249,3 +1249,19 @@
 		r.on(Event{Kind: ClientGone, Request: id})
 	}
 }
+
+// A worker that broke the connection of an attempt is the last that the next one may go to. While that one is out no
+// copy follows it there: two attempts at one worker at a time have an effect twice, whatever else is allowed.
+func TestNoCopyWhereAnAttemptIsOut(t *testing.T) {
+	r := newRig(t, settings(), fleet(1)...)
+	id, acts := r.arrive(safe)
+	first := r.sends(acts)
+	r.now += 1e3
+	again := r.sends(r.done(id, 0, first.Worker, Severed))
+	for range 200 { // far beyond the time at which its worker is doubted
+		r.now += 40e3
+		if n, _ := count(r.on(Event{Kind: TimerDue, Token: id<<2 | tokenLook}), Send); n != 0 {
+			t.Fatalf("a copy went to %s, where an attempt is out", again.Worker)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -316,10 +316,10 @@
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.w == w })
 }
 
-// broken lists the workers that broke the connection of an attempt.
+// broken lists the workers that broke the connection of an attempt and have none that is out.
 func (r *request) broken() (ws []*worker) {
 	for _, a := range r.tries {
-		if a.broken {
+		if a.broken && !slices.ContainsFunc(r.tries, func(o *attempt) bool { return o.w == a.w && !o.done }) {
 			ws = append(ws, a.w)
 		}
 	}
