Begin no repeat of a keyed class once its window for repeats is over

The module decides a repeat within the window, and the relay then may wait for a slow dial; nothing asked for the window again before the first byte. Relay.StartBy now is the end of the window, with the margin of two ticks that the module keeps, and Start asks for it. A repeat that comes too late ends as never sent.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -351,11 +351,28 @@
 		c.end(x.Relay(h, now, due), topazfall.Superseded, topazfall.NoLoad, nil)
 		return
 	}
+	startBy := c.startBy(x)
 	r := x.Relay(h, now, due)
+	r.StartBy = startBy
 	c.watch(r)
 	c.south.Send(r)
 }
 
+// startBy is when the window for repeats of a message is over, with the margin that the module keeps of it, or 0 if
+// nothing of the message may have run or its class has no window.
+func (c *Core) startBy(x *exchange.Exchange) (end int64) {
+	k := &c.classes[x.Class]
+	if k.Repeat != topazfall.Keyed {
+		return 0
+	}
+	for _, r := range x.Relays {
+		if over := r.Sent + k.Window - 2*c.settings.Tick; !(r.Done && r.Outcome.NotRun()) && (end == 0 || over < end) {
+			end = over
+		}
+	}
+	return end
+}
+
 // watch ends a relay when its time is up. Timers cannot be taken back: this one must not keep the message's body until
 // its time comes.
 func (c *Core) watch(r *exchange.Relay) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -41,7 +41,11 @@
 }
 
 func startWith(t *testing.T, tenants []topazfall.Tenant, hosts ...string) (*Core, side) {
-	c, err := New(settings(tenants), &figures.Figures{})
+	return startBy(t, settings(tenants), hosts...)
+}
+
+func startBy(t *testing.T, settings topazfall.Settings, hosts ...string) (*Core, side) {
+	c, err := New(settings, &figures.Figures{})
 	require.NoError(t, err)
 	s := side{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}
 	go c.Run(s, s)
@@ -114,8 +118,8 @@
 	require.False(t, r.Start(c.Now()))
 }
 
-// A client leaves while its message waits in line with others, or its next attempt waits for its time: of the first nothing
-// is prepared, and of the second nothing more.
+// A client leaves while its message waits in line with others, or its next attempt waits for its time: of the first
+// nothing is prepared, and of the second nothing more.
 func TestNothingIsPreparedAfterTheClientLeft(t *testing.T) {
 	block := func(c *Core) (gate chan struct{}) {
 		begun, gate := make(chan struct{}), make(chan struct{})
@@ -193,6 +197,36 @@
 	}
 }
 
+// A repeat of a keyed class that its window allowed when it was decided does not begin once the window is over, as
+// behind a slow dial: its effect would come twice. One after attempts that never ran has no window.
+func TestNoRepeatBeginsBeyondTheWindow(t *testing.T) {
+	const window = 3e6
+	for name, c := range map[string]struct {
+		repeat    topazfall.RepeatRule
+		first     topazfall.Outcome
+		later     int64 // the repeat's dial comes up so long after the first attempt
+		permitted bool
+	}{
+		"in time":       {topazfall.Keyed, topazfall.Severed, window - 8001, true}, // two ticks before its end
+		"at the end":    {topazfall.Keyed, topazfall.Severed, window - 8000, false},
+		"beyond":        {topazfall.Keyed, topazfall.Severed, window + 1e6, false},
+		"never ran":     {topazfall.Keyed, topazfall.Saturated, window + 1e6, true},
+		"of every kind": {topazfall.Safe, topazfall.Severed, window + 1e6, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings(nil)
+			s.Classes[0].Repeat, s.Classes[0].Window, s.Classes[0].Group = c.repeat, window, topazfall.GroupAll
+			core, side := startBy(t, s, "h", "i")
+			core.Arrive(message(core, "1", time.Minute))
+			first := <-side.sent
+			require.True(t, first.Start(first.Sent))
+			core.Ended(first, c.first, topazfall.NoLoad)
+			again := <-side.sent
+			require.Equal(t, c.permitted, again.Start(first.Sent+c.later))
+		})
+	}
+}
+
 // Without a word from the host the relay ends when its time is up, is called off, and the client is told.
 func TestOverdue(t *testing.T) {
 	c, s := start(t, "h")
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -134,6 +134,7 @@
 	Sent     int64
 	Begun    int64 // when the host said that it runs, 0 before
 	Due      int64 // when the dispatcher stops waiting for it
+	StartBy  int64 // from when on it may not begin, if that is before Due; 0 for no such time
 	Outcome  topazfall.Outcome
 	Done     bool // Outcome is known; the dispatch goroutine's
 	stage    atomic.Int32
@@ -147,11 +148,11 @@
 	return r
 }
 
-// Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message, its client or
-// the relay's own time; what was legal when it was decided is not sent then. The client is looked for here and now:
+// Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message, its client, the
+// relay's own time or the window for repeats; what was legal when it was decided is not sent then. The client is looked for here and now:
 // that it has left may be in the system and not with whoever watches for it.
 func (r *Relay) Start(now int64) bool {
-	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.Look() &&
+	return now < r.Due && (r.StartBy == 0 || now < r.StartBy) && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.Look() &&
 		r.stage.CompareAndSwap(waiting, started)
 }
 
