--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -41,7 +41,11 @@
 }
 
 func startWith(t *testing.T, tenants []topazfall.Tenant, hosts ...string) (*Core, side) {
-	c, err := New(settings(tenants), &figures.Figures{})
+	return startBy(t, settings(tenants), hosts...)
+}
+
+func startBy(t *testing.T, settings topazfall.Settings, hosts ...string) (*Core, side) {
+	c, err := New(settings, &figures.Figures{})
 	require.NoError(t, err)
 	s := side{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}
 	go c.Run(s, s)
@@ -110,10 +114,73 @@
 	r := x.Relay(&exchange.Host{ID: "h"}, c.Now(), x.Due)
 	c.Gone(x)
 	require.False(t, r.Start(c.Now()))
-	r = c.Resume(Begun{Message: x.Message}, true).Relay(&exchange.Host{ID: "h"}, c.Now(), x.Due)
+	r = c.Resume(Begun{Message: x.Message}, away{}).Relay(&exchange.Host{ID: "h"}, c.Now(), x.Due)
 	require.False(t, r.Start(c.Now()))
 }
 
+// A client leaves while its message waits in line with others, or its next attempt waits for its time: of the first
+// nothing is prepared, and of the second nothing more.
+func TestNothingIsPreparedAfterTheClientLeft(t *testing.T) {
+	block := func(c *Core) (gate chan struct{}) {
+		begun, gate := make(chan struct{}), make(chan struct{})
+		c.ops <- func() { close(begun); <-gate }
+		<-begun
+		return gate
+	}
+	fill := func(c *Core) { // no further operation finds a place
+		for len(c.ops) < cap(c.ops) {
+			c.ops <- func() {}
+		}
+	}
+	t.Run("in line", func(t *testing.T) {
+		c, s := start(t, "h")
+		gate := block(c)
+		x := message(c, "1", time.Minute)
+		c.Arrive(x)
+		fill(c)
+		go c.Gone(x) // waits for its place, behind all
+		require.Eventually(t, x.HasLeft, patience, time.Millisecond)
+		close(gate)
+		require.Equal(t, exchange.Failed, (<-x.Answer()).Verdict)
+		require.Eventually(t, func() bool { return len(c.ops) == 0 }, patience, time.Millisecond)
+		c.Sync()
+		require.Zero(t, c.InHand())
+		require.Empty(t, s.sent)
+	})
+	t.Run("between two attempts", func(t *testing.T) {
+		c, s := start(t, "h", "i")
+		x := message(c, "1", time.Minute)
+		c.Arrive(x)
+		r := <-s.sent
+		gate := block(c)
+		c.Ended(r, topazfall.Saturated, topazfall.NoLoad)
+		fill(c)
+		go c.Gone(x)
+		require.Eventually(t, x.HasLeft, patience, time.Millisecond)
+		close(gate)
+		require.Equal(t, exchange.Failed, (<-x.Answer()).Verdict)
+		require.Eventually(t, func() bool { return len(c.ops) == 0 }, patience, time.Millisecond)
+		c.Sync()
+		require.Zero(t, c.InHand())
+		require.Empty(t, s.sent)
+		require.Empty(t, c.byNum)
+	})
+	t.Run("until a worker comes", func(t *testing.T) { // the module looks again by a timer
+		c, s := start(t)
+		x := message(c, "1", time.Minute)
+		c.Arrive(x)
+		c.Sync()
+		x.Leave() // and nobody tells of it
+		c.List(topazfall.ListPatch, []Entry{entry("h", topazfall.Ready)})
+		require.Equal(t, exchange.Failed, (<-x.Answer()).Verdict)
+		c.Sync()
+		require.Zero(t, c.InHand())
+		require.Empty(t, s.sent)
+	})
+}
+
+const patience = 20 * time.Second // no verdict hangs on how fast a machine is
+
 // Nor is it started once it is called off, the message is over, or its time is up.
 func TestNoStartAfterTheEnd(t *testing.T) {
 	for name, end := range map[string]func(*exchange.Exchange, *exchange.Relay){
@@ -130,6 +197,36 @@
 	}
 }
 
+// A repeat of a keyed class that its window allowed when it was decided does not begin once the window is over, as
+// behind a slow dial: its effect would come twice. One after attempts that never ran has no window.
+func TestNoRepeatBeginsBeyondTheWindow(t *testing.T) {
+	const window = 3e6
+	for name, c := range map[string]struct {
+		repeat    topazfall.RepeatRule
+		first     topazfall.Outcome
+		later     int64 // the repeat's dial comes up so long after the first attempt
+		permitted bool
+	}{
+		"in time":       {topazfall.Keyed, topazfall.Severed, window - 8001, true}, // two ticks before its end
+		"at the end":    {topazfall.Keyed, topazfall.Severed, window - 8000, false},
+		"beyond":        {topazfall.Keyed, topazfall.Severed, window + 1e6, false},
+		"never ran":     {topazfall.Keyed, topazfall.Saturated, window + 1e6, true},
+		"of every kind": {topazfall.Safe, topazfall.Severed, window + 1e6, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := settings(nil)
+			s.Classes[0].Repeat, s.Classes[0].Window, s.Classes[0].Group = c.repeat, window, topazfall.GroupAll
+			core, side := startBy(t, s, "h", "i")
+			core.Arrive(message(core, "1", time.Minute))
+			first := <-side.sent
+			require.True(t, first.Start(first.Sent))
+			core.Ended(first, c.first, topazfall.NoLoad)
+			again := <-side.sent
+			require.Equal(t, c.permitted, again.Start(first.Sent+c.later))
+		})
+	}
+}
+
 // Without a word from the host the relay ends when its time is up, is called off, and the client is told.
 func TestOverdue(t *testing.T) {
 	c, s := start(t, "h")
@@ -187,7 +284,7 @@
 	require.Empty(t, s.off, "nothing is called off")
 
 	to, t2 := start(t, "h")
-	y := to.Resume(begun, false)
+	y := to.Resume(begun, nil)
 	require.True(t, to.Take(Note{ID: "1", From: "h", State: Over, Outcome: topazfall.Completed, Result: []byte("r"), Load: topazfall.NoLoad}))
 	require.Equal(t, exchange.Answer{Verdict: exchange.Served, Body: []byte("r")}, <-y.Answer())
 	require.Equal(t, x.Path, y.Path)
@@ -296,7 +393,7 @@
 		var begun Begun
 		require.True(t, c.HandOver(x, func(b Begun) error { begun = b; return nil }))
 		to, _ := startWith(t, tenants("xcda"), "h")
-		y := to.Resume(begun, false)
+		y := to.Resume(begun, nil)
 		to.Sync()
 		require.Equal(t, map[string]int{"a": 3, "b": -1, "c": 1, "d": 2}[name], y.Tenant)
 	}
@@ -317,3 +414,8 @@
 		require.Equal(t, now == topazfall.Unsafe, x.Own)
 	}
 }
+
+// away is a client that has left.
+type away struct{}
+
+func (away) Left() bool { return true }
