Write no repeat after its window, also when its connection comes up late

Change: an exchange keeps when its attempts began and which proved not to have run; Start permits a repeat only within the class's window, less the two ticks that the module uses, and none at all of what must not run twice. Tests: TestDialOutlastsRepeatWindow, TestFirstAttemptIsWrittenAfterItsCopy, TestWindowOfResumedAttempts and TestSecondStartOfUnsafeRequest; six cases of these were seen to fail without the check.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -366,6 +366,9 @@
 	}
 	r.Done, r.Outcome = true, o
 	r.End()
+	if o.NotRun() {
+		r.NeverRan()
+	}
 	c.inHand.Add(-1)
 	x := r.Exchange
 	if o == topazfall.Completed {
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -129,6 +129,9 @@
 			r := x.Relay(h, old.Sent, old.Due)
 			r.Begun, r.Outcome, r.Done = old.Begun, old.Outcome, old.Done
 			r.Resume()
+			if r.Done && r.Outcome.NotRun() {
+				r.NeverRan()
+			}
 			if r.Done {
 				r.End()
 				continue
--- /dev/null
+++ b/internal/dispatch/repeat_test.go
@@ -0,0 +1,103 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazfall"
+	"topazfall/internal/exchange"
+	"topazfall/internal/figures"
+)
+
+const window = 10_000_000 // microseconds, of the keyed class of these tests
+
+// keyed are settings with one class whose repeats are dropped within the window.
+func keyed() topazfall.Settings {
+	s := settings(nil)
+	s.Classes = []topazfall.Class{{Name: "keyed", Deadline: 60e6, Aim: 60e6, Repeat: topazfall.Keyed, Window: window}}
+	return s
+}
+
+func startKeyed(t *testing.T) (*Core, side) {
+	c, err := New(keyed(), &figures.Figures{})
+	require.NoError(t, err)
+	s := side{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}
+	go c.Run(s, s)
+	c.List(topazfall.ListStale, []Entry{entry("h", topazfall.Ready), entry("i", topazfall.Ready)})
+	return c, s
+}
+
+// A repeat is decided on within the window, and its connection comes up after it: nothing of it is written. The same
+// repeat is written where its connection comes up in time, or where the first attempt proved not to have run.
+func TestDialOutlastsRepeatWindow(t *testing.T) {
+	for name, test := range map[string]struct {
+		first   topazfall.Outcome
+		after   int64 // from the start of the first attempt to that of the second
+		started bool
+	}{
+		"in time":             {topazfall.Severed, window - 2*4000 - 1, true},
+		"two ticks too late":  {topazfall.Severed, window - 2*4000, false},
+		"after the window":    {topazfall.Errored, window, false},
+		"long after":          {topazfall.Severed, 2 * window, false},
+		"the first never ran": {topazfall.Saturated, 2 * window, true},
+		"nothing was written": {topazfall.RefusedConn, 2 * window, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c, s := startKeyed(t)
+			c.Arrive(message(c, "1", time.Minute))
+			first := <-s.sent
+			began := c.Now()
+			require.True(t, first.Start(began))
+			c.Ended(first, test.first, topazfall.NoLoad)
+			second := <-s.sent
+			require.NotEqual(t, first.Host.ID, second.Host.ID)
+			require.Equal(t, test.started, second.Start(began+test.after))
+		})
+	}
+}
+
+// Of two attempts that are out at once the one that was decided on first comes out of its dial last: the window runs
+// from the first that was written.
+func TestFirstAttemptIsWrittenAfterItsCopy(t *testing.T) {
+	c, _ := startKeyed(t)
+	x := message(c, "1", time.Minute)
+	c.Arrive(x)
+	c.Sync()
+	first, copied := x.Relays[0], x.Relay(&exchange.Host{ID: "i"}, c.Now(), x.Due)
+	began := c.Now()
+	require.True(t, copied.Start(began))
+	require.False(t, first.Start(began+window))
+	require.False(t, first.End(), "nothing of it was written")
+}
+
+// What another process has begun and is still out counts as well, unless it never ran there.
+func TestWindowOfResumedAttempts(t *testing.T) {
+	for _, neverRan := range []bool{false, true} {
+		c, _ := startKeyed(t)
+		m := message(c, "1", time.Minute)
+		sent := c.Now() - window
+		begun := BegunRelay{Host: "h", Sent: sent, Due: m.Due}
+		if neverRan {
+			begun.Done, begun.Outcome = true, topazfall.Saturated
+		}
+		x := c.Resume(Begun{Message: m.Message, ClassIs: keyed().Classes[0], Relays: []BegunRelay{begun},
+			Tries: []topazfall.Try{{Worker: "h", Sent: sent, Done: neverRan, NotRun: neverRan}}}, false)
+		c.Sync()
+		require.False(t, x.Over())
+		require.Equal(t, neverRan, x.Relay(&exchange.Host{ID: "i"}, c.Now(), x.Due).Start(c.Now()))
+	}
+}
+
+// What must not run twice is not written a second time even if the module asked for it.
+func TestSecondStartOfUnsafeRequest(t *testing.T) {
+	c, s := start(t, "h", "i")
+	x := message(c, "1", time.Minute)
+	c.Arrive(x)
+	first := <-s.sent
+	require.True(t, first.Start(c.Now()))
+	require.False(t, x.Relay(&exchange.Host{ID: "i"}, c.Now(), x.Due).Start(c.Now()))
+	c.Ended(first, topazfall.Saturated, topazfall.NoLoad)
+	require.True(t, (<-s.sent).Start(c.Now()))
+}
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -12,6 +12,19 @@
 	k := &c.classes[x.Class]
 	x.Once = x.Once || k.Repeat == topazfall.Unsafe
 	x.Own = k.Repeat != topazfall.Safe || !c.settings.Allowed.SecondCopies
+	x.LimitRepeats(c.repeats(k))
+}
+
+// repeats says when an attempt of a class may follow another that may have run. As in the module a repeat of a keyed class
+// must begin two ticks before its window ends.
+func (c *Core) repeats(k *topazfall.Class) exchange.Repeats {
+	switch k.Repeat {
+	case topazfall.Unsafe:
+		return exchange.Repeats{Bounded: true}
+	case topazfall.Keyed:
+		return exchange.Repeats{Bounded: true, Within: k.Window - 2*c.settings.Tick}
+	}
+	return exchange.Repeats{}
 }
 
 // Indices say by which number classes and tenants go here, by name. A name keeps its number for as long as the process
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -58,6 +58,7 @@
 	Number uint64   // the decision module's name for it
 	Own    bool     // taking another message's answer for its own could have it run twice where that is not permitted
 	Relays []*Relay // in the order they were made; the dispatch goroutine's
+	starts starts   // of the attempts that may have run
 	over   atomic.Bool
 	left   atomic.Bool
 	answer chan Answer
@@ -122,13 +123,16 @@
 	return r
 }
 
-// Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message, its client or
-// the relay's own time; what was legal when it was decided is not sent then.
+// Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message, its client, the
+// time in which a repeat is permitted or the relay's own time; what was legal when it was decided is not sent then.
 func (r *Relay) Start(now int64) bool {
 	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.left.Load() &&
-		r.stage.CompareAndSwap(waiting, started)
+		r.Exchange.starts.begin(r, now)
 }
 
+// NeverRan notes that the host proved not to have run the job: the relay does not count as the first of several any more.
+func (r *Relay) NeverRan() { r.Exchange.starts.remove(r) }
+
 // Accept notes that the host has taken the job: from here on its call-backs tell the rest, and no connection is bound
 // to the relay any more.
 func (r *Relay) Accept() { r.accepted.Store(true) }
@@ -138,7 +142,7 @@
 
 // Resume makes a relay of one that another process has begun and its host has taken.
 func (r *Relay) Resume() {
-	r.stage.Store(started)
+	r.Exchange.starts.resume(r)
 	r.Accept()
 }
 
