--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -41,10 +41,10 @@
 }
 
 func startWith(t *testing.T, tenants []topazfall.Tenant, hosts ...string) (*Core, side) {
-	return startBy(t, settings(tenants), hosts...)
+	return startOn(t, settings(tenants), hosts...)
 }
 
-func startBy(t *testing.T, settings topazfall.Settings, hosts ...string) (*Core, side) {
+func startOn(t *testing.T, settings topazfall.Settings, hosts ...string) (*Core, side) {
 	c, err := New(settings, &figures.Figures{})
 	require.NoError(t, err)
 	s := side{make(chan *exchange.Relay, 9), make(chan *exchange.Relay, 9)}
@@ -211,12 +211,13 @@
 		"at the end":    {topazfall.Keyed, topazfall.Severed, window - 8000, false},
 		"beyond":        {topazfall.Keyed, topazfall.Severed, window + 1e6, false},
 		"never ran":     {topazfall.Keyed, topazfall.Saturated, window + 1e6, true},
+		"not written":   {topazfall.Keyed, topazfall.RefusedConn, window + 1e6, true},
 		"of every kind": {topazfall.Safe, topazfall.Severed, window + 1e6, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := settings(nil)
 			s.Classes[0].Repeat, s.Classes[0].Window, s.Classes[0].Group = c.repeat, window, topazfall.GroupAll
-			core, side := startBy(t, s, "h", "i")
+			core, side := startOn(t, s, "h", "i")
 			core.Arrive(message(core, "1", time.Minute))
 			first := <-side.sent
 			require.True(t, first.Start(first.Sent))
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -127,6 +127,9 @@
 			r := x.Relay(h, old.Sent, old.Due)
 			r.Begun, r.Outcome, r.Done = old.Begun, old.Outcome, old.Done
 			r.Resume()
+			if r.Done && r.Outcome.NotRun() {
+				r.NeverRan()
+			}
 			if r.Done {
 				r.End()
 				continue
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,6 +59,7 @@
 	Own    bool     // taking another message's answer for its own could have it run twice where that is not permitted
 	Relays []*Relay // in the order they were made; the dispatch goroutine's
 	client Client   // nil where nobody can look
+	starts starts   // of the attempts that may have run
 	over   atomic.Bool
 	left   atomic.Bool
 	answer chan Answer
@@ -134,7 +135,6 @@
 	Sent     int64
 	Begun    int64 // when the host said that it runs, 0 before
 	Due      int64 // when the dispatcher stops waiting for it
-	StartBy  int64 // from when on it may not begin, if that is before Due; 0 for no such time
 	Outcome  topazfall.Outcome
 	Done     bool // Outcome is known; the dispatch goroutine's
 	stage    atomic.Int32
@@ -149,13 +149,16 @@
 }
 
 // Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message, its client, the
-// relay's own time or the window for repeats; what was legal when it was decided is not sent then. The client is looked for here and now:
-// that it has left may be in the system and not with whoever watches for it.
+// relay's own time or the window for repeats; what was legal when it was decided is not sent then. The client is looked
+// for here and now: that it has left may be in the system and not with whoever watches for it.
 func (r *Relay) Start(now int64) bool {
-	return now < r.Due && (r.StartBy == 0 || now < r.StartBy) && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.Look() &&
-		r.stage.CompareAndSwap(waiting, started)
+	return now < r.Due && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.Look() &&
+		r.Exchange.starts.begin(r, now)
 }
 
+// NeverRan notes that the host proved not to have run the job: the relay does not count as the first of several any more.
+func (r *Relay) NeverRan() { r.Exchange.starts.remove(r) }
+
 // Accept notes that the host has taken the job: from here on its call-backs tell the rest, and no connection is bound
 // to the relay any more.
 func (r *Relay) Accept() { r.accepted.Store(true) }
@@ -165,7 +168,7 @@
 
 // Resume makes a relay of one that another process has begun and its host has taken.
 func (r *Relay) Resume() {
-	r.stage.Store(started)
+	r.Exchange.starts.resume(r)
 	r.Accept()
 }
 
