Decide in one pure module when discovery is called and how long a list is relied on

What discovery has counts as told 6 s after it had it and could be reached, whatever is allowed after a failed call. The decisions about that stood in internal/inventory, between the calls themselves, and had no bound on the age of a list.

refresh.Schedule takes how each call ended and gives the wait and pause of the next, the time from which the list may not be relied on, and the budget of calls of the whole fleet. Nothing uses it yet.

--- /dev/null
+++ b/internal/decide/refresh/refresh_test.go
@@ -0,0 +1,225 @@
+package refresh
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const second = time.Second
+
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+func asked(dispatchers int) Terms {
+	return Terms{Dispatchers: dispatchers, Asked: true, DrainGrace: 250 * time.Millisecond, AskEvery: 10 * second}
+}
+
+// started is a dispatcher of many that started at 100 s.
+func started() *Schedule { return New(100*second, asked(300), seeded(1)) }
+
+// call plays one call from begun to ended, and returns when the next one begins.
+func call(s *Schedule, begun, ended time.Duration, result Result, retryAfter time.Duration) time.Duration {
+	s.Begin(begun, true)
+	return ended + s.End(ended, result, retryAfter)
+}
+
+func requireHoldAt(t *testing.T, s *Schedule, want time.Duration) {
+	t.Helper()
+	at, bounded := s.HoldAt()
+	require.True(t, bounded)
+	require.Equal(t, want, at)
+	require.False(t, s.Held(want-1))
+	require.True(t, s.Held(want))
+}
+
+func requireNoHold(t *testing.T, s *Schedule) {
+	t.Helper()
+	_, bounded := s.HoldAt()
+	require.False(t, bounded)
+	require.False(t, s.Held(1000*second))
+}
+
+// The settings give the bound, the spacing and the budget of the fleet; none of them is another than the
+// formula in the package's comment says.
+func TestBoundAndBudget(t *testing.T) {
+	for _, c := range []struct {
+		dispatchers              int
+		askEvery, bound, spacing time.Duration
+		budget                   float64
+	}{
+		{1, 10 * second, Told, 400 * time.Millisecond, 2.5},
+		{4, 10 * second, Told, 400 * time.Millisecond, 10},
+		{20, 10 * second, Told, 2 * second, 10},
+		{300, 10 * second, Told, 2 * second, 150},
+		{300, 0, Told, 2 * second, 150},
+		{300, second, 4 * second, second * 2 / 3, 450},
+	} {
+		terms := asked(c.dispatchers)
+		terms.AskEvery = c.askEvery
+		require.Equal(t, c.bound, terms.Bound())
+		require.Equal(t, c.spacing, terms.Spacing(9))
+		require.InDelta(t, c.budget, terms.Budget(), 0.01)
+	}
+}
+
+// The first call is refused, then refused again with a Retry-After beyond the bound: the next call still
+// begins before the list may not be relied on any more, and only then does the dispatcher hold back.
+func TestRefusedTwiceWithRetryAfterBeyondTheBound(t *testing.T) {
+	begins := map[time.Duration]bool{}
+	for seed := range uint64(200) {
+		s := New(100*second, asked(300), seeded(seed))
+		first := 100*second + s.First(true)
+		next := call(s, first, first+10*time.Millisecond, Answered, 0)
+		requireHoldAt(t, s, 106*second)
+		if next > 103*second { // no time for the second refusal to put anything off
+			continue
+		}
+		third := call(s, next, next+10*time.Millisecond, Answered, 60*second)
+		begins[third.Truncate(100*time.Millisecond)] = true
+		requireHoldAt(t, s, 106*second)
+		require.LessOrEqual(t, third, max(106*second-CallLimit, next+3*second), "it puts off more than the spread does")
+		require.Less(t, third, 106*second, "no call is left within the bound")
+		// Past the bound the service is spared by the budget alone: who refuses all for long serves nobody.
+		late := call(s, 107*second, 107*second, Answered, 60*second)
+		require.LessOrEqual(t, late, 110*second)
+		call(s, late, late+second, Read, 0)
+		requireNoHold(t, s)
+	}
+	require.Greater(t, len(begins), 5, "not all at the same time")
+}
+
+// What a refusal asks for is kept where there is time for it.
+func TestRetryAfterIsKept(t *testing.T) {
+	for seed := range uint64(100) {
+		s := New(100*second, asked(4), seeded(seed))
+		next := call(s, 100*second, 100*second, Answered, 2*second)
+		require.GreaterOrEqual(t, next, 102*second)
+		require.LessOrEqual(t, next, 100*second+Told-CallLimit)
+	}
+}
+
+// A call that was opened anew and given up after 2.5 s shows that discovery could not be reached when it
+// began; a watch that goes on shows nothing by its silence, as it alone may be what is broken.
+func TestCallGivenUp(t *testing.T) {
+	s := started()
+	next := call(s, 101*second, 101*second+CallLimit, Silent, 0)
+	require.Less(t, next, 100*second+Told, "the next call begins within the bound")
+	requireNoHold(t, s)
+	call(s, next, next+10*time.Millisecond, Answered, 0)
+	requireHoldAt(t, s, 101*second+Told)
+
+	s = started()
+	require.Zero(t, s.Begin(100*second, true), "a first call does not wait")
+	require.Zero(t, s.End(100*second, Read, 0))
+	require.Equal(t, WatchWait, s.Begin(100*second, true))
+	next = 100*second + CallLimit + s.End(100*second+CallLimit, Silent, 0)
+	require.Zero(t, s.Begin(next, true), "whether it is answered shows at once")
+	s.End(next, Answered, 0)
+	requireHoldAt(t, s, 106*second)
+}
+
+// Discovery that is down, by silence or by broken connections, is no reason to hold back however long it
+// takes. From its return on a refusal begins the bound, at the last call that it left unanswered; later
+// silence does not end it.
+func TestDownAndBack(t *testing.T) {
+	for _, how := range []Result{Silent, Broken} {
+		s := started()
+		now, last := call(s, 100*second, 100*second, Read, 0), time.Duration(0)
+		for now < 130*second {
+			last = now
+			now = call(s, now, now+map[Result]time.Duration{Silent: CallLimit}[how], how, 0)
+			requireNoHold(t, s)
+		}
+		now = call(s, now, now, Answered, 0)
+		requireHoldAt(t, s, last+Told)
+		call(s, now, now+CallLimit, Silent, 0)
+		requireHoldAt(t, s, last+Told)
+		call(s, 150*second, 151*second, Read, 0)
+		requireNoHold(t, s)
+	}
+}
+
+// A list is as old as the call that brought it: what changed while it was on its way may be missing.
+func TestReadIsAsOldAsItsCall(t *testing.T) {
+	s := started()
+	next := call(s, 100*second, 102*second, Read, 0)
+	require.Equal(t, 102*second, next, "the watch goes on at once")
+	call(s, next, next, Answered, 0)
+	requireHoldAt(t, s, 106*second)
+}
+
+// A healthy watch is no reason to hold back, nor is anything where lists are pushed.
+func TestNoHoldWithoutNeed(t *testing.T) {
+	s := started()
+	for now := 100 * second; now < 200*second; now += second {
+		s.Begin(now, true)
+		s.End(now+second, Read, 0)
+		requireNoHold(t, s)
+	}
+	terms := asked(300)
+	terms.Asked = false
+	s = New(0, terms, seeded(1))
+	require.Zero(t, s.First(true))
+	for now := time.Duration(0); now < 100*second; {
+		s.Begin(now, true)
+		now += time.Millisecond
+		now += s.End(now, []Result{Answered, Silent, Broken}[now%3], 60*second)
+		requireNoHold(t, s)
+	}
+	require.Zero(t, s.Missed(1000*second))
+	s.Renew(asked(300)) // it has been refused all the time
+	require.True(t, s.Held(100*second))
+	s.Renew(terms)
+	requireNoHold(t, s)
+}
+
+// After a move the watch is opened anew, and what was not read before still counts.
+func TestMoveKeepsTheBound(t *testing.T) {
+	s := started()
+	call(s, 101*second, 101*second, Answered, 0)
+	s.Moved()
+	requireHoldAt(t, s, 106*second)
+	call(s, 103*second, 103*second, Broken, 0)
+	requireHoldAt(t, s, 106*second)
+	call(s, 107*second, 107*second, Read, 0)
+	requireNoHold(t, s)
+	s.Moved()
+	require.Zero(t, s.Begin(108*second, true))
+}
+
+// Another process goes on from what this one has missed.
+func TestInherit(t *testing.T) {
+	s := started()
+	require.Zero(t, s.Missed(103*second))
+	call(s, 101*second, 101*second, Answered, 0)
+	require.Equal(t, 3*second, s.Missed(103*second))
+	heir := New(0, asked(300), seeded(2))
+	heir.Inherit(s.Missed(103 * second))
+	requireHoldAt(t, heir, 3*second)
+	heir = New(0, asked(300), seeded(2))
+	heir.Inherit(0)
+	requireNoHold(t, heir)
+}
+
+// Whatever comes, at most one call is under way, a failed one is followed soon enough for another within the
+// bound, and the dispatchers together keep to the budget.
+func TestSpacingUnderRandomFailures(t *testing.T) {
+	for _, dispatchers := range []int{1, 3, 8, 48, 300, 2000} {
+		for seed := range uint64(20) {
+			random := seeded(seed)
+			s := New(0, asked(dispatchers), random)
+			now, calls := s.First(true), 0
+			for ; now < 1000*second; calls++ {
+				begun, result := now, Result(1+random.IntN(3))
+				s.Begin(now, true)
+				now += map[Result]time.Duration{Answered: 10 * time.Millisecond, Silent: CallLimit}[result]
+				now += s.End(now, result, 0)
+				require.Greater(t, now, begun)
+				require.LessOrEqual(t, now-begun, max(CallLimit+retrySpacing, s.terms.Spacing(9)*3/2))
+			}
+			require.LessOrEqual(t, float64(calls)*float64(dispatchers)/1000, asked(dispatchers).Budget()*1.05)
+		}
+	}
+}
