Let the dispatch goroutine hold back new attempts while its list may not be relied on

A dispatcher that cannot read its list in time has to send nothing new to workers that may drain. Core.Hold offers the module no worker for that time, by the states that it knows, and closes the hosts for what has not begun. The module's rules then say what waits and what is refused; the balancer is unchanged. Nothing calls it yet.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -66,6 +66,8 @@
 	known   map[string]bool // ids of late, in hand or not
 	order   [remembered]string
 	hosts   map[string]*exchange.Host
+	listed  map[string]topazfall.Worker // as the inventory has them
+	held    bool                        // the list may not be relied on; see Hold
 	claims  *addresses.Claims
 	events  []topazfall.Event
 	actions []topazfall.Action
@@ -83,7 +85,7 @@
 	}
 	return &Core{Clock: NewClock(), balancer: b, settings: s, classes: s.Classes, tenants: s.Tenants, ops: make(chan func(), 1024), news: make(chan func(), 16), figures: f, byID: map[string]*exchange.Exchange{},
 		byNum: map[uint64]*exchange.Exchange{}, known: map[string]bool{}, hosts: map[string]*exchange.Host{},
-		claims: addresses.NewClaims()}, nil
+		listed: map[string]topazfall.Worker{}, claims: addresses.NewClaims()}, nil
 }
 
 // SetPeers names what carries words to other dispatchers. It comes before Run.
@@ -261,7 +263,7 @@
 	c.news <- func() {
 		if kind == topazfall.ListWhole || kind == topazfall.ListStale {
 			old := c.hosts
-			c.hosts = map[string]*exchange.Host{}
+			c.hosts, c.listed = map[string]*exchange.Host{}, map[string]topazfall.Worker{}
 			for _, e := range entries {
 				c.hosts[e.ID] = old[e.ID]
 			}
@@ -287,14 +289,16 @@
 				h = &exchange.Host{ID: e.ID, Addr: e.Addr, Several: several}
 				c.hosts[e.ID] = h
 			}
-			h.SetClosed(e.State != topazfall.Ready)
+			c.listed[e.ID] = e.Worker
+			workers[i] = c.offered(e.Worker)
+			h.SetClosed(workers[i].State != topazfall.Ready)
 			if e.State == topazfall.Gone {
 				delete(c.hosts, e.ID)
+				delete(c.listed, e.ID)
 				c.claims.Remove(e.ID)
 			} else {
 				c.claims.Set(e.ID, e.Addrs, e.Addr)
 			}
-			workers[i] = e.Worker
 		}
 		c.settleClaims()
 		c.figures.Discovered.Store(int64(len(c.hosts)))
@@ -302,6 +306,36 @@
 	}
 }
 
+// Hold tells whether the list may not be relied on: then no host is offered to the module for anything new, and what
+// has not begun does not begin. What is under way goes on, and a job that still has time waits for the next list. As
+// with List, news goes before all that waits to be dealt with.
+func (c *Core) Hold(held bool) {
+	c.news <- func() {
+		if c.held == held {
+			return
+		}
+		c.held = held
+		workers := make([]topazfall.Worker, 0, len(c.listed))
+		for id, w := range c.listed {
+			w = c.offered(w)
+			c.hosts[id].SetClosed(w.State != topazfall.Ready)
+			workers = append(workers, w)
+		}
+		c.feed(topazfall.Event{Kind: topazfall.ListPatch, List: workers})
+		if held { // it is no news of the inventory: that is still broken
+			c.feed(topazfall.Event{Kind: topazfall.ListBroken})
+		}
+	}
+}
+
+// offered is a worker as the module is to see it.
+func (c *Core) offered(w topazfall.Worker) topazfall.Worker {
+	if c.held && w.State == topazfall.Ready {
+		w.State = topazfall.Draining
+	}
+	return w
+}
+
 // settleClaims hands on which addresses the hosts of the list have now.
 func (c *Core) settleClaims() {
 	changed, conflicts := c.claims.Settle()
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -269,6 +269,55 @@
 	}
 }
 
+// While the list may not be relied on, nothing new begins at any host, listed before or meanwhile; what has begun goes on.
+// A drain that the next list tells is heard before anything is sent again.
+func TestHold(t *testing.T) {
+	c, s := start(t, "h", "i")
+	c.Arrive(message(c, "begun", time.Minute))
+	begun := <-s.sent
+	require.True(t, begun.Start(c.Now()))
+	c.Arrive(message(c, "dialling", time.Minute))
+	dialling := <-s.sent
+	c.Hold(true)
+	c.Arrive(message(c, "new", time.Minute))
+	c.List(topazfall.ListPatch, []Entry{entry("j", topazfall.Ready)})
+	c.Sync()
+	require.False(t, dialling.Start(c.Now()), "it begins after the list may not be relied on")
+	c.Ended(dialling, topazfall.Superseded, topazfall.NoLoad)
+	c.Noted(Note{ID: "begun", From: begun.Host.ID, State: Over, Outcome: topazfall.Completed, Result: []byte("ok"), Load: topazfall.NoLoad})
+	require.Equal(t, exchange.Served, (<-begun.Exchange.Answer()).Verdict)
+	c.List(topazfall.ListWhole, []Entry{entry("h", topazfall.Ready), entry("i", topazfall.Ready), entry("j", topazfall.Ready)})
+	time.Sleep(100 * time.Millisecond) // the module's next looks at what waits
+	require.Empty(t, s.sent)
+
+	gate := make(chan struct{})
+	c.ops <- func() { <-gate }
+	c.Arrive(message(c, "newer", time.Minute))
+	c.List(topazfall.ListPatch, []Entry{entry("h", topazfall.Draining), entry("i", topazfall.Gone)})
+	c.Hold(false)
+	close(gate)
+	for range 2 {
+		r := <-s.sent
+		require.Equal(t, "j", r.Host.ID)
+		require.True(t, r.Start(c.Now()))
+	}
+}
+
+// A job for which no attempt was made is refused by the module once its time is lost, and not before.
+func TestHoldRefusesWhatCannotWait(t *testing.T) {
+	c, s := start(t, "h")
+	c.Hold(true)
+	x := message(c, "1", 300*time.Millisecond)
+	x.Hint = 50_000
+	came := time.Now()
+	c.Arrive(x)
+	require.Equal(t, exchange.Refused, (<-x.Answer()).Verdict)
+	require.Greater(t, time.Since(came), 100*time.Millisecond, "a short hold would have cost nothing")
+	require.Empty(t, s.sent)
+	c.Sync()
+	require.Zero(t, c.InHand())
+}
+
 // tenants are named by single letters, with the letter as their quota.
 func tenants(names string) (ts []topazfall.Tenant) {
 	for _, n := range names {
