--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -8,18 +8,15 @@
 	"log/slog"
 	"maps"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	jsoniter "github.com/json-iterator/go"
 	"github.com/valyala/fasthttp"
 
 	"topazfall"
-	"topazfall/internal/decide/addresses"
 	"topazfall/internal/dispatch"
 )
 
@@ -335,155 +332,3 @@
 	}
 	return nil
 }
-
-// agent is discovery at one address.
-type agent struct {
-	fasthttp.HostClient
-	mu     sync.Mutex
-	conns  map[*conn]bool // that are open
-	closed bool
-}
-
-// conn is a connection to discovery.
-type conn struct {
-	net.Conn
-	of *agent
-}
-
-func newAgent(addr string) *agent {
-	a := &agent{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 8, NoDefaultUserAgentHeader: true,
-		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20}, conns: map[*conn]bool{}}
-	a.DialTimeout = func(addr string, limit time.Duration) (net.Conn, error) {
-		nc, err := fasthttp.DialTimeout(addr, min(limit, grace))
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{nc, a}
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if a.closed {
-			nc.Close()
-		} else {
-			a.conns[c] = true
-		}
-		return c, nil
-	}
-	return a
-}
-
-// Close closes the connection; it may be called more than once.
-func (c *conn) Close() error {
-	c.of.mu.Lock()
-	delete(c.of.conns, c)
-	c.of.mu.Unlock()
-	return c.Conn.Close()
-}
-
-// close ends the calls under way and the connections.
-func (a *agent) close() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.closed = true
-	for c := range a.conns {
-		c.Conn.Close()
-	}
-}
-
-type answer struct {
-	list list
-	err  error
-}
-
-// unreadable is an answer that came and is no list.
-type unreadable struct{ error }
-
-func (a *agent) get(path string, limit time.Duration) answer {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + a.Addr + path)
-	if err := a.DoTimeout(req, resp, limit); err != nil {
-		return answer{err: err}
-	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return answer{err: fmt.Errorf("status %d", resp.StatusCode())}
-	}
-	l, err := parse(resp.Body())
-	if err != nil {
-		err = unreadable{err}
-	}
-	return answer{l, err}
-}
-
-type list struct {
-	seq     int64
-	whole   bool
-	entries []dispatch.Entry
-}
-
-var states = map[string]topazfall.WorkerState{
-	"up": topazfall.Ready, "draining": topazfall.Draining, "removed": topazfall.Gone}
-
-// parse reads a list and translates it into the module's terms. One odd entry must not hold up the news of
-// all the others: a host of which the list says something unknown, or no address, gets nothing new.
-func parse(text []byte) (list, error) {
-	var f struct {
-		Seq   *int64 `json:"seq"`
-		Whole bool   `json:"whole"`
-		Hosts []struct {
-			Host   string              `json:"host"`
-			Dial   string              `json:"dial"`
-			Addrs  jsoniter.RawMessage `json:"addresses"`
-			Site   string              `json:"site"`
-			Class  string              `json:"class"`
-			Block  int                 `json:"block"`
-			Health string              `json:"health"`
-			Share  float64             `json:"share"`
-			Born   int64               `json:"born_ms"`
-		} `json:"hosts"`
-	}
-	if err := jsoniter.Unmarshal(text, &f); err != nil {
-		return list{}, err
-	}
-	if f.Seq == nil {
-		return list{}, fmt.Errorf("no seq")
-	}
-	l := list{seq: *f.Seq, whole: f.Whole}
-	for _, h := range f.Hosts {
-		state, ok := states[h.Health]
-		addrs := several(h.Host, h.Addrs)
-		if !ok || h.Host == "" || h.Dial == "" && len(addrs) == 0 && state == topazfall.Ready {
-			slog.Warn("inventory", "odd", "entry", "host", h.Host, "dial", h.Dial, "health", h.Health)
-			state = topazfall.Draining
-		}
-		if h.Host != "" {
-			l.entries = append(l.entries, dispatch.Entry{Addr: h.Dial, Addrs: addrs, Worker: topazfall.Worker{ID: h.Host, Zone: h.Site,
-				Kind: h.Class, Cell: h.Block, State: state, Weight: h.Share, StartedAt: h.Born * 1000}})
-		}
-	}
-	return l, nil
-}
-
-// several reads the addresses of a host. What cannot be read costs no more than itself; where nothing is left, the host
-// is as one that lists none.
-func several(host string, text []byte) []addresses.Address {
-	if len(text) == 0 || string(text) == "null" {
-		return nil
-	}
-	var entries []jsoniter.RawMessage
-	if err := jsoniter.Unmarshal(text, &entries); err != nil {
-		slog.Warn("inventory", "odd", "addresses", "host", host, "error", "no list")
-		return nil
-	}
-	texts := make([]string, len(entries))
-	for i, e := range entries {
-		if jsoniter.Unmarshal(e, &texts[i]) != nil {
-			texts[i] = string(e) // no string, and so no address: the error shows it
-		}
-	}
-	list, faults := addresses.List(texts)
-	for _, f := range faults {
-		slog.Warn("inventory", "odd", "address", "host", host, "address", f.Text, "error", f.Err)
-	}
-	return list
-}
