Read the list within 6 s of when discovery could be reached, or send nothing new

Its list had no bound on its age, though what discovery has counts as told 6 s after it could be reached, whatever is allowed after a refused call. What it has not read it cannot know, so it reads within that time or sends nothing new.

internal/inventory is now the calls round refresh.Schedule. A refusal begins the bound, at the last list that was read or the last call left unanswered; a retry comes every 2 s on the mean for 300 dispatchers; Retry-After is kept as far as the bound leaves time for a whole call. A discovery that is silent, pushed lists and a watch that waits hold nothing back. The first call, also after a move, is spread over 2 s in place of 5 s, so that one that is refused or given up leaves time for another.

Tests replaced: TestPause and TestLead moved to the pure package, as TestPause and TestFirst. TestPause demanded that hundreds make at most 14 calls a second after five refusals, which is one in 21 s for each of 300: the reading by which a refusal does not start the 6 s, which is withdrawn. TestLead let the first call come up to 5 s late; TestFirst allows 2.4 s, within the budget. All else in them is as it was.

--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -223,3 +223,70 @@
 		}
 	}
 }
+
+// pauses plays failures in a row and returns the pauses after them, each of a call that took so long.
+func pauses(terms Terms, result Result, took time.Duration) (all []time.Duration) {
+	s, now := New(0, terms, seeded(3)), time.Duration(0)
+	for range 98 {
+		s.Begin(now, true)
+		now += took
+		all = append(all, s.End(now, result, 0))
+		now += all[len(all)-1]
+	}
+	return all
+}
+
+// A dispatcher among few tries again in time for its watch to go on; one of many leaves a discovery that is
+// asked to the others by chance, and none stays away for long. A watch that has fallen silent is open again
+// before what it missed counts as told, and an agent on the own machine is called again several times within
+// the grace of a drain, however many there are.
+func TestPause(t *testing.T) {
+	for _, isAsked := range []bool{false, true} {
+		for _, dispatchers := range []int{1, 3, 8, 48, 300, 2000} {
+			terms := asked(dispatchers)
+			terms.Asked = isAsked
+			refused, silent := pauses(terms, Answered, 0), pauses(terms, Silent, CallLimit)
+			seen := map[time.Duration]bool{}
+			for i, p := range refused {
+				seen[p] = true
+				require.Positive(t, p)
+				require.Positive(t, silent[i])
+				require.Less(t, CallLimit+silent[i]+CallLimit, Told+terms.DrainGrace)
+				if dispatchers < 8 || !isAsked {
+					require.LessOrEqual(t, p, 600*time.Millisecond)
+				}
+				if !isAsked {
+					require.LessOrEqual(t, 2*max(p, silent[i])+terms.AgentBeat(), terms.DrainGrace)
+				}
+				require.LessOrEqual(t, p, terms.Bound()/2, "no further call within the bound")
+			}
+			require.Greater(t, len(seen), 50, "not all at the same time")
+			require.True(t, dispatchers > 7 || silent[0] < 200*time.Millisecond && refused[0] < 200*time.Millisecond)
+		}
+	}
+}
+
+// What an agent has counts as told from a process's first moment: it is called at once. Where discovery must
+// be asked there is more time, and those who start together must not all ask in one moment. But a first call
+// that is refused or given up has to leave time for another within the bound.
+func TestFirst(t *testing.T) {
+	for _, isAsked := range []bool{false, true} {
+		for _, dispatchers := range []int{1, 8, 80, 300, 2000} {
+			terms := asked(dispatchers)
+			terms.Asked, terms.DrainGrace = isAsked, 500*time.Millisecond
+			s, longest, calls := New(0, terms, seeded(4)), time.Duration(0), map[time.Duration]int{}
+			require.Zero(t, s.First(false), "without a list there is nothing to wait with")
+			for range dispatchers * 100 { // a hundred joint starts
+				first := s.First(true)
+				longest = max(longest, first)
+				calls[first.Truncate(second)]++
+			}
+			require.LessOrEqual(t, longest+CallLimit+retrySpacing, terms.Bound()-second)
+			require.True(t, isAsked || longest == 0)
+			require.True(t, !isAsked || dispatchers < 2*aloneUpTo || longest > 200*time.Millisecond, longest)
+			for begun, n := range calls { // spread over the seconds that the bound leaves
+				require.True(t, !isAsked || dispatchers < 80 || float64(n)/100 <= terms.Budget()*1.05, begun)
+			}
+		}
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -89,6 +89,7 @@
 		news = x
 	}
 	list := inventory.New(c.Discovery, news, inventory.TermsOf(&c.Settings))
+	list.SetHolder(core)
 	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
 	place.holds(&c.Settings)
 	clients.Others(place.tell)
--- a/internal/inventory/client.go
+++ b/internal/inventory/client.go
@@ -1,12 +1,17 @@
 package inventory
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"topazfall/internal/decide/refresh"
 )
 
 // agent is discovery at one address.
@@ -27,7 +32,7 @@
 	a := &agent{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 8, NoDefaultUserAgentHeader: true,
 		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20}, conns: map[*conn]bool{}}
 	a.DialTimeout = func(addr string, limit time.Duration) (net.Conn, error) {
-		nc, err := fasthttp.DialTimeout(addr, min(limit, grace))
+		nc, err := fasthttp.DialTimeout(addr, min(limit, refresh.AnswerGrace))
 		if err != nil {
 			return nil, err
 		}
@@ -70,6 +75,45 @@
 // unreadable is an answer that came and is no list.
 type unreadable struct{ error }
 
+// refusal is an answer other than 200.
+type refusal struct {
+	status     int
+	retryAfter time.Duration // that it asks for, 0 if it names none
+}
+
+func (r refusal) Error() string {
+	return fmt.Sprintf("status %d, retry after %v", r.status, r.retryAfter)
+}
+
+// longestRetryAfter bounds what a refusal may name: no list may be relied on for so long.
+const longestRetryAfter = time.Hour
+
+// retryAfter reads the seconds of Retry-After, whole or decimal. What is none, a date as well, is as if it
+// were not there.
+func retryAfter(text []byte) time.Duration {
+	seconds, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, longestRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// resultOf is what the schedule goes by. What is neither silence nor a broken connection is an answer,
+// however spoilt.
+func resultOf(err error) refresh.Result {
+	var network net.Error
+	switch {
+	case err == nil:
+		return refresh.Read
+	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrDialTimeout):
+		return refresh.Silent
+	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, fasthttp.ErrConnectionClosed),
+		errors.Is(err, fasthttp.ErrNoFreeConns):
+		return refresh.Broken
+	}
+	return refresh.Answered
+}
+
 func (a *agent) get(path string, limit time.Duration) answer {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -79,7 +123,7 @@
 		return answer{err: err}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
-		return answer{err: fmt.Errorf("status %d", resp.StatusCode())}
+		return answer{err: refusal{resp.StatusCode(), retryAfter(resp.Header.Peek(fasthttp.HeaderRetryAfter))}}
 	}
 	l, err := parse(resp.Body())
 	if err != nil {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -1,5 +1,6 @@
 // Package inventory follows discovery's list of hosts: the copy known from before a restart first, then a
-// watch whose next call follows at once on each answer.
+// watch whose next call follows at once on each answer. When to call, and for how long the list may be relied
+// on, decide/refresh says.
 package inventory
 
 import (
@@ -11,46 +12,45 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"topazfall"
+	"topazfall/internal/decide/refresh"
 	"topazfall/internal/dispatch"
 )
 
-const (
-	wait    = time.Second             // how long a watch call may wait: news counts as told soon after that
-	grace   = 1500 * time.Millisecond // what a silent discovery gets beyond it
-	backOff = 150 * time.Millisecond  // after a failed call; a watch goes on if the next call comes within 200 ms
-	growth  = 4                       // by which a back-off may grow
-	few     = 4                       // so many dispatchers may call as if each were alone
-	silence = 6 * time.Second         // after which what a silent discovery has to tell counts as told
-	beats   = 4                       // calls within the grace of a drain, to an agent that does not answer
-)
-
 // Lister is told of the list; for ListBroken there are no entries.
 type Lister interface {
 	List(kind topazfall.EventKind, entries []dispatch.Entry)
 }
 
+// Holder is told whether the list may not be relied on, so that nothing new may go to any host. The news of a
+// list that ends this comes first.
+type Holder interface {
+	Hold(held bool)
+}
+
 // Watch follows the list at one discovery address, which may move.
 type Watch struct {
-	core   Lister
-	client *agent
-	seq    int64
-	known  bool // there is a list that changes can be applied to
-	kick   chan bool
-	moves  chan string
-	terms  atomic.Pointer[Terms]
-	heard  *agent // whose list this is; nil for one that was known before
-	behind bool   // the last whole list was older than the one held
-	target string // of the last move; the mover's
-	tried  chan struct{}
-
-	mu   sync.Mutex
-	last Legacy
+	core    Lister
+	holder  Holder // nil for none
+	client  *agent
+	seq     int64
+	known   bool // there is a list that changes can be applied to
+	kick    chan bool
+	moves   chan string
+	renewed chan struct{}
+	heard   *agent // whose list this is; nil for one that was known before
+	behind  bool   // the last whole list was older than the one held
+	broken  bool   // the last call failed
+	held    bool   // as the holder was told
+	target  string // of the last move; the mover's
+	tried   chan struct{}
+	start   time.Time // from which the schedule's times count
+
+	mu       sync.Mutex
+	last     Legacy
+	schedule *refresh.Schedule
 }
 
 // Legacy is the list as it was last had, and where.
@@ -58,35 +58,40 @@
 	Discovery string
 	Seq       int64
 	Hosts     map[string]dispatch.Entry
+	Missed    time.Duration // for how long news may have been missed, as refresh.Schedule has it
 }
 
-// Terms are what the contract says of discovery.
-type Terms struct {
-	Dispatchers int // that share it
-	Asked       bool
-	Grace       time.Duration // of a host that drains
-	AskEvery    time.Duration // where it must be asked: how often, at least
+// TermsOf takes what the contract says of discovery from the settings.
+func TermsOf(s *topazfall.Settings) refresh.Terms {
+	return refresh.Terms{Dispatchers: s.Dispatchers, Asked: s.AskForList,
+		DrainGrace: time.Duration(s.Contract.DrainGrace) * time.Microsecond,
+		AskEvery:   time.Duration(s.Contract.AskEvery) * time.Microsecond}
 }
 
-// TermsOf takes the terms from the settings.
-func TermsOf(s *topazfall.Settings) Terms {
-	return Terms{s.Dispatchers, s.AskForList, time.Duration(s.Contract.DrainGrace) * time.Microsecond,
-		time.Duration(s.Contract.AskEvery) * time.Microsecond}
+// New returns a watch that tells core of the list, under these terms.
+func New(addr string, core Lister, terms refresh.Terms) *Watch {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1),
+		renewed: make(chan struct{}, 1), target: addr, tried: make(chan struct{}), start: time.Now(),
+		schedule: refresh.New(0, terms, random)}
 }
 
-// share is by how much the back-off is longer than a lone dispatcher's.
-func (t Terms) share() time.Duration { return time.Duration(max(t.Dispatchers/few, 1)) }
+// SetHolder names who is told whether the list may be relied on. It comes before Run.
+func (w *Watch) SetHolder(h Holder) { w.holder = h }
 
-// New returns a watch that tells core of the list, under these terms.
-func New(addr string, core Lister, terms Terms) *Watch {
-	w := &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1), target: addr,
-		tried: make(chan struct{})}
-	w.Renew(terms)
-	return w
+// Renew makes other terms hold from the next call on; whether the list may be relied on, from now on.
+func (w *Watch) Renew(terms refresh.Terms) {
+	w.mu.Lock()
+	w.schedule.Renew(terms)
+	w.mu.Unlock()
+	select {
+	case w.renewed <- struct{}{}:
+	default:
+	}
 }
 
-// Renew makes other terms hold from the next call on.
-func (w *Watch) Renew(terms Terms) { w.terms.Store(&terms) }
+// now is the time of the schedule.
+func (w *Watch) now() time.Duration { return time.Since(w.start) }
 
 // Follow asks for changes from now on, which the watch brings anyway. It ends no back-off: many dispatchers that
 // are unheard for the same cause would only feed it.
@@ -138,7 +143,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l := w.last
-	l.Hosts = maps.Clone(l.Hosts)
+	l.Hosts, l.Missed = maps.Clone(l.Hosts), w.schedule.Missed(w.now())
 	return l
 }
 
@@ -150,6 +155,7 @@
 	}
 	w.tell(topazfall.ListStale, list{seq: l.Seq, entries: slices.Collect(maps.Values(l.Hosts))})
 	w.known = l.Discovery == w.client.Addr
+	w.schedule.Inherit(l.Missed)
 	return len(l.Hosts)
 }
 
@@ -170,82 +176,104 @@
 	w.last.Discovery, w.last.Seq = w.client.Addr, l.seq
 }
 
-// pause is how long to wait after so many failures in a row, the last of them for want of any answer if silent is set.
-//
-// Where lists come unasked, the agent on the own machine answers at once and at no cost, and what it has counts as told.
-// Where discovery is asked, what one dispatcher tries again at once is a storm from many: they fail together, and a service
-// that is short of room gets nothing done for calls that nobody waits for any more. So the pauses grow, from one that is
-// longer for many, and chance spreads them. But a silent discovery is not short of room, and what it has to tell counts as
-// told soon.
-func (t Terms) pause(failures int, silent bool) time.Duration {
-	p := backOff * time.Duration(min(1<<min(failures-1, 8), growth))
-	switch {
-	case !t.Asked:
-		p = min(p, t.beat())
-	case silent: // one call has waited in vain, the next may take its time as well
-		p = min(p*t.share(), silence-2*(wait+grace))
-	default:
-		p *= t.share()
-	}
-	return p/2 + rand.N(p/2+1)
-}
-
-// beat is how often an agent that does not answer is called anew, beside the call that waits for it: it may return at any
-// moment, the call that was open before may stay silent, and the grace of a host that drains runs from its return. Most
-// of that is left for the answer, and for what is under way here.
-func (t Terms) beat() time.Duration { return max(t.Grace/beats, 10*time.Millisecond) }
-
-// lead is how long to wait with the first call. Where a list is known it will do for a moment, and all may be starting
-// together: a discovery that is asked serves some calls a second, and those that wait too long for their turn fail. There,
-// what it has counts as told only if it is not asked for a longer time; an agent's word counts from the first moment on.
-func (w *Watch) lead() time.Duration {
-	t := w.terms.Load()
-	if !w.known || !t.Asked || t.share() <= 1 {
-		return 0
-	}
-	return rand.N(min(backOff*t.share()*growth/2, max(t.Grace, t.AskEvery)/2) + 1)
-}
-
 // Run watches until the program ends.
 func (w *Watch) Run() {
-	broken, failures := false, 0
-	if pause := w.lead(); pause > 0 {
-		select {
-		case <-w.kick:
-		case <-time.After(pause):
-		}
-	}
+	w.hold()
+	w.wait(w.first())
 	for first := true; ; first = false {
-		err := w.call(first || failures > 0)
+		err := w.call()
 		if first {
 			close(w.tried)
 		}
-		if err == nil {
-			if broken {
-				slog.Info("inventory", "state", "back", "seq", w.seq)
-			}
-			broken, failures = false, 0
-			continue
-		}
 		if err == errMoved {
+			w.wait(w.first())
 			continue
 		}
-		if !broken {
-			slog.Warn("inventory", "state", "broken", "seq", w.seq, "error", err)
-			w.core.List(topazfall.ListBroken, nil)
+		w.report(err)
+		pause := w.end(err)
+		w.hold()
+		if err != nil {
+			w.wait(pause)
 		}
-		broken = true
-		failures++
+	}
+}
+
+// first is how long to wait with a first call.
+func (w *Watch) first() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.schedule.First(len(w.last.Hosts) > 0)
+}
+
+// report tells that the watch is broken, or well again.
+func (w *Watch) report(err error) {
+	switch {
+	case err == nil && w.broken:
+		slog.Info("inventory", "state", "back", "seq", w.seq)
+	case err != nil && !w.broken:
+		slog.Warn("inventory", "state", "broken", "seq", w.seq, "error", err)
+		w.core.List(topazfall.ListBroken, nil)
+	}
+	w.broken = err != nil
+}
+
+// end notes how a call has ended, and returns the pause before the next one.
+func (w *Watch) end(err error) time.Duration {
+	var r refusal
+	errors.As(err, &r)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.schedule.End(w.now(), resultOf(err), r.retryAfter)
+}
+
+// wait waits with the next call. A move ends what is left of it: who has moved waits as with a first call.
+func (w *Watch) wait(pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	over := time.After(pause)
+	for {
 		select {
 		case whole := <-w.kick:
 			w.known = w.known && !whole
+			return
 		case addr := <-w.moves:
 			w.move(addr)
-		case <-time.After(w.terms.Load().pause(failures, errors.Is(err, fasthttp.ErrTimeout))):
+			over = time.After(w.first())
+		case <-w.holdAlarm():
+			w.hold()
+		case <-w.renewed:
+			w.hold()
+		case <-over:
+			return
 		}
 	}
 }
 
+// holdAlarm rings when the list may not be relied on any more.
+func (w *Watch) holdAlarm() <-chan time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at, bounded := w.schedule.HoldAt()
+	if !bounded || w.held {
+		return nil
+	}
+	return time.After(at - w.now())
+}
+
+// hold tells the holder where it has changed whether the list may be relied on.
+func (w *Watch) hold() {
+	w.mu.Lock()
+	held := w.schedule.Held(w.now())
+	w.mu.Unlock()
+	if held == w.held || w.holder == nil {
+		return
+	}
+	w.held = held
+	slog.Warn("inventory", "state", map[bool]string{true: "held", false: "released"}[held], "seq", w.seq)
+	w.holder.Hold(held)
+}
+
 var errMoved = errors.New("discovery has moved")
 
 // move drops the call under way: the old address may keep it waiting, and what it says is no news any more.
@@ -254,35 +282,44 @@
 	slog.Info("inventory", "state", "moved", "from", w.client.Addr, "to", addr, "seq", w.seq)
 	w.client.close()
 	w.client, w.known = newAgent(addr), false
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.schedule.Moved()
 }
 
-// call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for. At the start and
-// after failures the watch is opened by a call that does not wait for news: whether it is answered shows at once.
+// begin notes that a call begins, and returns how long it may wait for news.
+func (w *Watch) begin() (terms refresh.Terms, wait time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.schedule.Terms(), w.schedule.Begin(w.now(), w.known)
+}
+
+// call makes one call: a watch, or a fetch of the whole list where there is none yet or one was asked for.
 //
-// Where lists come unasked a call whose answer is late stays open, for an agent that is only slow, and others are made beside
-// it, one at a time. The first that brings a list counts.
-func (w *Watch) call(anew bool) error {
+// Where lists come unasked a call whose answer is late stays open, for an agent that is only slow, and others
+// are made beside it, one at a time. The first that brings a list counts.
+func (w *Watch) call() error {
 	select {
 	case whole := <-w.kick:
 		w.known = w.known && !whole
 	default:
 	}
-	terms, client := w.terms.Load(), w.client
-	path, pause, limit := "/v1/endpoints", time.Duration(0), grace
+	client := w.client
+	terms, wait := w.begin()
+	path, limit := "/v1/endpoints", refresh.CallLimit
 	beside := path
 	if w.known {
 		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms="
 		beside = path + "0"
-		if limit += wait; !anew {
-			pause = wait
-		}
-		path += strconv.FormatInt(pause.Milliseconds(), 10)
+		path += strconv.FormatInt(wait.Milliseconds(), 10)
+	} else if !terms.Asked { // an agent has no line in which the call may wait
+		limit = refresh.AnswerGrace
 	}
 	answers, second := make(chan answer, 1), make(chan answer, 1) // what comes after a move is dropped with them
 	go func() { answers <- client.get(path, limit) }()
 	late, asking := (<-chan time.Time)(nil), false
 	if !terms.Asked {
-		late = time.After(pause + terms.beat())
+		late = time.After(wait + terms.AgentBeat())
 	}
 	for {
 		select {
@@ -296,10 +333,14 @@
 				return w.take(a)
 			}
 		case <-late:
-			if late = time.After(terms.beat()); !asking {
+			if late = time.After(terms.AgentBeat()); !asking {
 				asking = true
-				go func() { second <- client.get(beside, terms.beat()) }()
+				go func() { second <- client.get(beside, terms.AgentBeat()) }()
 			}
+		case <-w.holdAlarm():
+			w.hold()
+		case <-w.renewed:
+			w.hold()
 		}
 	}
 }
@@ -314,8 +355,8 @@
 	case err != nil:
 		return err
 	case l.whole && w.heard == w.client && l.seq < w.seq && !w.behind:
-		// An old list may bring hosts back that drain. One that is asked for after it and is older as well comes from a service
-		// that has begun anew.
+		// An old list may bring hosts back that drain. One that is asked for after it and is older as well
+		// comes from a service that has begun anew.
 		w.known, w.behind = false, true
 		return fmt.Errorf("a list of %d after one of %d", l.seq, w.seq)
 	case l.whole:
--- a/internal/inventory/list.go
+++ b/internal/inventory/list.go
@@ -60,8 +60,8 @@
 	return l, nil
 }
 
-// several reads the addresses of a host. What cannot be read costs no more than itself; where nothing is left, the host
-// is as one that lists none.
+// several reads the addresses of a host. What cannot be read costs no more than itself; where nothing is
+// left, the host is as one that lists none.
 func several(host string, text []byte) []addresses.Address {
 	if len(text) == 0 || string(text) == "null" {
 		return nil
--- a/internal/inventory/watch_test.go
+++ b/internal/inventory/watch_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"topazfall"
+	"topazfall/internal/decide/refresh"
 	"topazfall/internal/dispatch"
 )
 
@@ -113,10 +114,11 @@
 	return fmt.Sprintf("{\n \"seq\": %d,\n \"whole\": %v,\n \"hosts\": [\n  {\"host\": %q, \"dial\": \"127.0.0.1:1\", \"health\": %q}\n ]\n}", seq, whole, host, health)
 }
 
-// pushed are terms under which lists come unasked. The grace is long, lest a slow machine mistakes itself for the agent.
-var pushed = Terms{Dispatchers: 300, Grace: 2 * time.Second, AskEvery: 10 * time.Second}
+// pushed are terms under which lists come unasked. The grace is long, lest a slow machine mistakes itself for
+// the agent.
+var pushed = refresh.Terms{Dispatchers: 300, DrainGrace: 2 * time.Second, AskEvery: 10 * time.Second}
 
-func watching(t *testing.T, terms Terms, seq int) (*discovery, *Watch, told) {
+func watching(t *testing.T, terms refresh.Terms, seq int) (*discovery, *Watch, told) {
 	d, c := newDiscovery(t), make(told, 99)
 	w := New(d.Addr().String(), c, terms)
 	require.Equal(t, 1, w.Known([]byte(listed(seq, true, "a", "up"))))
@@ -125,8 +127,8 @@
 	return d, w, c
 }
 
-// The first call of a process does not wait for news, where what the agent has counts as told from then on: it is answered
-// at once, and shows at once where the list that was known is another service's.
+// The first call of a process does not wait for news, where what the agent has counts as told from then on:
+// it is answered at once, and shows at once where the list that was known is another service's.
 func TestFirstCallDoesNotWait(t *testing.T) {
 	t.Parallel()
 	d, _, c := watching(t, pushed, 41)
@@ -140,8 +142,9 @@
 	require.Equal(t, "/v1/endpoints?after=7&wait_ms=1000", d.next(t).query)
 }
 
-// An agent falls silent under an open watch, and returns to new calls alone: these are made while the old one still waits,
-// so that what it has at its return is here within the grace of a drain. Were it only slow, the old call would do.
+// An agent falls silent under an open watch, and returns to new calls alone: these are made while the old one
+// still waits, so that what it has at its return is here within the grace of a drain. Were it only slow, the
+// old call would do.
 func TestAgentReturnsWhileACallIsHeld(t *testing.T) {
 	t.Parallel()
 	for _, which := range []string{"a new call is answered", "the old one is"} {
@@ -175,7 +178,7 @@
 func TestCallsBesideASilentOneAreFew(t *testing.T) {
 	t.Parallel()
 	terms := pushed
-	terms.Grace = 400 * time.Millisecond
+	terms.DrainGrace = 400 * time.Millisecond
 	d, _, _ := watching(t, terms, 41)
 	held := d.next(t)
 	for range 5 {
@@ -206,8 +209,8 @@
 	}
 }
 
-// A whole list that is older than the one held, from the same service, brings back nobody who drains. The next call is for
-// the whole list again; who answers that with an older one as well has begun anew.
+// A whole list that is older than the one held, from the same service, brings back nobody who drains. The
+// next call is for the whole list again; who answers that with an older one as well has begun anew.
 func TestOldWholeList(t *testing.T) {
 	t.Parallel()
 	for _, anew := range []bool{false, true} {
@@ -235,8 +238,8 @@
 	}
 }
 
-// After a move the versions are another service's, and a lower one is no old list. What the old one still has to say is
-// dropped, and its calls are ended.
+// After a move the versions are another service's, and a lower one is no old list. What the old one still has
+// to say is dropped, and its calls are ended.
 func TestMoveWhileACallIsHeld(t *testing.T) {
 	t.Parallel()
 	d, w, c := watching(t, pushed, 41)
@@ -260,7 +263,8 @@
 	require.Equal(t, "b0", c.next(t))
 }
 
-// Other settings hold for the watch as well: the agent that is called beside a silent call was asked for its list before.
+// Other settings hold for the watch as well: the agent that is called beside a silent call was asked for its
+// list before.
 func TestTermsChange(t *testing.T) {
 	t.Parallel()
 	terms := pushed
