--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -21,7 +21,8 @@
 // Discovery is one service of fixed room for all dispatchers. Outside a watch that goes on, which costs it
 // nothing, one dispatcher begins a call every [Terms.Spacing] on the mean, so that all of them together begin
 // at most [Terms.Budget] calls a second. Chance spreads them: a first call over one spacing, each further one
-// over half a spacing either way.
+// over half a spacing either way. Only watches that fall silent all at once are opened anew sooner, within what the
+// bound leaves beside two whole calls.
 //
 // Where lists are pushed, the agent on the own machine answers at once and at no cost: there is no budget to
 // keep, and the list is always relied on.
@@ -87,6 +88,16 @@
 	return max(spacing, leastPause)
 }
 
+// reopenWithin is the longest pause after a call that took its whole spacing already. Watches that fell
+// silent together are given up together: what the bound leaves beside two whole calls is there to spread
+// those that follow.
+func (t Terms) reopenWithin(result Result) time.Duration {
+	if result != Silent {
+		return retrySpacing
+	}
+	return max(t.Bound()-2*CallLimit, retrySpacing)
+}
+
 // Budget is how many calls a second all dispatchers together begin while discovery turns all of them away.
 func (t Terms) Budget() float64 {
 	return float64(max(t.Dispatchers, 1)) / t.Spacing(spacingGrowth).Seconds()
@@ -192,17 +203,17 @@
 	case s.opened: // discovery could not be reached when this call began
 		s.unread = s.begun
 	}
-	return s.pause(now, retryAfter)
+	return s.pause(now, result, retryAfter)
 }
 
-func (s *Schedule) pause(now, retryAfter time.Duration) time.Duration {
+func (s *Schedule) pause(now time.Duration, result Result, retryAfter time.Duration) time.Duration {
 	if !s.terms.Asked {
 		longest := min(retrySpacing*3/2*growth(s.failures), s.terms.AgentBeat())
 		return s.spread(longest/2, longest)
 	}
 	spacing := s.terms.Spacing(s.failures)
 	pause := s.begun + s.spread(spacing/2, spacing*3/2) - now
-	pause = max(pause, s.spread(leastPause, min(retrySpacing, spacing)))
+	pause = max(pause, s.spread(leastPause, min(s.terms.reopenWithin(result), spacing)))
 	return max(pause, s.putOff(now, retryAfter, spacing))
 }
 
