--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -144,6 +144,9 @@
 // Terms are the terms in force.
 func (s *Schedule) Terms() Terms { return s.terms }
 
+// Begun is when the call under way, or the last one, began.
+func (s *Schedule) Begun() time.Duration { return s.begun }
+
 // Renew puts other terms in force.
 func (s *Schedule) Renew(terms Terms) { s.terms = terms }
 
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -217,13 +217,20 @@
 	w.broken = err != nil
 }
 
-// end notes how a call has ended, and returns the pause before the next one.
+// end notes how a call has ended, and returns the pause before the next one. Where discovery must be asked, the log tells
+// of each call that failed: by how long it took, a discovery without room is told from one that is down.
 func (w *Watch) end(err error) time.Duration {
 	var r refusal
 	errors.As(err, &r)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.schedule.End(w.now(), resultOf(err), r.retryAfter)
+	now := w.now()
+	took := now - w.schedule.Begun()
+	pause := w.schedule.End(now, resultOf(err), r.retryAfter)
+	if err != nil && w.schedule.Terms().Asked {
+		slog.Info("inventory", "call", "failed", "took", took, "next", pause, "error", err)
+	}
+	return pause
 }
 
 // wait waits with the next call. A move ends what is left of it: who has moved waits as with a first call.
