Name discovery's client after what it is, and let a watch without a holder wait

Without a holder the alarm of the bound rang at once and again, as the watch did not note that it had rung; seen by reading, nothing in the program runs so. The client's methods no longer share a name with the pushed lists' agent.

--- a/internal/inventory/bound_test.go
+++ b/internal/inventory/bound_test.go
@@ -195,3 +195,17 @@
 	require.Equal(t, "held", heard.next(t))
 	require.Less(t, heir.now(), 1500*time.Millisecond, "it took another whole bound")
 }
+
+// Without a holder the watch goes on as well, and waits for its calls.
+func TestNoHolder(t *testing.T) {
+	t.Parallel()
+	d, c := newDiscovery(t), make(told, 99)
+	w := New(d.Addr().String(), c, askedTerms(400*time.Millisecond))
+	require.Equal(t, 1, w.Known([]byte(listed(41, true, "a", "up"))))
+	require.Equal(t, "a0", c.next(t))
+	go w.Run()
+	d.refuseFor(t, time.Second, "")
+	require.Empty(t, c)
+	d.next(t).answer(t, listed(42, false, "a", "up"))
+	require.Equal(t, "a0", c.next(t))
+}
--- a/internal/inventory/client.go
+++ b/internal/inventory/client.go
@@ -14,8 +14,8 @@
 	"topazfall/internal/decide/refresh"
 )
 
-// agent is discovery at one address.
-type agent struct {
+// client calls discovery at one address.
+type client struct {
 	fasthttp.HostClient
 	mu     sync.Mutex
 	conns  map[*conn]bool // that are open
@@ -25,45 +25,48 @@
 // conn is a connection to discovery.
 type conn struct {
 	net.Conn
-	of *agent
+	owner *client
 }
 
-func newAgent(addr string) *agent {
-	a := &agent{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 8, NoDefaultUserAgentHeader: true,
+func newClient(addr string) *client {
+	c := &client{HostClient: fasthttp.HostClient{Addr: addr, MaxConns: 8, NoDefaultUserAgentHeader: true,
 		MaxIdemponentCallAttempts: 1, MaxResponseBodySize: 8 << 20}, conns: map[*conn]bool{}}
-	a.DialTimeout = func(addr string, limit time.Duration) (net.Conn, error) {
-		nc, err := fasthttp.DialTimeout(addr, min(limit, refresh.AnswerGrace))
-		if err != nil {
-			return nil, err
-		}
-		c := &conn{nc, a}
-		a.mu.Lock()
-		defer a.mu.Unlock()
-		if a.closed {
-			nc.Close()
-		} else {
-			a.conns[c] = true
-		}
-		return c, nil
+	c.DialTimeout = c.dial
+	return c
+}
+
+// dial opens a connection that close ends.
+func (c *client) dial(addr string, limit time.Duration) (net.Conn, error) {
+	nc, err := fasthttp.DialTimeout(addr, min(limit, refresh.AnswerGrace))
+	if err != nil {
+		return nil, err
+	}
+	opened := &conn{nc, c}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		nc.Close()
+	} else {
+		c.conns[opened] = true
 	}
-	return a
+	return opened, nil
 }
 
 // Close closes the connection; it may be called more than once.
 func (c *conn) Close() error {
-	c.of.mu.Lock()
-	delete(c.of.conns, c)
-	c.of.mu.Unlock()
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
 	return c.Conn.Close()
 }
 
 // close ends the calls under way and the connections.
-func (a *agent) close() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.closed = true
-	for c := range a.conns {
-		c.Conn.Close()
+func (c *client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for opened := range c.conns {
+		opened.Conn.Close()
 	}
 }
 
@@ -114,12 +117,12 @@
 	return refresh.Answered
 }
 
-func (a *agent) get(path string, limit time.Duration) answer {
+func (c *client) get(path string, limit time.Duration) answer {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + a.Addr + path)
-	if err := a.DoTimeout(req, resp, limit); err != nil {
+	req.SetRequestURI("http://" + c.Addr + path)
+	if err := c.DoTimeout(req, resp, limit); err != nil {
 		return answer{err: err}
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -34,17 +34,17 @@
 type Watch struct {
 	core    Lister
 	holder  Holder // nil for none
-	client  *agent
+	client  *client
 	seq     int64
 	known   bool // there is a list that changes can be applied to
 	kick    chan bool
 	moves   chan string
 	renewed chan struct{}
-	heard   *agent // whose list this is; nil for one that was known before
-	behind  bool   // the last whole list was older than the one held
-	broken  bool   // the last call failed
-	held    bool   // as the holder was told
-	target  string // of the last move; the mover's
+	heard   *client // whose list this is; nil for one that was known before
+	behind  bool    // the last whole list was older than the one held
+	broken  bool    // the last call failed
+	held    bool    // as the holder was told
+	target  string  // of the last move; the mover's
 	tried   chan struct{}
 	start   time.Time // from which the schedule's times count
 
@@ -71,7 +71,7 @@
 // New returns a watch that tells core of the list, under these terms.
 func New(addr string, core Lister, terms refresh.Terms) *Watch {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return &Watch{core: core, client: newAgent(addr), kick: make(chan bool, 1), moves: make(chan string, 1),
+	return &Watch{core: core, client: newClient(addr), kick: make(chan bool, 1), moves: make(chan string, 1),
 		renewed: make(chan struct{}, 1), target: addr, tried: make(chan struct{}), start: time.Now(),
 		schedule: refresh.New(0, terms, random)}
 }
@@ -107,8 +107,8 @@
 	}
 }
 
-// Move makes the watch go on at another address, at once; of several the last counts. It is called from one
-// goroutine at a time.
+// Move makes the watch go on at another address, as a first call would; of several the last counts. It is called
+// from one goroutine at a time.
 func (w *Watch) Move(addr string) {
 	if w.target == addr { // a watch that goes on misses nothing
 		return
@@ -217,8 +217,9 @@
 	w.broken = err != nil
 }
 
-// end notes how a call has ended, and returns the pause before the next one. Where discovery must be asked, the log tells
-// of each call that failed: by how long it took, a discovery without room is told from one that is down.
+// end notes how a call has ended, and returns the pause before the next one. Where discovery must be asked,
+// the log tells of each call that failed: by how long it took, a discovery without room is told from one that
+// is down.
 func (w *Watch) end(err error) time.Duration {
 	var r refusal
 	errors.As(err, &r)
@@ -273,12 +274,14 @@
 	w.mu.Lock()
 	held := w.schedule.Held(w.now())
 	w.mu.Unlock()
-	if held == w.held || w.holder == nil {
+	if held == w.held {
 		return
 	}
 	w.held = held
 	slog.Warn("inventory", "state", map[bool]string{true: "held", false: "released"}[held], "seq", w.seq)
-	w.holder.Hold(held)
+	if w.holder != nil {
+		w.holder.Hold(held)
+	}
 }
 
 var errMoved = errors.New("discovery has moved")
@@ -288,7 +291,7 @@
 func (w *Watch) move(addr string) {
 	slog.Info("inventory", "state", "moved", "from", w.client.Addr, "to", addr, "seq", w.seq)
 	w.client.close()
-	w.client, w.known = newAgent(addr), false
+	w.client, w.known = newClient(addr), false
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.schedule.Moved()
@@ -311,7 +314,7 @@
 		w.known = w.known && !whole
 	default:
 	}
-	client := w.client
+	discovery := w.client
 	terms, wait := w.begin()
 	path, limit := "/v1/endpoints", refresh.CallLimit
 	beside := path
@@ -323,7 +326,7 @@
 		limit = refresh.AnswerGrace
 	}
 	answers, second := make(chan answer, 1), make(chan answer, 1) // what comes after a move is dropped with them
-	go func() { answers <- client.get(path, limit) }()
+	go func() { answers <- discovery.get(path, limit) }()
 	late, asking := (<-chan time.Time)(nil), false
 	if !terms.Asked {
 		late = time.After(wait + terms.AgentBeat())
@@ -342,7 +345,7 @@
 		case <-late:
 			if late = time.After(terms.AgentBeat()); !asking {
 				asking = true
-				go func() { second <- client.get(beside, terms.AgentBeat()) }()
+				go func() { second <- discovery.get(beside, terms.AgentBeat()) }()
 			}
 		case <-w.holdAlarm():
 			w.hold()
