Keep all dispatchers' calls within the room that the contract names

Calls every 2 s on the mean were five times what the contract lets each make. Now each of many begins one call in half of ask_every_us, 5 s, with first calls and those after a broken watch spread over it, and one in ask_every_us once a call was turned away after 0.5 s or more. Short intervals of few dispatchers are as before.

Also, as a first call may come 5 s after the start and be answered 2 s later, the bound holds before there is any answer: it is put off only by a call that discovery left unanswered, and calls follow such ones in time for that. Waits and limits are parts of the bound where ask_every_us makes it short.

--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -7,22 +7,26 @@
 // What discovery has counts as told [Told] after discovery had it and could be reached, whether or not it was read. A
 // dispatcher that must ask for its list therefore relies on it until
 //
-//	HoldAt = reachable + min(Told, 4 * AskEvery)
+//	HoldAt = unread + min(Told, 4 * AskEvery)
 //
-// where reachable is the earliest time at which discovery may have had something that was not read, and could
+// where unread is the earliest time at which discovery may have had something that was not read, and could
 // have been reached: the start of the last call that brought a list or, if calls that were opened after it
 // stayed without an answer, the start of the last of these before one that was answered. Any answer shows
-// that discovery can be reached, a refusal as well. Silence and broken connections do not, and with these
-// alone the list is relied on for as long as they last. From HoldAt to the next list that is read, nothing
-// new may be sent to any worker. The grace of a drain begins at HoldAt and is left to what is under way then.
+// that discovery can be reached, a refusal as well; from then on unread stays until a list is read. Silence
+// and broken connections show the opposite: each call after one that failed so is made so early that its
+// failure moves HoldAt on in time, and the list is relied on for as long as they last. From HoldAt to the
+// next list that is read, nothing new may be sent to any worker. The grace of a drain begins at HoldAt and is
+// left to what is under way then.
 //
 // # The budget of the fleet
 //
-// Discovery is one service of fixed room for all dispatchers. Outside a watch that goes on, which costs it
-// nothing, one dispatcher begins a call every [Terms.Spacing] on the mean, so that all of them together begin
-// at most [Terms.Budget] calls a second. Chance spreads them: a first call over one spacing, each further one
-// over half a spacing either way. Only watches that fall silent all at once are opened anew sooner, within what the
-// bound leaves beside two whole calls.
+// Discovery is one service of fixed room for all dispatchers. What it turns away after a wait has taken room
+// all the same, so that more calls than it has room for bring fewer lists. Outside a watch that goes on,
+// which costs it nothing, one dispatcher begins a call every [Terms.Spacing] on the mean, so that all of them
+// together begin at most [Terms.Budget] calls a second: among many, one each in every [Terms.Interval], and
+// half of that once discovery has turned calls away after a wait. Chance spreads them: a first call, and the
+// first one after a watch broke, over one spacing, each further one over a sixth of it either way. Only while
+// discovery does not answer do calls follow sooner.
 //
 // Where lists are pushed, the agent on the own machine answers at once and at no cost: there is no budget to
 // keep, and the list is always relied on.
@@ -36,13 +40,11 @@
 const (
 	// Told is the time after which what discovery has counts as told, by the protocol.
 	Told = 6 * time.Second
-	// WatchWait is how long a watch may wait for news: a silent watch counts as told soon after that wait.
-	WatchWait = time.Second
-	// AnswerGrace is what a silent discovery gets beyond the wait.
+	// AnswerGrace is what an agent that pushes lists gets beyond the wait of a watch.
 	AnswerGrace = 1500 * time.Millisecond
-	// CallLimit is the time after which a call is given up. Where discovery must be asked, a call may wait
-	// for its turn.
-	CallLimit = WatchWait + AnswerGrace
+
+	watchWait = time.Second             // for news; a silent watch counts as told soon after that
+	callLimit = watchWait + AnswerGrace // a call that is asked for may wait for its turn
 
 	// failedAskEvery is the multiple of AskEvery after which a change counts as told where calls fail, by the
 	// protocol.
@@ -51,7 +53,8 @@
 	retrySpacing   = 100 * time.Millisecond // of a lone dispatcher; a watch goes on within 200 ms
 	spacingGrowth  = 4                      // by which failures in a row may lengthen the spacing
 	aloneUpTo      = 4                      // so many dispatchers may call as if each were alone
-	callsInBound   = 3                      // a refused call and one that is given up leave time for a third
+	longWait       = 500 * time.Millisecond // a refusal after it shows a line of calls, and no room for more
+	timerSlack     = 100 * time.Millisecond // by which a call is made earlier than the bound wants it
 	leastPause     = 5 * time.Millisecond   // between a call that has failed and the next
 	callsInGrace   = 4                      // within the grace of a drain, to an agent that does not answer
 	leastAgentCall = 10 * time.Millisecond  // between calls to such an agent, however short the grace is
@@ -78,29 +81,46 @@
 	return time.Duration(min(1<<min(max(failures, 1)-1, spacingGrowth), spacingGrowth))
 }
 
-// Spacing is the mean time from the start of one call to the start of the next, after so many failures in a row.
-func (t Terms) Spacing(failures int) time.Duration {
-	share := time.Duration(max(t.Dispatchers/aloneUpTo, 1))
-	spacing := min(retrySpacing*share*growth(failures), t.Bound()/callsInBound)
-	if t.AskEvery > 0 { // the longest that the spread makes of it is half as much again
-		spacing = min(spacing, t.AskEvery*2/3)
+// ofBound is the part of the bound that a time has of Told.
+func (t Terms) ofBound(d time.Duration) time.Duration {
+	if !t.Asked {
+		return d
 	}
-	return max(spacing, leastPause)
+	return time.Duration(float64(d) * t.Bound().Seconds() / Told.Seconds())
 }
 
-// reopenWithin is the longest pause after a call that took its whole spacing already. Watches that fell
-// silent together are given up together: what the bound leaves beside two whole calls is there to spread
-// those that follow.
-func (t Terms) reopenWithin(result Result) time.Duration {
-	if result != Silent {
-		return retrySpacing
+// WatchWait is how long a watch may wait for news.
+func (t Terms) WatchWait() time.Duration { return t.ofBound(watchWait) }
+
+// CallLimit is the time after which a call is given up. Two of them fit into the bound.
+func (t Terms) CallLimit() time.Duration { return t.ofBound(callLimit) }
+
+// Interval is the time in which each of many dispatchers may begin one call: half of what the contract says that
+// discovery must bear, and short enough for an answer within the bound.
+func (t Terms) Interval() time.Duration {
+	interval := t.Bound() * 5 / 6
+	if t.AskEvery > 0 {
+		interval = min(interval, t.AskEvery/2)
+	}
+	return max(interval, leastPause)
+}
+
+// Spacing is the mean time from the start of one call to the start of the next, after so many failures in a row. A
+// discovery that has shown that it has no room is called half as often.
+func (t Terms) Spacing(failures int, noRoom bool) time.Duration {
+	share := time.Duration(t.Dispatchers / aloneUpTo)
+	switch {
+	case share <= 1:
+		return min(retrySpacing*growth(failures), t.Interval())
+	case noRoom:
+		return min(retrySpacing*spacingGrowth*share, 2*t.Interval())
 	}
-	return max(t.Bound()-2*CallLimit, retrySpacing)
+	return min(retrySpacing*spacingGrowth*share, t.Interval())
 }
 
 // Budget is how many calls a second all dispatchers together begin while discovery turns all of them away.
 func (t Terms) Budget() float64 {
-	return float64(max(t.Dispatchers, 1)) / t.Spacing(spacingGrowth).Seconds()
+	return float64(max(t.Dispatchers, 1)) / t.Spacing(spacingGrowth, false).Seconds()
 }
 
 // AgentBeat is how often an agent that does not answer is called anew, beside the call that waits for it: it
@@ -132,7 +152,8 @@
 	begun     time.Duration // of the call under way, or the last one
 	opened    bool          // that call did not go on from the one before
 	failures  int           // in a row
-	unread    time.Duration // from when on news may have been missed, if discovery could be reached
+	noRoom    bool          // discovery has turned a call away after a wait, since the last list was read
+	unread    time.Duration // from when on news may have been missed
 	reachable bool          // discovery has answered since the last list was read; unread stays
 }
 
@@ -150,21 +171,18 @@
 // Renew puts other terms in force.
 func (s *Schedule) Renew(terms Terms) { s.terms = terms }
 
-// Inherit goes on from a dispatcher in whose place this one starts, for which news may have been missed for
-// so long, as [Schedule.Missed] says. It comes before the first call.
-func (s *Schedule) Inherit(missed time.Duration) {
-	if missed > 0 {
-		s.unread, s.reachable = s.unread-missed, true
-	}
+// Unread says what one dispatcher has not read, for another that takes its place.
+type Unread struct {
+	For       time.Duration // how long news may have been missed
+	Reachable bool          // discovery has answered meanwhile
 }
 
-// Missed is for how long news may have been missed although discovery could be reached; 0 if nothing shows
-// that it could.
-func (s *Schedule) Missed(now time.Duration) time.Duration {
-	if !s.terms.Asked || !s.reachable {
-		return 0
-	}
-	return now - s.unread
+// Unread is what has not been read at now.
+func (s *Schedule) Unread(now time.Duration) Unread { return Unread{now - s.unread, s.reachable} }
+
+// Inherit goes on from a dispatcher in whose place this one starts. It comes before the first call.
+func (s *Schedule) Inherit(u Unread) {
+	s.unread, s.reachable = s.unread-max(u.For, 0), u.Reachable
 }
 
 // First is how long to wait with a first call, also of a dispatcher that has been told of another address.
@@ -174,7 +192,7 @@
 	if !listKnown || !s.terms.Asked || s.terms.Dispatchers < 2*aloneUpTo {
 		return 0
 	}
-	return time.Duration(s.random.Int64N(int64(s.terms.Spacing(spacingGrowth)) + 1))
+	return s.spread(0, s.terms.Spacing(spacingGrowth, false))
 }
 
 // Begin notes that a call begins, and returns how long it may wait for news. Only one that goes on from the
@@ -184,7 +202,7 @@
 	if s.opened {
 		return 0
 	}
-	return WatchWait
+	return s.terms.WatchWait()
 }
 
 // Moved notes that discovery is at another address from now on. What was not read by then stays unread.
@@ -195,10 +213,11 @@
 func (s *Schedule) End(now time.Duration, result Result, retryAfter time.Duration) time.Duration {
 	s.following = result == Read
 	if result == Read {
-		s.failures, s.unread, s.reachable = 0, s.begun, false
+		s.failures, s.noRoom, s.unread, s.reachable = 0, false, s.begun, false
 		return 0
 	}
 	s.failures++
+	s.noRoom = s.noRoom || result == Answered && now-s.begun >= longWait
 	switch {
 	case s.reachable:
 	case result == Answered:
@@ -206,17 +225,23 @@
 	case s.opened: // discovery could not be reached when this call began
 		s.unread = s.begun
 	}
-	return s.pause(now, result, retryAfter)
+	return s.pause(now, retryAfter)
 }
 
-func (s *Schedule) pause(now time.Duration, result Result, retryAfter time.Duration) time.Duration {
+func (s *Schedule) pause(now, retryAfter time.Duration) time.Duration {
 	if !s.terms.Asked {
 		longest := min(retrySpacing*3/2*growth(s.failures), s.terms.AgentBeat())
 		return s.spread(longest/2, longest)
 	}
-	spacing := s.terms.Spacing(s.failures)
-	pause := s.begun + s.spread(spacing/2, spacing*3/2) - now
-	pause = max(pause, s.spread(leastPause, min(s.terms.reopenWithin(result), spacing)))
+	spacing := s.terms.Spacing(s.failures, s.noRoom)
+	if !s.reachable { // whether the next call is answered has to show before HoldAt
+		holdAt, _ := s.HoldAt()
+		return s.spread(leastPause, min(spacing, holdAt-s.terms.CallLimit()-timerSlack-now))
+	}
+	if !s.opened { // watches that break may all break in one moment
+		return max(s.spread(leastPause, spacing), s.putOff(now, retryAfter, spacing))
+	}
+	pause := max(s.begun+s.spread(spacing*5/6, spacing*7/6)-now, s.spread(leastPause, min(retrySpacing, spacing)))
 	return max(pause, s.putOff(now, retryAfter, spacing))
 }
 
@@ -224,7 +249,7 @@
 // time for a whole call before HoldAt; beyond that the budget of the fleet is what spares the service.
 func (s *Schedule) putOff(now, retryAfter, spacing time.Duration) time.Duration {
 	holdAt, _ := s.HoldAt()
-	latest := holdAt - CallLimit - now
+	latest := holdAt - s.terms.CallLimit() - now
 	if retryAfter <= 0 || latest <= 0 {
 		return 0
 	}
@@ -236,14 +261,14 @@
 // spread draws a time between least and most.
 func (s *Schedule) spread(least, most time.Duration) time.Duration {
 	if most <= least {
-		return most
+		return least
 	}
 	return least + time.Duration(s.random.Int64N(int64(most-least)+1))
 }
 
 // HoldAt is the time from which on the list may not be relied on, and whether there is one.
 func (s *Schedule) HoldAt() (at time.Duration, bounded bool) {
-	if !s.terms.Asked || !s.reachable {
+	if !s.terms.Asked {
 		return 0, false
 	}
 	return s.unread + s.terms.Bound(), true
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -58,7 +58,7 @@
 	Discovery string
 	Seq       int64
 	Hosts     map[string]dispatch.Entry
-	Missed    time.Duration // for how long news may have been missed, as refresh.Schedule has it
+	Unread    refresh.Unread
 }
 
 // TermsOf takes what the contract says of discovery from the settings.
@@ -143,7 +143,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	l := w.last
-	l.Hosts, l.Missed = maps.Clone(l.Hosts), w.schedule.Missed(w.now())
+	l.Hosts, l.Unread = maps.Clone(l.Hosts), w.schedule.Unread(w.now())
 	return l
 }
 
@@ -155,7 +155,7 @@
 	}
 	w.tell(topazfall.ListStale, list{seq: l.Seq, entries: slices.Collect(maps.Values(l.Hosts))})
 	w.known = l.Discovery == w.client.Addr
-	w.schedule.Inherit(l.Missed)
+	w.schedule.Inherit(l.Unread)
 	return len(l.Hosts)
 }
 
@@ -316,7 +316,7 @@
 	}
 	discovery := w.client
 	terms, wait := w.begin()
-	path, limit := "/v1/endpoints", refresh.CallLimit
+	path, limit := "/v1/endpoints", terms.CallLimit()
 	beside := path
 	if w.known {
 		path += "?after=" + strconv.FormatInt(w.seq, 10) + "&wait_ms="
