--- a/internal/south/crossing_test.go
+++ b/internal/south/crossing_test.go
@@ -24,6 +24,8 @@
 	net.Conn
 	call  string
 	id    string
+	tells string        // its X-Timeout-Ms
+	at    int64         // when it had come, on the core's clock
 	ended chan struct{} // closed when the other side has closed the connection
 }
 
@@ -63,7 +65,8 @@
 				var req fasthttp.Request
 				for in := bufio.NewReader(c); req.Read(in) == nil; {
 					call := string(req.Header.Method()) + " " + string(req.Header.RequestURI())
-					h.got <- got{c, call, string(req.Header.Peek("X-Request-ID")), ended}
+					h.got <- got{c, call, string(req.Header.Peek("X-Request-ID")), string(req.Header.Peek("X-Timeout-Ms")),
+						h.core.Now(), ended}
 				}
 			}()
 		}
