Set time limits on a worker's connection before the last look at the client

The request was composed and Relay.Start asked, and then two deadlines were set on the connection before the first byte: a client that left in between had its job sent. The deadlines come first now. TestLookIsTheLastBeforeTheFirstByte failed before (the attempt was written and waited for its answer).

Ruled out: calling off, before a repeat at the host whose connection broke, the attempt that broke.

--- a/internal/south/attempts_test.go
+++ b/internal/south/attempts_test.go
@@ -134,3 +134,30 @@
 		})
 	}
 }
+
+// eventful is a connection whose client leaves while it is being made ready for a request.
+type eventful struct {
+	net.Conn
+	client *absence
+}
+
+func (e eventful) SetReadDeadline(t time.Time) error {
+	e.client.Store(true)
+	return e.Conn.SetReadDeadline(t)
+}
+
+// Nothing stands between the last look at the client and the first byte: who leaves before that has nothing sent.
+func TestLookIsTheLastBeforeTheFirstByte(t *testing.T) {
+	h, client := newHosting(t), &absence{}
+	dial := h.client(h.host.Addr).Dial
+	h.client(h.host.Addr).Dial = func(addr string) (net.Conn, error) {
+		c, err := dial(addr)
+		if err == nil {
+			c.(*line).Conn = eventful{c.(*line).Conn, client}
+		}
+		return c, err
+	}
+	_, end := h.attempt(h.exchange(client), h.core.Now()+60e6)
+	require.Equal(t, ending{topazfall.Superseded, true}, take(t, end))
+	require.Empty(t, h.got)
+}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -246,14 +246,14 @@
 func (s *Side) say(client *fasthttp.HostClient, c *line, r *exchange.Relay, out *fasthttp.Response, writeBy, readBy time.Time,
 	compose func(net.Conn) []byte) (n int, written, keep bool, err error) {
 	used := c.used
-	bytes := compose(c)
+	c.SetWriteDeadline(writeBy)
+	c.SetReadDeadline(readBy)
+	bytes := compose(c) // nothing stands between its last question and the first byte
 	if bytes == nil {
 		return 0, false, true, errNotSent
 	}
-	c.used = true
-	c.SetWriteDeadline(writeBy)
-	c.SetReadDeadline(readBy)
 	n, err = c.Write(bytes)
+	c.used = true
 	if r != nil && n == len(bytes) {
 		s.o.Figures.Forwards.Add(1)
 	}
