Test leaving after a message's last piece, before a second copy, and that no write is held back

TCP_NODELAY is set on accepted connections, those taken from the queue at the end, and those of another process: an answer is not lost with a close over unread bytes.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -141,7 +141,7 @@
 		go c.Gone(x) // waits for its place, behind all
 		require.Eventually(t, x.HasLeft, patience, time.Millisecond)
 		close(gate)
-		require.Equal(t, exchange.Failed, (<-x.Answer()).Verdict)
+		require.Equal(t, exchange.Failed, answered(t, x).Verdict)
 		require.Eventually(t, func() bool { return len(c.ops) == 0 }, patience, time.Millisecond)
 		c.Sync()
 		require.Zero(t, c.InHand())
@@ -158,7 +158,7 @@
 		go c.Gone(x)
 		require.Eventually(t, x.HasLeft, patience, time.Millisecond)
 		close(gate)
-		require.Equal(t, exchange.Failed, (<-x.Answer()).Verdict)
+		require.Equal(t, exchange.Failed, answered(t, x).Verdict)
 		require.Eventually(t, func() bool { return len(c.ops) == 0 }, patience, time.Millisecond)
 		c.Sync()
 		require.Zero(t, c.InHand())
@@ -172,15 +172,52 @@
 		c.Sync()
 		x.Leave() // and nobody tells of it
 		c.List(topazfall.ListPatch, []Entry{entry("h", topazfall.Ready)})
-		require.Equal(t, exchange.Failed, (<-x.Answer()).Verdict)
+		require.Equal(t, exchange.Failed, answered(t, x).Verdict)
 		c.Sync()
 		require.Zero(t, c.InHand())
 		require.Empty(t, s.sent)
 	})
 }
 
+// A client leaves while the module is about to send a second copy: there is none, and the first is called off.
+func TestNoCopyAfterTheClientLeft(t *testing.T) {
+	for _, leaves := range []bool{false, true} {
+		s := settings(nil)
+		s.TellsStart, s.Allowed.SecondCopies = true, true
+		s.Classes[0].Repeat, s.Classes[0].Deadline, s.Classes[0].Aim = topazfall.Safe, 400e3, 400e3
+		c, side := startBy(t, s, "h", "i")
+		x := message(c, "1", time.Minute)
+		c.Arrive(x)
+		first := <-side.sent
+		require.True(t, first.Start(c.Now()))
+		if !leaves {
+			require.NotEqual(t, first.Host.ID, (<-side.sent).Host.ID, "without leaving there is a copy")
+			continue
+		}
+		x.Leave() // and nobody tells of it but the mark
+		require.Equal(t, exchange.Failed, answered(t, x).Verdict)
+		require.Same(t, first, <-side.off)
+		c.Sync()
+		c.Sync()
+		require.Empty(t, side.sent)
+		require.Zero(t, c.InHand())
+	}
+}
+
 const patience = 20 * time.Second // no verdict hangs on how fast a machine is
 
+// answered waits for the final answer.
+func answered(t *testing.T, x *exchange.Exchange) exchange.Answer {
+	t.Helper()
+	select {
+	case a := <-x.Answer():
+		return a
+	case <-time.After(patience):
+		require.Fail(t, "no answer")
+		return exchange.Answer{}
+	}
+}
+
 // Nor is it started once it is called off, the message is over, or its time is up.
 func TestNoStartAfterTheEnd(t *testing.T) {
 	for name, end := range map[string]func(*exchange.Exchange, *exchange.Relay){
--- a/internal/north/departure_test.go
+++ b/internal/north/departure_test.go
@@ -13,6 +13,7 @@
 	"topazfall"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/exchange"
+	"topazfall/internal/socket"
 )
 
 // stalledListener accepts connections whose reader, once stalled is set, gets nothing of what it has read until
@@ -160,3 +161,66 @@
 	p.release()
 	require.True(t, p.Left())
 }
+
+// A message comes in pieces, and its client leaves after the last one, with or without more bytes behind it. Its reader
+// gets the last piece when all that has happened: nothing is sent.
+func TestClientLeavesAfterTheLastPiece(t *testing.T) {
+	const fields = "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: pieces\r\nX-Priority-Class: job\r\nX-Timeout-Ms: 60000\r\n"
+	forms := map[string][]string{
+		"length":  {fields + "Content-Length: 4\r\n", "\r\nab", "cd"},
+		"chunked": {fields + "Transfer-Encoding: chunked\r\n", "\r\n4\r\nab", "cd\r\n0\r\n\r\n"},
+	}
+	for form, pieces := range forms {
+		for name, leave := range ways {
+			for _, behind := range []int{0, 7, 5000} {
+				t.Run(fmt.Sprint(form, " ", name, " after ", behind), func(t *testing.T) {
+					t.Parallel()
+					l := newStalledListener(t)
+					d := servingOn(t, l, "a", "b")
+					nc, err := net.Dial("tcp", d.addr)
+					require.NoError(t, err)
+					c, last := nc.(*net.TCPConn), len(pieces)-1
+					for _, piece := range pieces[:last] {
+						_, err = c.Write([]byte(piece))
+						require.NoError(t, err)
+						require.Eventually(t, func() bool {
+							near := l.last.Load()
+							return near != nil && socket.Look(near) == socket.Quiet
+						}, patience, time.Millisecond)
+					}
+					l.stalled.Store(true)
+					_, err = c.Write([]byte(pieces[last]))
+					require.NoError(t, err)
+					_, err = c.Write(make([]byte, behind))
+					require.NoError(t, err)
+					require.NoError(t, leave(c))
+					waitForClosing(t, l.last.Load())
+					close(l.release)
+					require.Eventually(t, func() bool { return d.side.Conns() == 0 }, patience, time.Millisecond)
+					d.over()
+					require.Empty(t, d.sent)
+				})
+			}
+		}
+	}
+}
+
+// However a connection has come, its system holds back no small write: a close over unread bytes, which resets it, would
+// take an answer along.
+func TestNothingIsHeldBack(t *testing.T) {
+	noDelay := func(c net.Conn) {
+		require.NoError(t, socket.Raw(c).Control(func(fd uintptr) {
+			value, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NODELAY)
+			require.NoError(t, err)
+			require.NotZero(t, value)
+		}))
+	}
+	l, c, _ := pair(t)
+	noDelay(c.Conn)
+	noDelay(double(t, c.Conn.(*net.TCPConn))) // as after a hand-over
+	_, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	var rest []*conn
+	require.Eventually(t, func() bool { rest = l.rest(); return len(rest) == 1 }, patience, time.Millisecond)
+	noDelay(rest[0].Conn)
+}
