--- a/internal/north/departure_test.go
+++ b/internal/north/departure_test.go
@@ -224,3 +224,35 @@
 	require.Eventually(t, func() bool { rest = l.rest(); return len(rest) == 1 }, patience, time.Millisecond)
 	noDelay(rest[0].Conn)
 }
+
+// A client closes with bytes unread, here those of a 100 Continue: the system resets the connection. Nothing is sent,
+// whether its watch has noticed or not.
+func TestClientClosesOverUnreadBytes(t *testing.T) {
+	for _, noticed := range []bool{true, false} {
+		t.Run(fmt.Sprint("noticed ", noticed), func(t *testing.T) {
+			t.Parallel()
+			l := newStalledListener(t)
+			d := servingOn(t, l, "a", "b")
+			nc, err := net.Dial("tcp", d.addr)
+			require.NoError(t, err)
+			_, err = fmt.Fprint(nc, "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: unread\r\nX-Priority-Class: job\r\n"+
+				"X-Timeout-Ms: 60000\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return socket.Look(nc) == socket.Readable }, patience, time.Millisecond)
+			_, err = nc.Write([]byte("ab"))
+			require.NoError(t, err)
+			r := d.next(d.sent, "sent")
+			l.stalled.Store(!noticed)
+			require.NoError(t, nc.Close())
+			waitForClosing(t, l.last.Load())
+			if noticed {
+				require.Same(t, r, d.next(d.off, "called off"))
+			}
+			require.False(t, r.Start(d.core.Now()))
+			d.core.Ended(r, topazfall.Superseded, topazfall.NoLoad)
+			d.over()
+			require.Empty(t, d.sent)
+			close(l.release)
+		})
+	}
+}
