--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -149,10 +149,11 @@
 }
 
 // Start is asked right before the first byte goes out. A dial may outlast a drain notice, the message, its client, the
-// relay's own time or the window for repeats; what was legal when it was decided is not sent then. The client is looked for here and now:
-// that it has left may be in the system and not with whoever watches for it.
+// relay's own time or the window for repeats; what was legal when it was decided is not sent then. The client is looked
+// for here and now: that it has left may be in the system and not with whoever watches for it.
 func (r *Relay) Start(now int64) bool {
-	return now < r.Due && (r.StartBy == 0 || now < r.StartBy) && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.Look() &&
+	inTime := now < r.Due && (r.StartBy == 0 || now < r.StartBy)
+	return inTime && !r.Host.closed.Load() && !r.Exchange.Over() && !r.Exchange.Look() &&
 		r.stage.CompareAndSwap(waiting, started)
 }
 
--- a/internal/north/departure_test.go
+++ b/internal/north/departure_test.go
@@ -116,8 +116,9 @@
 				require.NoError(t, err)
 				d := serving(t, "a", "b")
 				d.side.ln.mu.Lock()
-				d.side.Continue(nc, dispatch.Begun{Message: exchange.Message{ID: "m", Method: "POST", Path: "/api", Tenant: -1,
-					Slots: 1, Arrived: d.core.Now(), Due: d.core.Now() + 60e6}, ClassIs: topazfall.Class{Name: "job"}}, false)
+				message := exchange.Message{ID: "m", Method: "POST", Path: "/api", Tenant: -1, Slots: 1,
+					Arrived: d.core.Now(), Due: d.core.Now() + 60e6}
+				d.side.Continue(nc, dispatch.Begun{Message: message, ClassIs: topazfall.Class{Name: "job"}}, false)
 				r := d.next(d.sent, "sent")
 				_, err = c.Write(make([]byte, ahead))
 				require.NoError(t, err)
@@ -134,8 +135,8 @@
 	}
 }
 
-// What a look finds sent ahead is passed over and counted; once the answer may be written, or the connection has gone to
-// another process, a look takes nothing away.
+// What a look finds sent ahead is passed over and counted; once the answer may be written, or the connection has gone
+// to another process, a look takes nothing away.
 func TestPresence(t *testing.T) {
 	_, c, client := pair(t)
 	p := &presence{conn: c.Conn}
@@ -165,7 +166,8 @@
 // A message comes in pieces, and its client leaves after the last one, with or without more bytes behind it. Its reader
 // gets the last piece when all that has happened: nothing is sent.
 func TestClientLeavesAfterTheLastPiece(t *testing.T) {
-	const fields = "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: pieces\r\nX-Priority-Class: job\r\nX-Timeout-Ms: 60000\r\n"
+	const fields = "POST /api HTTP/1.1\r\nHost: x\r\nX-Request-ID: pieces\r\nX-Priority-Class: job\r\n" +
+		"X-Timeout-Ms: 60000\r\n"
 	forms := map[string][]string{
 		"length":  {fields + "Content-Length: 4\r\n", "\r\nab", "cd"},
 		"chunked": {fields + "Transfer-Encoding: chunked\r\n", "\r\n4\r\nab", "cd\r\n0\r\n\r\n"},
@@ -205,8 +207,8 @@
 	}
 }
 
-// However a connection has come, its system holds back no small write: a close over unread bytes, which resets it, would
-// take an answer along.
+// However a connection has come, its system holds back no small write: a close over unread bytes, which resets it,
+// would take an answer along.
 func TestNothingIsHeldBack(t *testing.T) {
 	noDelay := func(c net.Conn) {
 		require.NoError(t, socket.Raw(c).Control(func(fd uintptr) {
--- a/internal/north/presence.go
+++ b/internal/north/presence.go
@@ -22,7 +22,8 @@
 
 var _ exchange.Client = (*presence)(nil)
 
-// Left looks whether the client has closed, half closed or reset its connection, or sends without end. It does not wait.
+// Left looks whether the client has closed, half closed or reset its connection, or sends without end. It does not
+// wait.
 func (p *presence) Left() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/south/attempts_test.go
+++ b/internal/south/attempts_test.go
@@ -57,7 +57,8 @@
 
 func (h *hosting) exchange(client exchange.Client) *exchange.Exchange {
 	return exchange.For(client, exchange.Message{ID: "1", Method: "POST", Path: "/api",
-		Fields: []exchange.Field{{Name: "Host", Value: "x"}, {Name: "X-Request-ID", Value: "1"}, {Name: "X-Timeout-Ms", Value: "60000"}}})
+		Fields: []exchange.Field{{Name: "Host", Value: "x"}, {Name: "X-Request-ID", Value: "1"},
+			{Name: "X-Timeout-Ms", Value: "60000"}}})
 }
 
 // everySlowDial holds dials for so long, of first and further attempts at hosts with one address or several.
@@ -96,8 +97,8 @@
 	})
 }
 
-// A client that leaves while the connection comes up, or whose time is over then, has nothing sent for it; the connection
-// is kept, and no call-off follows what was never sent.
+// A client that leaves while the connection comes up, or whose time is over then, has nothing sent for it; the
+// connection is kept, and no call-off follows what was never sent.
 func TestNothingIsSentBehindSlowDial(t *testing.T) {
 	for _, why := range []string{"left", "late"} {
 		t.Run(why, func(t *testing.T) {
--- a/internal/south/route.go
+++ b/internal/south/route.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -278,7 +277,8 @@
 		out := fasthttp.AcquireResponse()
 		defer fasthttp.ReleaseResponse(out)
 		by := time.Now().Add(probeTime)
-		_, _, keep, err := s.say(client, l, nil, out, by, by, bare("GET", "/status/load", rt.host))
+		_, _, keep, err := s.say(client, l, call{out: out, writeBy: by, readBy: by,
+			compose: bare("GET", "/status/load", rt.host)})
 		if l.give(keep); err != nil {
 			why = addresses.WasReset
 		}
@@ -291,32 +291,33 @@
 
 // across is talk for a host with several addresses. Until something is written it moves from one to the next; what
 // became of the call is told to the set.
-func (s *Side) across(h *exchange.Host, m manner, r *exchange.Relay, out *fasthttp.Response, writeBy, readBy time.Time,
-	compose func(net.Conn) []byte) (written bool, err error) {
+func (s *Side) across(h *exchange.Host, c call) (written bool, err error) {
 	s.mu.Lock()
 	rt, by := s.routes[h.ID], s.core.Now()+s.times.DialTimeout.Microseconds()
 	s.mu.Unlock()
 	if rt == nil { // the host has just gone
 		return false, errNoWay
 	}
-	if r != nil {
-		by = min(by, r.Due)
+	if c.relay != nil {
+		by = min(by, c.relay.Due)
 	}
-	w := s.find(rt, m.once, m.fresh, by)
+	compose := c.compose
+	w := s.find(rt, c.once, c.fresh, by)
 	for {
 		a, l, err := w.next()
 		if err != nil {
 			return false, err
 		}
 		began, moved, fresh := s.core.Now(), false, !l.used
-		n, whole, keep, err := s.say(l.client, l, r, out, writeBy, readBy, func(c net.Conn) []byte {
+		c.compose = func(nc net.Conn) []byte {
 			rt.mu.Lock()
 			defer rt.mu.Unlock()
 			if moved = !rt.set.Has(a); moved {
 				return nil
 			}
-			return compose(c)
-		})
+			return compose(nc)
+		}
+		n, whole, keep, err := s.say(l.client, l, c)
 		l.give(keep && !moved)
 		rt.mu.Lock()
 		now := s.core.Now()
@@ -324,11 +325,12 @@
 		case moved: // it is another host's by now, and what listens there perhaps as well
 			w.race.Failed(now, a, addresses.Elsewhere)
 		case err == nil:
-			rt.set.Answered(now, a, began, !m.proves)
-		case err == errNotSent || r != nil && (r.Ended() || r.Accepted()) || isTimeout(err): // no word on the address
+			rt.set.Answered(now, a, began, !c.proves)
+		case err == errNotSent || isTimeout(err): // no word on the address
+		case c.relay != nil && (c.relay.Ended() || c.relay.Accepted()): // nor this
 		case n > 0 && fresh:
 			s.o.Figures.Resets.Add(1)
-			rt.set.Reset(now, a, began, m.once)
+			rt.set.Reset(now, a, began, c.once)
 		case n > 0:
 			rt.set.Broke(a)
 		}
@@ -381,9 +383,3 @@
 	defer s.mu.Unlock()
 	s.inherited = l
 }
-
-func bare(method, path, host string) func(net.Conn) []byte {
-	return func(net.Conn) []byte {
-		return fmt.Appendf(nil, "%s %s HTTP/1.1\r\nHost: %s\r\n\r\n", method, path, host)
-	}
-}
--- a/internal/south/south.go
+++ b/internal/south/south.go
@@ -3,17 +3,13 @@
 package south
 
 import (
-	"bufio"
 	"errors"
-	"io"
 	"log/slog"
 	"maps"
 	"net"
 	"slices"
-	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -156,18 +152,20 @@
 	l = topazfall.NoLoad
 	out := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(out)
-	m := manner{once: r.Exchange.Once, fresh: s.fresh(r), proves: !r.Exchange.Once}
-	// When it is due it is called off, if it has not ended before: what is still not read then is of no use to anybody.
-	written, err := s.talk(r.Host, m, r, out, s.core.At(r.Due), s.core.At(r.Due).Add(sideCall), func(c net.Conn) []byte {
-		bytes := request(r, s.core.Now()) // before it is asked whether they may go: they go at once then
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if !r.Start(s.core.Now()) {
-			return nil
-		}
-		s.early[r] = c // from here on a call-off closes the connection
-		return bytes
-	})
+	written, err := s.talk(r.Host, call{once: r.Exchange.Once, fresh: s.fresh(r), proves: !r.Exchange.Once, relay: r,
+		out: out,
+		// When it is due it is called off, if it has not ended before: what is not read then is of no use to anybody.
+		writeBy: s.core.At(r.Due), readBy: s.core.At(r.Due).Add(sideCall),
+		compose: func(c net.Conn) []byte {
+			bytes := request(r, s.core.Now()) // before it is asked whether they may go: they go at once then
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if !r.Start(s.core.Now()) {
+				return nil
+			}
+			s.early[r] = c // from here on a call-off closes the connection
+			return bytes
+		}})
 	switch {
 	case err == errNotSent:
 		return topazfall.Superseded, l, true
@@ -198,140 +196,6 @@
 	}
 }
 
-// fresh tells whether a relay goes on a new connection. A kept one may be dead without a sign of it, and what
-// is written to it is lost as if it had run: a new one costs some milliseconds, a message that must not run
-// twice all of it. And a host may answer the message before a second time, when this one is on its way already: taken for
-// its own, that would end a relay which still runs. The others use kept ones as long as these live.
-func (s *Side) fresh(r *exchange.Relay) bool { return r.Exchange.Own || s.wary() }
-
-func (s *Side) wary() bool { return s.core.Now()-s.burnt.Load() < burntTime.Microseconds() }
-
-var errNotSent = errors.New("not sent")
-
-// manner is how a call is made.
-type manner struct {
-	once   bool // it must not run twice
-	fresh  bool // on a new connection
-	proves bool // an answer shows that the address does not lose what is written to it
-}
-
-// talk makes one call to a host: it writes what compose returns, once, and reads the answer. written tells whether the
-// last byte was handed to the connection: before that nothing can have run. For a relay, r is it.
-func (s *Side) talk(h *exchange.Host, m manner, r *exchange.Relay, out *fasthttp.Response, writeBy, readBy time.Time,
-	compose func(net.Conn) []byte) (written bool, err error) {
-	if h.Several {
-		return s.across(h, m, r, out, writeBy, readBy, compose)
-	}
-	client := s.client(h.Addr)
-	cc, err := client.AcquireConn(0, false)
-	for err == nil && (m.fresh && cc.Conn().(*line).used || s.spent(cc.Conn().(*line))) { // nothing was written to it
-		client.CloseConn(cc)
-		cc, err = client.AcquireConn(0, false)
-	}
-	if err != nil {
-		return false, err
-	}
-	c := cc.Conn().(*line)
-	_, written, keep, err := s.say(client, c, r, out, writeBy, readBy, compose)
-	if keep {
-		client.ReleaseConn(cc)
-	} else {
-		client.CloseConn(cc)
-	}
-	return written, err
-}
-
-// say makes a call on this connection, for the relay r if that is not nil. n is how many bytes were handed to it, written tells whether all were; keep,
-// whether the connection may be used again.
-func (s *Side) say(client *fasthttp.HostClient, c *line, r *exchange.Relay, out *fasthttp.Response, writeBy, readBy time.Time,
-	compose func(net.Conn) []byte) (n int, written, keep bool, err error) {
-	used := c.used
-	c.SetWriteDeadline(writeBy)
-	c.SetReadDeadline(readBy)
-	bytes := compose(c) // nothing stands between its last question and the first byte
-	if bytes == nil {
-		return 0, false, true, errNotSent
-	}
-	n, err = c.Write(bytes)
-	c.used = true
-	if r != nil && n == len(bytes) {
-		s.o.Figures.Forwards.Add(1)
-	}
-	in := client.AcquireReader(c)
-	defer client.ReleaseReader(in)
-	if err == nil {
-		err = answer(out, in, r)
-	}
-	if r != nil { // before the connection can be another's: a call-off must not close that
-		s.mu.Lock()
-		delete(s.early, r)
-		s.mu.Unlock()
-	}
-	if err != nil {
-		if used && broke(err) {
-			s.burnt.Store(s.core.Now())
-		}
-		return n, n == len(bytes), false, err
-	}
-	c.idle = s.core.Now()
-	return n, true, !out.ConnectionClose() && in.Buffered() == 0, nil
-}
-
-// answer reads a host's answer, for the relay r if that is not nil: a 202 counts as soon as its head is here.
-func answer(out *fasthttp.Response, in *bufio.Reader, r *exchange.Relay) error {
-	err := out.Header.Read(in)
-	for err == nil && out.StatusCode() < fasthttp.StatusOK {
-		err = out.Header.Read(in)
-	}
-	if err != nil {
-		return err
-	}
-	switch out.StatusCode() {
-	case fasthttp.StatusAccepted:
-		if r != nil {
-			r.Accept()
-		}
-	case fasthttp.StatusNoContent, fasthttp.StatusNotModified: // without a body
-		return nil
-	}
-	if err = out.ReadBody(in, largest); err == nil && out.Header.ContentLength() == -1 {
-		err = out.Header.ReadTrailer(in)
-	}
-	return err
-}
-
-// broke tells that the other side has ended or reset the connection.
-func broke(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
-// spent tells that a kept connection is of no use any more: it is stale, or has been idle for so long that the host may be
-// closing it right now. The pool's own cleaner sees to that in time, but for when the process stood still.
-func (s *Side) spent(l *line) bool {
-	idle := s.core.Now() - max(l.idle, l.born)
-	return idle > s.timesNow().ConnIdle.Microseconds()*2/3 || stale(l)
-}
-
-// hop names the fields that belong to the client's connection, or that are written anew.
-var hop = map[string]bool{"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
-	"transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true, "x-timeout-ms": true}
-
-// request is a relay as it goes on the wire: the message as it came, but for what belongs to its connection
-// and for the time left, which is rounded up so that the host never stops before the dispatcher does.
-func request(r *exchange.Relay, now int64) []byte {
-	x := r.Exchange
-	b := make([]byte, 0, 512+len(x.Body))
-	b = append(append(append(append(b, x.Method...), ' '), x.Path...), " HTTP/1.1\r\n"...)
-	for _, f := range x.Fields {
-		if !hop[exchange.Lower(f.Name)] {
-			b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
-		}
-	}
-	b = strconv.AppendInt(append(b, "X-Timeout-Ms: "...), max((r.Due-now+999)/1000, 1), 10)
-	b = strconv.AppendInt(append(b, "\r\nContent-Length: "...), int64(len(x.Body)), 10)
-	return append(append(b, "\r\n\r\n"...), x.Body...)
-}
-
 // CallOff makes the host drop a relay that has ended here. Where it has not answered yet, the closed
 // connection may do; if its 202 is on the way, only DELETE does.
 func (s *Side) CallOff(r *exchange.Relay) {
@@ -371,15 +235,16 @@
 	out := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(out)
 	by := time.Now().Add(limit)
-	m := manner{fresh: s.wary(), proves: method == "GET"} // a probe, which is asked for only where it is permitted
 	name := h.Addr
 	if name == "" {
 		name = h.ID
 	}
-	written, err := s.talk(h, m, nil, out, by, by, bare(method, path, name))
-	if err != nil && written && !m.fresh && s.wary() {
-		m.fresh = true
-		_, err = s.talk(h, m, nil, out, by, by, bare(method, path, name))
+	c := call{fresh: s.wary(), out: out, writeBy: by, readBy: by, compose: bare(method, path, name),
+		proves: method == "GET"} // a probe, which is asked for only where it is permitted
+	written, err := s.talk(h, c)
+	if err != nil && written && !c.fresh && s.wary() {
+		c.fresh = true
+		_, err = s.talk(h, c)
 	}
 	if err != nil {
 		slog.Warn("call", "method", method, "path", path, "host", h.ID, "addr", h.Addr, "error", err)
