Take a refusal at once for a discovery that is down, and serve on with the old list

What counts as told then is what discovery had when it could be reached.

A service that is at work and refuses nine calls in ten at once cannot be told from one that is down: its list is relied on, which the package says.

--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -11,12 +11,16 @@
 //
 // where unread is the earliest time at which discovery may have had something that was not read, and could
 // have been reached: the start of the last call that brought a list or, if calls that were opened after it
-// stayed without an answer, the start of the last of these before one that was answered. Any answer shows
-// that discovery can be reached, a refusal as well; from then on unread stays until a list is read. Silence
-// and broken connections show the opposite: each call after one that failed so is made so early that its
-// failure moves HoldAt on in time, and the list is relied on for as long as they last. From HoldAt to the
-// next list that is read, nothing new may be sent to any worker. The grace of a drain begins at HoldAt and is
-// left to what is under way then.
+// showed that discovery could not be reached, the start of the last of these. A call that waited for its turn and was
+// turned away shows that discovery is at work, as does any other answer but a refusal at once; from then on unread
+// stays until a list is read. Silence, broken connections and refusals at once are what a service that is down
+// shows: each call after one that failed so is made so early that its failure moves HoldAt on in time, and the list is
+// relied on for as long as they last. From HoldAt to the next list that is read, nothing new may be sent to any
+// worker. The grace of a drain begins at HoldAt and is left to what is under way then.
+//
+// By the operators' page a discovery without room lets calls wait in turn, and those fail that have waited too long. One
+// that is at work and turns calls away at once cannot be told from one that is down. The list is relied on then: to
+// serve nobody for as long as discovery is down would cost all of the service.
 //
 // # The budget of the fleet
 //
@@ -135,12 +139,14 @@
 const (
 	// Read: it brought a list, or changes that apply to the one held.
 	Read Result = iota
-	// Answered: it brought anything else, as a refusal does. Discovery could be reached.
+	// Answered: it brought what is no list that applies. Discovery could be reached.
 	Answered
 	// Silent: it was given up for want of an answer.
 	Silent
 	// Broken: no connection came up, or it ended before an answer.
 	Broken
+	// Refused: it was turned away by a status. After a wait for its turn that shows that discovery could be reached.
+	Refused
 )
 
 // Schedule is one dispatcher's view of discovery. Its methods are for one goroutine; times must not decrease.
@@ -217,18 +223,19 @@
 		return 0
 	}
 	s.failures++
-	s.noRoom = s.noRoom || result == Answered && now-s.begun >= longWait
+	turnedAway := result == Refused && s.opened && now-s.begun >= longWait
+	s.noRoom = s.noRoom || turnedAway
 	switch {
 	case s.reachable:
-	case result == Answered:
+	case result == Answered || turnedAway:
 		s.reachable = true
 	case s.opened: // discovery could not be reached when this call began
 		s.unread = s.begun
 	}
-	return s.pause(now, retryAfter)
+	return s.pause(now, result, retryAfter)
 }
 
-func (s *Schedule) pause(now, retryAfter time.Duration) time.Duration {
+func (s *Schedule) pause(now time.Duration, result Result, retryAfter time.Duration) time.Duration {
 	if !s.terms.Asked {
 		longest := min(retrySpacing*3/2*growth(s.failures), s.terms.AgentBeat())
 		return s.spread(longest/2, longest)
@@ -236,7 +243,11 @@
 	spacing := s.terms.Spacing(s.failures, s.noRoom)
 	if !s.reachable { // whether the next call is answered has to show before HoldAt
 		holdAt, _ := s.HoldAt()
-		return s.spread(leastPause, min(spacing, holdAt-s.terms.CallLimit()-timerSlack-now))
+		longest := min(spacing, holdAt-s.terms.CallLimit()-timerSlack-now)
+		if result == Refused && s.opened { // it has answered: there is no haste
+			return max(s.spread(longest*5/6, longest), min(s.putOff(now, retryAfter, spacing), longest))
+		}
+		return s.spread(leastPause, longest)
 	}
 	if !s.opened { // watches that break may all break in one moment
 		return max(s.spread(leastPause, spacing), s.putOff(now, retryAfter, spacing))
--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -301,3 +301,31 @@
 		}
 	}
 }
+
+// A refusal after a wait for its turn shows that discovery is at work; one at once is what a discovery that is down
+// shows, and so is the end of a watch, however long that has waited for news. Neither puts the next call off for so
+// long that its failure would not show in time.
+func TestRefusedAtOnceOrAfterAWait(t *testing.T) {
+	for _, retryAfter := range []time.Duration{0, 60 * second} {
+		s := started()
+		next := call(s, 101*second, 101*second+longWait-1, Refused, retryAfter)
+		requireHoldAt(t, s, 107*second)
+		require.Less(t, next+callLimit, 107*second)
+		call(s, next, next+longWait, Refused, retryAfter)
+		requireHoldAt(t, s, 107*second)
+		call(s, 106*second, 106*second, Refused, retryAfter)
+		requireHoldAt(t, s, 107*second)
+	}
+	s := started()
+	now := call(s, 100*second, 100*second, Read, 0)
+	now = call(s, now, now+watchWait, Refused, 0)
+	requireHoldAt(t, s, 106*second)
+	require.Less(t, now+callLimit, 106*second)
+	for range 20 { // and each that follows on time is relied on
+		begun := now
+		now = call(s, begun, begun, Refused, 0)
+		requireHoldAt(t, s, begun+Told)
+		require.Less(t, now+callLimit, begun+Told)
+		require.Greater(t, now-begun, 2*second, "calls in haste")
+	}
+}
--- a/internal/inventory/client.go
+++ b/internal/inventory/client.go
@@ -105,9 +105,12 @@
 // however spoilt.
 func resultOf(err error) refresh.Result {
 	var network net.Error
+	var refused refusal
 	switch {
 	case err == nil:
 		return refresh.Read
+	case errors.As(err, &refused):
+		return refresh.Refused
 	case errors.Is(err, fasthttp.ErrTimeout), errors.Is(err, fasthttp.ErrDialTimeout):
 		return refresh.Silent
 	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, fasthttp.ErrConnectionClosed),
