Run a dispatcher in named phases whose order is stated

instance.Run did its work in 90 lines whose order stood nowhere. It is now a list of named phases, each a small function, with what must come before what and why. Behaviour, log lines and the transfer format are unchanged: gob matches the fields by name, and those keep theirs.

--- /dev/null
+++ b/internal/instance/handover.go
@@ -0,0 +1,338 @@
+package instance
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"topazfall"
+	"topazfall/internal/config"
+	"topazfall/internal/dispatch"
+	"topazfall/internal/inventory"
+	"topazfall/internal/north"
+	"topazfall/internal/south"
+	"topazfall/internal/takeover"
+)
+
+const (
+	helloTime = 2 * time.Second // for the first words; the successor must have said yes within 6 s
+	noteTime  = time.Second     // for a call-back to be taken by the other process
+	holdTime  = 100 * time.Millisecond
+	passTime  = time.Second             // for idle connections to be handed over
+	hopeTime  = 3200 * time.Millisecond // for hosts to answer relays, after SIGTERM; the kill may come after 3.7 s
+	lastCall  = 500 * time.Millisecond  // beyond the longest deadline, after which a leaving process is killed
+)
+
+// handover is this process's place between its predecessor, which it has replaced, and its successor.
+type handover struct {
+	c       *config.Config
+	path    string
+	ln      net.Listener
+	core    *dispatch.Core
+	hosts   *south.Side
+	clients *north.Side
+	list    *inventory.Watch
+
+	mu               sync.Mutex
+	predecessor      *takeover.Link // nil where there is none, or no more
+	predecessorHolds held
+	successor        *takeover.Link // nil where there is none
+	successorAccepts bool
+	waiting          *net.UnixListener // where successors come
+	longest          time.Duration     // a client's wait, by any settings that held
+	firstHeld        chan struct{}     // closed when the predecessor has first said what it holds, or has gone
+}
+
+// share sets the bounds from what the others have of the limits, and tells the successor; h.mu is held.
+func (h *handover) share() {
+	out, in := bounds(h.c)
+	mine := held{Share: 1}
+	if h.predecessor != nil {
+		mine = h.predecessorHolds
+	}
+	if h.successor != nil {
+		mine.Share /= 2
+	}
+	in.Conns = max(in.Conns-mine.Conns, 1)
+	in.Messages = max(in.Conns*2/3, 1)
+	in.Large = int(float64(in.Large) * mine.Share)
+	h.clients.SetBounds(in)
+	h.hosts.SetConns(max(int(float64(out)*mine.Share), 1))
+	within(h.c, mine.Share)
+	if h.successorAccepts {
+		h.successor.Send(frameHeld, encode(held{Conns: h.clients.Conns() + mine.Conns, Share: mine.Share}), nil)
+	}
+}
+
+// succeed goes on in the predecessor's place: it says that this process accepts from now on, and returns once the
+// predecessor has said what it keeps, has gone, or has had its time for that.
+func (h *handover) succeed(predecessor *takeover.Link) {
+	h.mu.Lock()
+	h.predecessor, h.firstHeld = predecessor, make(chan struct{})
+	_, in := bounds(h.c)
+	h.predecessorHolds = held{Conns: in.Conns / 2, Share: 0.5}
+	h.share()
+	h.mu.Unlock()
+	first := sync.OnceFunc(func() { close(h.firstHeld) })
+	go func() {
+		err := predecessor.Run(func(f takeover.Frame) { h.fromPredecessor(f, first) },
+			func(body []byte) bool { return h.answer(body, predecessor) })
+		slog.Info("takeover", "old", "gone", "reason", err)
+		h.mu.Lock()
+		h.predecessor, h.predecessorHolds = nil, held{}
+		h.share()
+		h.mu.Unlock()
+		first()
+	}()
+	predecessor.Send(frameReady, nil, nil)
+	select {
+	case <-h.firstHeld:
+	case <-time.After(helloTime):
+	}
+}
+
+func (h *handover) fromPredecessor(f takeover.Frame, first func()) {
+	switch f.Kind {
+	case frameHeld:
+		h.mu.Lock()
+		if decode(f.Body, &h.predecessorHolds) == nil {
+			h.share()
+		}
+		h.mu.Unlock()
+		first()
+	case frameKnownIDs:
+		var ids []string
+		if decode(f.Body, &ids) == nil {
+			h.core.Learn(ids)
+		}
+	case frameConnection:
+		var k keptConnection
+		if f.File == nil || decode(f.Body, &k) != nil {
+			break
+		}
+		nc, err := net.FileConn(f.File)
+		if err != nil {
+			slog.Warn("takeover", "error", err)
+			break
+		}
+		h.mu.Lock() // it counts here now
+		h.predecessorHolds.Conns = max(h.predecessorHolds.Conns-1, 0)
+		h.share()
+		h.mu.Unlock()
+		if k.Begun != nil {
+			h.clients.Continue(nc, *k.Begun, k.More)
+			break
+		}
+		go h.clients.Adopt(nc, k.Proven, k.Client)
+	}
+	if f.File != nil {
+		f.File.Close()
+	}
+}
+
+// wait lets processes replace this one, one at a time.
+func (h *handover) wait() {
+	ln, err := takeover.Listen(h.path)
+	if err != nil { // clients are served all the same; the next process will wait for this one's end
+		slog.Warn("takeover", "path", h.path, "error", err)
+		return
+	}
+	h.mu.Lock()
+	h.waiting = ln
+	h.mu.Unlock()
+	for {
+		c, err := ln.AcceptUnix()
+		if err != nil {
+			return
+		}
+		go h.meet(takeover.New(c))
+	}
+}
+
+func (h *handover) meet(l *takeover.Link) {
+	defer l.Close()
+	l.SetReadDeadline(time.Now().Add(helloTime))
+	if f, err := l.Next(); err != nil || f.Kind != frameHello {
+		return
+	}
+	l.SetReadDeadline(time.Time{})
+	h.mu.Lock()
+	if h.successor != nil { // it tries again, and finds whoever of us is there then
+		h.mu.Unlock()
+		return
+	}
+	h.successor = l
+	h.share()
+	h.mu.Unlock()
+	slog.Info("takeover", "young", "here")
+	now := handoverState{h.list.Legacy(), h.core.Legacy(), h.hosts.Legacy()}
+	err := l.Send(frameState, encode(now), h.ln.(syscall.Conn))
+	if err == nil {
+		err = l.Run(h.fromSuccessor, func(body []byte) bool { return h.answer(body, l) })
+	}
+	slog.Info("takeover", "young", "gone", "reason", err)
+	h.mu.Lock()
+	h.successor, h.successorAccepts = nil, false
+	h.share()
+	h.mu.Unlock()
+	h.core.Replaced(false)
+	h.clients.KeepOn()
+	h.clients.Resume()
+	h.waiting.Close() // the path was the successor's, if it came so far
+	go h.wait()
+}
+
+func (h *handover) fromSuccessor(f takeover.Frame) {
+	if f.File != nil {
+		f.File.Close()
+	}
+	if f.Kind != frameReady {
+		return
+	}
+	h.core.Replaced(true)
+	_, in := bounds(h.c)
+	h.clients.Pause(in.Conns / 2)
+	h.mu.Lock()
+	l := h.successor
+	h.successorAccepts = true
+	h.share()
+	h.mu.Unlock()
+	go func() { // what this process holds becomes less
+		for last := h.clients.Conns(); ; time.Sleep(holdTime) {
+			h.mu.Lock()
+			if h.successor != l {
+				h.mu.Unlock()
+				return
+			}
+			if now := h.clients.Conns(); now != last {
+				last = now
+				h.share()
+			}
+			h.mu.Unlock()
+		}
+	}()
+}
+
+// tell brings a call-back whose message is not in hand here to the other processes. That none of them has it is no
+// error: it is over.
+func (h *handover) tell(body []byte) error {
+	_, err := h.ask(body, nil)
+	return err
+}
+
+// answer takes a call-back that came from one process, or asks the one beyond.
+func (h *handover) answer(body []byte, from *takeover.Link) bool {
+	taken, err := h.hosts.CallBack(body)
+	if err == nil && !taken {
+		taken, _ = h.ask(body, from)
+	}
+	return taken
+}
+
+// ask brings a call-back to all others but one. If none has its message that may have been on its way here, and have
+// crossed the question: it came before the answer, and is here now.
+func (h *handover) ask(body []byte, except *takeover.Link) (taken bool, err error) {
+	if taken, err = h.askOthers(body, except); !taken && err == nil {
+		taken, _ = h.hosts.CallBack(body)
+	}
+	return taken, err
+}
+
+func (h *handover) askOthers(body []byte, except *takeover.Link) (taken bool, err error) {
+	h.mu.Lock()
+	links := [...]*takeover.Link{h.predecessor, h.successor}
+	h.mu.Unlock()
+	for _, l := range links {
+		if l == nil || l == except {
+			continue
+		}
+		took, fault := l.Ask(body, noteTime)
+		if took {
+			return true, nil
+		}
+		if fault == takeover.ErrSilent {
+			err = fault
+		}
+	}
+	return false, err
+}
+
+// passOn hands the clients over to the successor if that accepts, and tells whether it does.
+func (h *handover) passOn() bool {
+	h.mu.Lock()
+	l, takes := h.successor, h.successorAccepts
+	h.mu.Unlock()
+	if !takes {
+		return false
+	}
+	l.Send(frameKnownIDs, encode(h.core.Legacy().Known), nil)
+	h.clients.PassOn(func(k north.Kept) error {
+		return l.Send(frameConnection, encode(keptConnection{k.Proven, k.Client, k.More, k.Begun}), k.Conn)
+	})
+	return true
+}
+
+// holds notes that settings hold: clients may wait as long as their classes' deadlines, at least as long as the kill
+// does.
+func (h *handover) holds(now *topazfall.Settings) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.longest = max(h.longest, 3*time.Second)
+	for _, c := range now.Classes {
+		h.longest = max(h.longest, time.Duration(c.Deadline)*time.Microsecond)
+	}
+}
+
+func (h *handover) longestWait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.longest
+}
+
+// linked tells whether the process before this one is still there, and whether the one after it accepts.
+func (h *handover) linked() (predecessor, successor bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.predecessor != nil, h.successorAccepts
+}
+
+// leave ends the taking in and returns when all that was taken has its answer.
+//
+// Without a successor all that comes is served while clients can still be sent here. What came later could be cut off
+// by the kill that follows, and would be lost; so it is refused. What is in hand is finished, and as its call-backs
+// need the listener, that stays open to the last. With a successor nothing is taken that had not begun to come.
+func (h *handover) leave() {
+	passing, shut, hopeless := h.passOn(), false, false
+	if !passing { // an answer between the two would end its connection, which the successor could go on with
+		h.clients.Leave()
+	}
+	began := time.Now()
+	for {
+		predecessor, successor := h.linked()
+		since := time.Since(began)
+		switch {
+		case !passing && successor:
+			passing = h.passOn()
+		case passing && !successor:
+			passing = false
+		case passing && !hopeless && since > hopeTime:
+			hopeless = true
+			h.core.EndUnanswered(time.Second.Microseconds()) // a message with such a relay cannot be handed over
+		case !passing && !shut && since > lateComes:
+			h.clients.Shut()
+			shut = true
+		}
+		done := h.core.InHand() == 0 && !h.hosts.Busy() && !predecessor
+		// Idle connections go by themselves, but not in no time: one that is still here would be closed with the rest.
+		passed := h.clients.Conns() == 0 || h.clients.Busy() == 0 && since > passTime
+		if passing && done && passed || !passing && shut && done && since > lateComes+settle {
+			return
+		}
+		if passing && since > h.longestWait()+lastCall {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -3,13 +3,13 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -30,6 +30,7 @@
 	lateComes = 600 * time.Millisecond // after SIGTERM connections still come for up to 0.4 s
 	again     = 100 * time.Millisecond // between tries for an address that is taken
 	settle    = 50 * time.Millisecond  // for what was being read when the taking in ended
+	closeTime = time.Second            // for what is still being written when all has its answer
 )
 
 // noDiscovery is the address of discovery where hosts come from an extension alone.
@@ -50,116 +51,248 @@
 	Close()
 }
 
+// dispatcher is what Run puts together, phase by phase.
+type dispatcher struct {
+	config    config.Config
+	extension Extension // nil for the bare one
+	figures   *figures.Figures
+
+	signals chan os.Signal // SIGTERM and SIGINT
+	hangups chan os.Signal // SIGHUP
+
+	core    *dispatch.Core
+	workers *south.Side
+	clients *north.Side
+	list    *inventory.Watch
+	peers   *peers.Peers // nil where there are none
+	place   *handover
+	serving atomic.Pointer[north.Side] // clients, once the operators may see them
+
+	listener    net.Listener
+	predecessor *takeover.Link // nil where this process replaces none
+	inherited   *handoverState // nil where this process replaces none
+	served      chan error     // why the accepting ended
+}
+
 // Run runs a dispatcher until it has left. x is nil for the bare one.
+//
+// Its phases come in this order, each for the reason given there:
+//
+//  1. catchSignals: before all else, as a signal that nobody waits for ends the program.
+//  2. configure: the limits bind whatever is made after.
+//  3. build: the core and the side of the workers, which need nothing but the settings.
+//  4. serveOperators: before enter, which may wait for the address; until then the operators are told "not ready".
+//  5. enter: the listening socket, from the predecessor with its state or anew. All that follows needs it.
+//  6. assemble: the clients' side, discovery, the hand-over and the peers. None of them does anything yet.
+//  7. startCore: before any news of workers, which would wait for it. The extension takes such news in the core's
+//     place, and so is started here as well.
+//  8. takeKnown: the list known before. It must come before discovery's, which is newer and goes on from its version.
+//  9. follow: discovery and reloads, which would fall back behind what takeKnown brings.
+//  10. serve, where there is no predecessor: call-backs for an earlier life of this process are answered from here on.
+//  11. awaitList: what ready waits for, for a bounded time.
+//  12. succeed, where there is a predecessor: it accepts until it is told that this process does, and serve comes
+//     only after that.
+//  13. setReady: and only now may a successor come, which would else find a process that does not accept.
+//  14. wait for the end, and leave.
 func Run(x Extension) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	// A SIGHUP that nobody waits for would end the program, and lose what it has in hand. One place is enough:
-	// who reads the file after the last signal reads the latest.
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	c, err := config.Load(os.Getenv)
-	if err != nil {
+	d := &dispatcher{extension: x, figures: &figures.Figures{}, served: make(chan error, 1)}
+	d.catchSignals()
+	if err := d.configure(); err != nil {
+		return err
+	}
+	if err := d.build(); err != nil {
 		return err
 	}
-	if c.Cores > 0 {
-		runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
+	if d.config.Management != "" {
+		serveOperators(d.config.Management, d.ready, d.figures)
 	}
-	within(&c, 1)
-	counts := &figures.Figures{}
-	core, err := dispatch.New(c.Settings, counts)
-	if err != nil {
+	if err := d.enter(); err != nil {
 		return err
 	}
-	out, in := bounds(&c)
-	in.Figures = counts
-	hosts := south.New(core, south.Options{Times: times(&c), Conns: out, Figures: counts, Seed: c.Settings.Seed})
-	var takes atomic.Pointer[north.Side]
-	if c.Management != "" {
-		serveOperators(c.Management, func() bool { n := takes.Load(); return n != nil && n.Ready() }, counts)
+	d.assemble()
+	defer d.closePeers()
+	if err := d.startCore(); err != nil {
+		return err
 	}
-	path := takeover.Path(c.Name, c.Listen)
-	ln, old, from, err := enter(path, c.Listen, signals)
-	if err != nil {
+	defer d.closeExtension()
+	known := d.takeKnown()
+	d.follow()
+	if d.predecessor == nil {
+		go d.serve()
+	}
+	d.awaitList(known)
+	if d.predecessor != nil {
+		d.place.succeed(d.predecessor)
+		go d.serve()
+	}
+	d.setReady(known)
+	select {
+	case err := <-d.served:
 		return err
+	case s := <-d.signals:
+		slog.Info("main", "state", "leaving", "signal", s, "in_hand", d.core.InHand())
 	}
-	clients := north.New(ln, core, hosts, &c.Settings, in)
-	var news inventory.Lister = core
-	if x != nil {
-		news = x
-	}
-	list := inventory.New(c.Discovery, news, inventory.TermsOf(&c.Settings))
-	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
-	place.holds(&c.Settings)
-	clients.Others(place.tell)
-	if c.PeerListen != "" && c.Settings.Allowed.PeerMessages {
-		others, err := peers.New(peers.Addresses{Listen: c.PeerListen, Peers: c.Peers, All: c.PeersAll}, core)
-		if err == nil {
-			core.SetPeers(others)
-			go others.Run()
-			defer others.Close()
-		} else { // it is a help, and no reason to serve no clients
-			slog.Warn("peers", "error", err)
-		}
+	return d.leave()
+}
+
+// catchSignals keeps signals from ending the program. A SIGHUP that nobody waited for would, and what it has in hand
+// would be lost. One place is enough: who reads the file after the last signal reads the latest.
+func (d *dispatcher) catchSignals() {
+	d.signals, d.hangups = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(d.signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(d.hangups, syscall.SIGHUP)
+}
+
+// configure reads the configuration, and sets the limits of the runtime.
+func (d *dispatcher) configure() (err error) {
+	if d.config, err = config.Load(os.Getenv); err != nil {
+		return err
 	}
-	go core.Run(hosts, list)
-	if x != nil {
-		if err := x.Start(Parts{&c, core, hosts}); err != nil {
-			return err
-		}
-		defer x.Close()
+	if d.config.Cores > 0 {
+		runtime.GOMAXPROCS(max(int(math.Ceil(d.config.Cores)), 1))
 	}
-	known := 0
-	if from != nil {
-		hosts.Inherit(from.Addresses)
-		known = list.Inherit(from.List)
-		core.Inherit(from.Core)
+	within(&d.config, 1)
+	return nil
+}
+
+// build makes the core and the side of the workers.
+func (d *dispatcher) build() (err error) {
+	if d.core, err = dispatch.New(d.config.Settings, d.figures); err != nil {
+		return err
 	}
-	if known == 0 {
-		known = list.Known(c.Known)
+	conns, _ := bounds(&d.config)
+	d.workers = south.New(d.core, south.Options{Times: times(&d.config), Conns: conns, Figures: d.figures,
+		Seed: d.config.Settings.Seed})
+	return nil
+}
+
+// enter gets the listening socket, and the predecessor's state with it if there is one.
+func (d *dispatcher) enter() (err error) {
+	path := takeover.Path(d.config.Name, d.config.Listen)
+	d.listener, d.predecessor, d.inherited, err = enter(path, d.config.Listen, d.signals)
+	return err
+}
+
+// assemble makes what needs the listening socket.
+func (d *dispatcher) assemble() {
+	settings := &d.config.Settings
+	_, clients := bounds(&d.config)
+	clients.Figures = d.figures
+	d.clients = north.New(d.listener, d.core, d.workers, settings, clients)
+	var news inventory.Lister = d.core
+	if d.extension != nil {
+		news = d.extension
 	}
-	if x == nil || c.Discovery != noDiscovery {
-		go list.Run()
+	d.list = inventory.New(d.config.Discovery, news, inventory.TermsOf(settings))
+	d.place = &handover{c: &d.config, path: takeover.Path(d.config.Name, d.config.Listen), ln: d.listener, core: d.core,
+		hosts: d.workers, clients: d.clients, list: d.list}
+	d.place.holds(settings)
+	d.clients.Others(d.place.tell)
+	d.joinPeers()
+}
+
+// joinPeers opens the way to other dispatchers. It is a help: that it cannot be had is no reason to serve no clients.
+func (d *dispatcher) joinPeers() {
+	if d.config.PeerListen == "" || !d.config.Settings.Allowed.PeerMessages {
+		return
 	}
-	go place.reload(hangups, counts)
-	served := make(chan error, 1)
-	serve := func() { served <- clients.Serve() }
-	if old == nil {
-		go serve()
+	addresses := peers.Addresses{Listen: d.config.PeerListen, Peers: d.config.Peers, All: d.config.PeersAll}
+	others, err := peers.New(addresses, d.core)
+	if err != nil {
+		slog.Warn("peers", "error", err)
+		return
+	}
+	d.peers = others
+	d.core.SetPeers(others)
+	go others.Run()
+}
+
+func (d *dispatcher) closePeers() {
+	if d.peers != nil {
+		d.peers.Close()
 	}
-	// An empty list, or a silent discovery, is no reason to stay away for ever. But where lists come unasked, what the agent
-	// has counts as told already.
+}
+
+// startCore starts the core, and the extension on it.
+func (d *dispatcher) startCore() error {
+	go d.core.Run(d.workers, d.list)
+	if d.extension == nil {
+		return nil
+	}
+	return d.extension.Start(Parts{&d.config, d.core, d.workers})
+}
+
+func (d *dispatcher) closeExtension() {
+	if d.extension != nil {
+		d.extension.Close()
+	}
+}
+
+// takeKnown takes what the predecessor knows, or the list that the configuration knows, and tells how many workers
+// there are then. What is known of addresses comes before the workers that have them, and those before what the core
+// says of them.
+func (d *dispatcher) takeKnown() (known int) {
+	if d.inherited != nil {
+		d.workers.Inherit(d.inherited.Addresses)
+		known = d.list.Inherit(d.inherited.List)
+		d.core.Inherit(d.inherited.Core)
+	}
+	if known == 0 {
+		known = d.list.Known(d.config.Known)
+	}
+	return known
+}
+
+// follow follows discovery, and takes reloads.
+func (d *dispatcher) follow() {
+	if d.extension == nil || d.config.Discovery != noDiscovery {
+		go d.list.Run()
+	}
+	go d.place.reload(d.hangups, d.figures)
+}
+
+func (d *dispatcher) serve() { d.served <- d.clients.Serve() }
+
+// awaitList waits for the first call to discovery to end, where that is of use, and until the core has what is known.
+// An empty list, or a silent discovery, is no reason to stay away for ever. But where lists come unasked, what the
+// agent has counts as told already.
+func (d *dispatcher) awaitList(known int) {
+	settings := &d.config.Settings
 	patience := firstNews
 	if known > 0 {
-		patience = time.Duration(c.Settings.Contract.DrainGrace) * time.Microsecond / 4
+		patience = time.Duration(settings.Contract.DrainGrace) * time.Microsecond / 4
 	}
-	if known == 0 || !c.Settings.AskForList {
+	if known == 0 || !settings.AskForList {
 		select {
-		case <-list.Tried():
+		case <-d.list.Tried():
 		case <-time.After(patience):
 		}
 	}
-	core.Sync()
-	if old != nil {
-		place.succeed(old)
-		go serve() // not before: the old one still accepts
-	}
-	clients.SetReady()
-	takes.Store(clients)
-	go place.wait()
-	slog.Info("main", "state", "ready", "name", c.Name, "listen", c.Listen, "known", known)
-	select {
-	case err := <-served:
-		return err
-	case s := <-signals:
-		slog.Info("main", "state", "leaving", "signal", s, "in_hand", core.InHand())
-	}
-	place.leave()
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	d.core.Sync()
+}
+
+// setReady lets clients and operators know that this process takes messages, and successors come.
+func (d *dispatcher) setReady(known int) {
+	d.clients.SetReady()
+	d.serving.Store(d.clients)
+	go d.place.wait()
+	slog.Info("main", "state", "ready", "name", d.config.Name, "listen", d.config.Listen, "known", known)
+}
+
+// ready tells the operators whether clients are taken.
+func (d *dispatcher) ready() bool {
+	clients := d.serving.Load()
+	return clients != nil && clients.Ready()
+}
+
+// leave ends the taking in, and returns when all that was taken has its answer.
+func (d *dispatcher) leave() error {
+	d.place.leave()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
-	err = clients.Close(ctx)
-	slog.Info("main", "state", "left", "in_hand", core.InHand())
-	if err == context.DeadlineExceeded { // a connection that never sent a whole message
+	err := d.clients.Close(ctx)
+	slog.Info("main", "state", "left", "in_hand", d.core.InHand())
+	if errors.Is(err, context.DeadlineExceeded) { // a connection that never sent a whole message
 		return nil
 	}
 	return err
@@ -171,10 +304,10 @@
 		Probe: c.Settings.Allowed.Probe}
 }
 
-// reload takes a replaced configuration at each SIGHUP, also while the program is leaving: its settings and its address
-// of discovery, all or nothing. Addresses of our own, the name and the limits are those of the start.
-func (s *succession) reload(hangups <-chan os.Signal, counts *figures.Figures) {
-	now := s.c
+// reload takes a replaced configuration at each SIGHUP, also while the program is leaving: its settings and its
+// address of discovery, all or nothing. Addresses of our own, the name and the limits are those of the start.
+func (h *handover) reload(hangups <-chan os.Signal, counts *figures.Figures) {
+	now := h.c
 	for range hangups {
 		c, err := now.Reload(os.Getenv)
 		if err != nil {
@@ -183,11 +316,12 @@
 			continue
 		}
 		now = &c
-		s.holds(&c.Settings)
-		s.clients.Renew(&c.Settings, s.core.Renew(c.Settings)) // the core first: no class may come that it does not know
-		s.hosts.SetTimes(times(now))
-		s.list.Renew(inventory.TermsOf(&c.Settings))
-		s.list.Move(c.Discovery)
+		h.holds(&c.Settings)
+		// The core first: no class may come that it does not know.
+		h.clients.Renew(&c.Settings, h.core.Renew(c.Settings))
+		h.hosts.SetTimes(times(now))
+		h.list.Renew(inventory.TermsOf(&c.Settings))
+		h.list.Move(c.Discovery)
 		counts.HangupsTaken.Add(1)
 		slog.Info("reload", "state", "taken", "discovery", c.Discovery, "classes", len(c.Settings.Classes))
 	}
@@ -207,27 +341,3 @@
 		slog.Warn("manage", "state", "ended", "error", manage.Serve(ln, ready, counts))
 	}()
 }
-
-// reserved are the descriptors of the log, the listeners, discovery, the runtime and the second address, for two
-// processes, as when one replaces the other.
-const reserved = 2 * (13 + manage.Places)
-
-// bounds derives what may be open and in hand from the limits. Of the descriptors a quarter is for connections
-// to hosts, the rest for what connects to us: two thirds of that for messages in hand, which is more than the
-// third that clients need, one for call-backs. A connection that is read takes some 25 kB, so that a crowd of
-// them may have less than half of the memory; a large request takes a quarter of a MiB, all a quarter of it.
-func bounds(c *config.Config) (out int, in north.Options) {
-	sockets, memory := max(c.Sockets-reserved, 8), c.MemoryMB
-	if memory <= 0 {
-		memory = 1 << 10 // as good as unlimited
-	}
-	conns := min(sockets*3/4, max(memory*16, 6))
-	return sockets / 4, north.Options{Conns: conns, Messages: conns * 2 / 3, Large: memory}
-}
-
-// within keeps the runtime within the limit on memory, or a share of it: it cannot see that by itself.
-func within(c *config.Config, share float64) {
-	if c.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(int64(c.MemoryMB)<<20) * 3 / 4 * share))
-	}
-}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -30,14 +30,17 @@
 	require.Equal(t, 736, in.Conns, "no limit on memory is given")
 }
 
-// A leaving process waits for what it has in hand as long as any settings that held allow its clients to wait, and not less
-// than it is left alone in any case.
+// A leaving process waits for what it has in hand as long as any settings that held allow its clients to wait, and not
+// less than it is left alone in any case.
 func TestLongestWaitOfAllSettings(t *testing.T) {
-	s := &succession{}
-	for _, step := range []struct{ deadline, want time.Duration }{{time.Second, 3 * time.Second}, {8 * time.Second, 8 * time.Second},
-		{2 * time.Second, 8 * time.Second}} { // messages of the longer deadline may still be in hand
-		s.holds(&topazfall.Settings{Classes: []topazfall.Class{{Deadline: step.deadline.Microseconds()}}})
-		require.Equal(t, step.want, s.longestWait())
+	h := &handover{}
+	for _, step := range []struct{ deadline, want time.Duration }{
+		{time.Second, 3 * time.Second},
+		{8 * time.Second, 8 * time.Second},
+		{2 * time.Second, 8 * time.Second}, // messages of the longer deadline may still be in hand
+	} {
+		h.holds(&topazfall.Settings{Classes: []topazfall.Class{{Deadline: step.deadline.Microseconds()}}})
+		require.Equal(t, step.want, h.longestWait())
 	}
 }
 
