Keep within the system's limit on descriptors where it is below the configured one

Idle clients were let in up to the limit that the configuration tells (1,024 without one). Where the system allows fewer, they took all: seen with 400 idle clients, `ulimit -n 256` and discovery refusing, the operators' address answered after 2.5 s and the log had 595 lines of "too many open files"; with `ulimit -n 96` and 256 configured, a SIGHUP was not taken within 20 s. With 256 of both all was well.

The program now takes the smaller of the two limits. What it needs descriptors for itself is listed as named constants, and a test holds the reserve above their sum.

The new test plays all three cases against the real program: 200 to 400 idle clients that come again, a third of them proven; discovery silent or refusing; a message served, figures within 1 s, SIGHUP taken, the new list read once discovery is back, another process takes over, both end with 0. The stand-ins of discovery and program got the faults and the limit for that.

--- /dev/null
+++ b/cmd/topazfall/crowd_test.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazfall/internal/lab/client"
+	"topazfall/internal/lab/discovery"
+	"topazfall/internal/lab/host"
+	"topazfall/internal/lab/program"
+)
+
+// crowd is so many clients that connect, stay, and come again when they are sent away. Most say nothing; every third
+// brings something of use first, and may be quiet for long after that.
+type crowd struct {
+	stop chan struct{}
+	wait sync.WaitGroup
+}
+
+const comeAgain = time.Second // of each of the crowd, after it has been sent away
+
+func gather(t *testing.T, addr string, size int) *crowd {
+	c := &crowd{stop: make(chan struct{})}
+	for i := range size {
+		c.wait.Go(func() { c.idle(addr, i%3 == 0) })
+	}
+	t.Cleanup(c.disperse)
+	return c
+}
+
+const useful = "POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 41\r\n\r\n" +
+	`{"id":"none","from":"","state":"started"}`
+
+func (c *crowd) idle(addr string, proves bool) {
+	for {
+		nc, err := net.DialTimeout("tcp", addr, time.Second)
+		if err == nil {
+			stay := make(chan struct{})
+			go func() {
+				if proves {
+					io.WriteString(nc, useful)
+				}
+				io.Copy(io.Discard, nc) // until it is sent away
+				close(stay)
+			}()
+			select {
+			case <-stay:
+			case <-c.stop:
+			}
+			nc.Close()
+		}
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(comeAgain):
+		}
+	}
+}
+
+func (c *crowd) disperse() {
+	select {
+	case <-c.stop:
+	default:
+		close(c.stop)
+	}
+	c.wait.Wait()
+}
+
+// descriptors is how many a process has open.
+func descriptors(t *testing.T, p *program.Process) int {
+	names, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.PID()))
+	require.NoError(t, err)
+	return len(names)
+}
+
+// figure asks the operators' address for one figure. It has to answer within a second; as the machine may be busy with
+// other things just then, the fastest of a few calls is what counts.
+func (s *stage) figure(name string) (value float64) {
+	fastest := time.Hour
+	for range 3 {
+		began := time.Now()
+		figures, err := s.program.Figures()
+		require.NoError(s, err)
+		value, fastest = figures[name], min(fastest, time.Since(began))
+		if fastest < time.Second {
+			return value
+		}
+	}
+	require.Less(s, fastest, time.Second, "the operators' address")
+	return value
+}
+
+// servedAmongCrowd hands in a message on a connection of its own; one whose connection is shut unread comes again.
+func (s *stage) servedAmongCrowd() {
+	s.eventually("served", func() bool {
+		c := client.New(s.program.Address(), s.client.NextID())
+		a := c.Do(client.Message{ID: c.NextID(), Class: "lookup", Tenant: "delta-mobile", Wait: 4 * time.Second, Body: []byte("x")})
+		return a.Status == 200
+	})
+}
+
+// Idle clients take all the descriptors that they are left, while discovery is down. What the program itself needs them
+// for goes on: the operators are answered, a message is brought to a worker and its call-back taken, a new list is read
+// as soon as discovery is back, the configuration is read again, another process takes over, and both end when told to.
+func TestCrowdLeavesDescriptorsForTheProgram(t *testing.T) {
+	for _, d := range []struct {
+		name            string
+		limit, sockets  int
+		fault           discovery.Fault
+		within, clients int
+	}{
+		{"the smallest limit", 256, 256, discovery.Silent, 256, 400},
+		{"the system's limit is the smaller one", 256, 1024, discovery.Refuse, 256, 400},
+		{"less than the smallest", 96, 256, discovery.Silent, 96, 200},
+	} {
+		t.Run(d.name, func(t *testing.T) {
+			o := program.Options{Sockets: d.sockets, Descriptors: d.limit}
+			s := enact(t, 1, o)
+			s.servedAmongCrowd()
+			s.list.SetFault(d.fault)
+			c := gather(t, s.program.Address(), d.clients)
+			s.eventually("the descriptors are as full as they get", func() bool {
+				return descriptors(t, s.program) > d.limit/2
+			})
+			s.servedAmongCrowd()
+			require.NoError(t, s.program.Signal(syscall.SIGHUP))
+			s.eventually("the configuration is read", func() bool { return s.figure("app_sighup_applied_total") == 1 })
+
+			second, err := host.Start(host.Options{Name: "s-9", Dir: t.TempDir()},
+				func(body []byte) error { return s.program.CallBack(body) }, doors...)
+			require.NoError(t, err)
+			t.Cleanup(second.Close)
+			first := entry(s.hosts[0])
+			first.Health = "draining"
+			s.list.Set(entry(second), first)
+			s.list.SetFault(discovery.None)
+			back := time.Now()
+			s.eventually("the list is read", func() bool { return s.figure("app_discovered") == 2 })
+			require.Less(t, time.Since(back), 6*time.Second)
+			s.servedAmongCrowd()
+
+			s.list.SetFault(d.fault)
+			old := s.program
+			o.Path, o.Dir, o.Listen, o.Discovery = os.Args[0], old.Dir(), old.Address(), s.list.Address()
+			o.Env = []string{"TOPAZFALL_PLAYED=1"}
+			s.start(o)
+			s.servedAmongCrowd()
+			require.LessOrEqual(t, descriptors(t, old), d.within)
+			require.NoError(t, old.Term())
+			require.NoError(t, old.Wait(patience))
+			require.Zero(t, old.ExitCode())
+			s.servedAmongCrowd()
+			require.NoError(t, s.program.Term())
+			require.NoError(t, s.program.Wait(patience))
+			require.Zero(t, s.program.ExitCode())
+			c.disperse()
+			require.NotContains(t, old.Log()+s.program.Log(), "too many open files")
+		})
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -151,6 +151,7 @@
 	if d.config.Cores > 0 {
 		runtime.GOMAXPROCS(max(int(math.Ceil(d.config.Cores)), 1))
 	}
+	d.config.Sockets = withinSystem(d.config.Sockets)
 	within(&d.config, 1)
 	return nil
 }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -26,10 +26,19 @@
 			require.LessOrEqual(t, in.Large*256, memory<<10/4, "kB")
 		}
 	}
+	require.GreaterOrEqual(t, reserved, ownDescriptors, "what the program itself needs is kept for it")
 	_, in := bounds(&config.Config{Sockets: 1024})
 	require.Equal(t, 736, in.Conns, "no limit on memory is given")
 }
 
+// The system's limit on descriptors holds where it is lower than the one that the configuration tells.
+func TestSystemAllowsFewerDescriptors(t *testing.T) {
+	var limit syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	require.Equal(t, 8, withinSystem(8))
+	require.Equal(t, int(limit.Cur), withinSystem(int(limit.Cur)+1))
+}
+
 // A leaving process waits for what it has in hand as long as any settings that held allow its clients to wait, and not
 // less than it is left alone in any case.
 func TestLongestWaitOfAllSettings(t *testing.T) {
--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -33,6 +33,9 @@
 	entries map[string]Entry
 	changed map[string]int64 // by host: the version of its last change, removals too
 	news    chan struct{}    // closed at the next change
+	fault   Fault
+	calls   int           // so far, answered or not
+	healed  chan struct{} // closed when the fault ends
 }
 
 // Start listens on a free port of 127.0.0.1.
@@ -41,7 +44,8 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln, seq: 1, entries: map[string]Entry{}, changed: map[string]int64{}, news: make(chan struct{})}
+	s := &Server{ln: ln, seq: 1, entries: map[string]Entry{}, changed: map[string]int64{}, news: make(chan struct{}),
+		healed: make(chan struct{})}
 	s.server.Handler = s.handle
 	go s.server.Serve(ln)
 	return s, nil
@@ -72,6 +76,9 @@
 }
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	if s.hinder(ctx) {
+		return
+	}
 	if string(ctx.Path()) != "/v1/endpoints" {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
