Let silent connections go before those on which a first request has begun to come

Where all places are taken the oldest unproven connection went, also when a whole request lay in its socket or was being read, and a silent one would have done; when another process took over, such were closed too. A request counts as taken once it is written to an accepted connection, so it was lost. Shown on loopback: of three connections, the oldest two with a byte sent, the oldest went.

Now those that have had their last answer go first, then the silent unproven, then the other unproven, then the resting proven; for a hand-over only the first two. The order stands at the listener. Connections that are only kept for an error to arrive go to the front whether they had proved good or not: before, only those that had.

--- a/internal/north/conn.go
+++ b/internal/north/conn.go
@@ -32,6 +32,14 @@
 // Anyone can connect and say nothing, or ask for /ready and stay. So a connection is unproven until it has
 // brought a message or a call-back; it must do so in time, and it is the first to go. Proven ones may be quiet
 // for long: an unasked closing can cost the message that crosses it.
+//
+// The order in which they go for a new one:
+//
+//  1. what has had its last answer, and is kept only for that to arrive; then the oldest unproven one that is between
+//     requests and to which nothing has come;
+//  2. the oldest of the other unproven ones: a request has begun to come on them, for proveTime at most;
+//  3. the proven one that has been between requests for longest, and to which nothing has come;
+//  4. the new one itself: on all the others a request is being read or answered.
 type listener struct {
 	net.Listener
 	large atomic.Int64 // places left for large requests
@@ -119,12 +127,12 @@
 	return l.Listener.Close()
 }
 
-// trim closes unproven connections until no more than so many are open, or none is left.
+// trim closes unproven connections until no more than so many are open, or none is left but those on which a request
+// has begun to come.
 func (l *listener) trim(most int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for e := l.unproven.Front(); e != nil && l.unproven.Len()+l.proven.Len() > most; e = l.unproven.Front() {
-		l.drop(e.Value.(*conn))
+	for l.unproven.Len()+l.proven.Len() > most && l.dropFirst(l.unproven, (*conn).expendable) {
 	}
 }
 
@@ -375,15 +383,18 @@
 	return c
 }
 
-// evict closes the oldest unproven connection, else the proven one that has been idle for longest and to which nothing has
-// come: should a message cross that, it has not been read.
+// evict closes the connection that is the first to go, and tells whether there was one: should a message cross that, it
+// has not been read. l.mu is held.
 func (l *listener) evict() bool {
-	if e := l.unproven.Front(); e != nil {
-		l.drop(e.Value.(*conn))
-		return true
-	}
-	for e := l.proven.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*conn); c.resting() {
+	return l.dropFirst(l.unproven, (*conn).expendable) ||
+		l.dropFirst(l.unproven, func(*conn) bool { return true }) ||
+		l.dropFirst(l.proven, (*conn).resting)
+}
+
+// dropFirst closes the first connection of a list that may go, and tells whether there is one; l.mu is held.
+func (l *listener) dropFirst(list *list.List, may func(*conn) bool) bool {
+	for e := list.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*conn); may(c) {
 			l.drop(c)
 			return true
 		}
@@ -391,6 +402,9 @@
 	return false
 }
 
+// expendable tells that nothing is lost with the connection; l.mu is held.
+func (c *conn) expendable() bool { return c.ended || c.resting() }
+
 // drop closes a connection without further ado; l.mu is held.
 func (l *listener) drop(c *conn) {
 	l.leave(c)
@@ -419,6 +433,7 @@
 	isProven bool
 	client   bool // it has brought a message
 	idle     bool // it is between requests
+	ended    bool // its last answer is written, and only has to arrive
 
 	trusted atomic.Bool // as isProven
 	linger  atomic.Bool // an error is the last that is written
@@ -459,8 +474,9 @@
 func (c *conn) Close() error {
 	if c.linger.Swap(false) {
 		c.l.mu.Lock()
-		if c.isProven && c.place != nil {
-			c.l.proven.Remove(c.place)
+		c.ended = true
+		if c.place != nil {
+			c.l.leave(c)
 			c.isProven, c.place = false, c.l.unproven.PushFront(c)
 		}
 		c.l.mu.Unlock()
--- a/internal/north/conn_test.go
+++ b/internal/north/conn_test.go
@@ -298,3 +298,55 @@
 	require.Nil(t, late)
 	require.True(t, open(c))
 }
+
+// Where all places are taken by connections that have proved nothing yet, one of which a message has come stays before one
+// that says nothing, though it is older: what has been written to it counts as taken.
+func TestSilentGoBeforeThoseThatHaveSentSomething(t *testing.T) {
+	l := listening(t, 3, 0)
+	whole, client := connect(t, l)
+	_, err := client.Write([]byte("P"))
+	require.NoError(t, err)
+	require.Eventually(t, whole.unread, patience, time.Millisecond)
+	read, client := connect(t, l) // its first byte is in its reader's hands
+	_, err = client.Write([]byte("P"))
+	require.NoError(t, err)
+	_, err = read.Read(make([]byte, 1))
+	require.NoError(t, err)
+	silent, _ := connect(t, l)
+	connect(t, l)
+	require.True(t, open(whole) && open(read))
+	require.False(t, open(silent))
+	l.trim(2)
+	require.True(t, open(whole) && open(read), "those of a process that is replaced as well")
+	require.Equal(t, 2, l.count())
+	l.trim(1)
+	require.Equal(t, 2, l.count(), "what came is answered before it goes")
+	third, client := connect(t, l)
+	_, err = client.Write([]byte("P"))
+	require.NoError(t, err)
+	require.Eventually(t, third.unread, patience, time.Millisecond)
+	late, _ := connect(t, l)
+	require.False(t, open(whole), "but where all have sent something the oldest goes")
+	require.True(t, open(late))
+}
+
+// What has had its error and is only still sending goes before all others.
+func TestEndedGoFirst(t *testing.T) {
+	l := listening(t, 2, 0)
+	silent, _ := connect(t, l)
+	ended, client := connect(t, l)
+	_, err := client.Write([]byte("rubbish"))
+	require.NoError(t, err)
+	_, err = ended.Read(make([]byte, 1))
+	require.NoError(t, err)
+	ended.linger.Store(true)
+	closed := make(chan error, 1)
+	go func() { closed <- ended.Close() }()
+	_, err = io.ReadAll(client) // the program's end of it is closed
+	require.NoError(t, err)
+	connect(t, l)
+	require.Equal(t, 2, l.count())
+	<-closed
+	require.True(t, open(silent))
+	require.False(t, open(ended))
+}
