Bound every wait from the start of a process to ready that is ours to end

Shown with the real program on loopback, each of these not ready after 20 s: a predecessor that hangs in the middle of its state (the new process asked anew every 2 s for ever); a successor that hangs after its first word (the predecessor kept its place for it, and turned the next one away). Ready, but not ended 20 s after SIGTERM: a process whose predecessor hangs, as leaving waited for that without a bound. By reading: one fault of accept, such as EMFILE, ended the waiting for successors for good; with a grace of drains of a minute a silent agent held up ready for as long as its first call; and a predecessor that had let go its last connection still counted with the number before, as gob leaves out what is zero.

Now the listening socket, which comes with the first byte of the state, is enough: a state that is late or unreadable is done without, and its ids are learned if it comes later. The predecessor lets the next successor in when the one before has not accepted within 2.75 s. A successor whose link its living predecessor has ended takes nothing and ends with an error, since both would accept without knowing of each other.

Not ours to end is the wait for an address of a process that lives and is stopped: to kill it would lose what it has in hand. The new process is ready within 0.2 s of its going on (SIGCONT) or end, and answers the operators meanwhile: played, held before as well.

--- a/cmd/topazfall/crowd_test.go
+++ b/cmd/topazfall/crowd_test.go
@@ -103,8 +103,8 @@
 func (s *stage) servedAmongCrowd() {
 	s.eventually("served", func() bool {
 		c := client.New(s.program.Address(), s.client.NextID())
-		a := c.Do(client.Message{ID: c.NextID(), Class: "lookup", Tenant: "delta-mobile", Wait: 4 * time.Second, Body: []byte("x")})
-		return a.Status == 200
+		m := client.Message{ID: c.NextID(), Class: "lookup", Tenant: "delta-mobile", Wait: 4 * time.Second}
+		return c.Do(m).Status == 200
 	})
 }
 
--- a/internal/instance/entry.go
+++ b/internal/instance/entry.go
@@ -11,22 +11,35 @@
 	"topazfall/internal/takeover"
 )
 
+// ErrToldToEnd is that a signal to end came before the process had its address.
+var ErrToldToEnd = errors.New("told to end before it could begin")
+
+// errNoListener is that a process gave its listening socket away without saying so, or is no dispatcher.
+var errNoListener = errors.New("no listening descriptor came")
+
+// entrance is the listening socket, and where it came from.
+type entrance struct {
+	listener    net.Listener
+	predecessor *takeover.Link // nil where this process replaces none
+	state       *handoverState // of the predecessor; empty where it did not come in time, nil where there is none
+}
+
 // enter finds the process at path and takes its place, or listens where there is none. While neither can be done it
 // tries again, as whoever has the address may be about to go; a signal ends that.
-func enter(path, listen string, stop <-chan os.Signal) (net.Listener, *takeover.Link, *handoverState, error) {
+func enter(path, listen string, stop <-chan os.Signal) (entrance, error) {
 	said := ""
 	for {
-		ln, predecessor, from, err := follow(path)
+		e, err := follow(path)
 		if err == nil {
-			return ln, predecessor, from, nil
+			return e, nil
 		}
 		// A file without a listener is what any process before has left.
-		refused := errors.Is(err, syscall.ENOENT) || errors.Is(err, syscall.ECONNREFUSED)
-		if !refused {
+		if !errors.Is(err, syscall.ENOENT) && !errors.Is(err, syscall.ECONNREFUSED) {
 			slog.Warn("takeover", "path", path, "error", err)
 		}
-		if ln, err = net.Listen("tcp", listen); err == nil {
-			return ln, nil, nil, nil
+		ln, err := net.Listen("tcp", listen)
+		if err == nil {
+			return entrance{listener: ln}, nil
 		}
 		if err.Error() != said {
 			slog.Warn("main", "state", "waiting", "error", err)
@@ -34,47 +47,53 @@
 		said = err.Error()
 		select {
 		case <-stop:
-			return nil, nil, nil, errors.New("told to end before it could begin")
+			return entrance{}, ErrToldToEnd
 		case <-time.After(again):
 		}
 	}
 }
 
-func follow(path string) (net.Listener, *takeover.Link, *handoverState, error) {
+// follow asks the process at path for its place.
+func follow(path string) (entrance, error) {
 	l, err := takeover.Dial(path)
 	if err != nil {
-		return nil, nil, nil, err
+		return entrance{}, err
 	}
-	ln, from, err := ask(l)
+	ln, state, err := ask(l)
 	if err != nil {
-		l.Close()
-		return nil, nil, nil, err
+		l.Abandon()
+		return entrance{}, err
 	}
-	return ln, l, from, nil
+	return entrance{ln, l, state}, nil
 }
 
+// ask asks for the listening socket and the state. The socket is what counts: a state that does not come in time, or
+// cannot be read, is done without. What comes of it later is read by succeed.
 func ask(l *takeover.Link) (net.Listener, *handoverState, error) {
-	l.SetReadDeadline(time.Now().Add(helloTime))
+	l.SetReadDeadline(time.Now().Add(stateTime))
 	defer l.SetReadDeadline(time.Time{})
 	if err := l.Send(frameHello, nil, nil); err != nil {
 		return nil, nil, err
 	}
 	f, err := l.Next()
 	if err != nil {
-		return nil, nil, err
+		f.File = l.TakeFile()
 	}
 	if f.File == nil {
-		return nil, nil, errors.New("no listening descriptor came")
+		return nil, nil, errors.Join(errNoListener, err)
 	}
 	defer f.File.Close()
-	ln, err := net.FileListener(f.File)
-	if err != nil {
-		return nil, nil, err
+	ln, fault := net.FileListener(f.File)
+	if fault != nil {
+		return nil, nil, fault
 	}
-	from := &handoverState{}
-	if err := decode(f.Body, from); err != nil { // of another version perhaps: what counts has come
+	state := &handoverState{}
+	if err == nil {
+		err = decode(f.Body, state) // of another version perhaps
+	}
+	if err != nil {
 		slog.Warn("takeover", "legacy", "unreadable", "error", err)
-		from = &handoverState{}
+		state = &handoverState{}
 	}
-	return ln, from, nil
+	return ln, state, nil
 }
--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -1,8 +1,10 @@
 package instance
 
 import (
+	"errors"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -17,7 +19,7 @@
 )
 
 const (
-	helloTime = 2 * time.Second // for the first words; the successor must have said yes within 6 s
+	helloTime = 2 * time.Second // for the first word of a process that asks for our place
 	noteTime  = time.Second     // for a call-back to be taken by the other process
 	holdTime  = 100 * time.Millisecond
 	passTime  = time.Second             // for idle connections to be handed over
@@ -42,7 +44,7 @@
 	successorAccepts bool
 	waiting          *net.UnixListener // where successors come
 	longest          time.Duration     // a client's wait, by any settings that held
-	firstHeld        chan struct{}     // closed when the predecessor has first said what it holds, or has gone
+	successorCame    time.Time         // when the successor asked
 }
 
 // share sets the bounds from what the others have of the limits, and tells the successor; h.mu is held.
@@ -66,17 +68,23 @@
 	}
 }
 
+// errAnotherSucceeds is that the predecessor has given its place to another process meanwhile.
+var errAnotherSucceeds = errors.New("another process takes the predecessor's place")
+
 // succeed goes on in the predecessor's place: it says that this process accepts from now on, and returns once the
-// predecessor has said what it keeps, has gone, or has had its time for that.
-func (h *handover) succeed(predecessor *takeover.Link) {
+// predecessor has said what it keeps, has gone, or has had its time for that. It is an error where the predecessor has
+// ended the link and still lives, or another process has taken its place: this one was too late, and takes nothing.
+func (h *handover) succeed(predecessor *takeover.Link) error {
 	h.mu.Lock()
-	h.predecessor, h.firstHeld = predecessor, make(chan struct{})
+	h.predecessor = predecessor
 	_, in := bounds(h.c)
 	h.predecessorHolds = held{Conns: in.Conns / 2, Share: 0.5}
 	h.share()
 	h.mu.Unlock()
-	first := sync.OnceFunc(func() { close(h.firstHeld) })
+	said, gone := make(chan struct{}), make(chan struct{})
+	first := sync.OnceFunc(func() { close(said) })
 	go func() {
+		defer close(gone)
 		err := predecessor.Run(func(f takeover.Frame) { h.fromPredecessor(f, first) },
 			func(body []byte) bool { return h.answer(body, predecessor) })
 		slog.Info("takeover", "old", "gone", "reason", err)
@@ -84,23 +92,52 @@
 		h.predecessor, h.predecessorHolds = nil, held{}
 		h.share()
 		h.mu.Unlock()
-		first()
 	}()
 	predecessor.Send(frameReady, nil, nil)
 	select {
-	case <-h.firstHeld:
-	case <-time.After(helloTime):
+	case <-said:
+	case <-time.After(heldTime):
+	case <-gone:
+		select {
+		case <-said: // it has gone right after
+			return nil
+		default:
+		}
+		if lives(h.path) {
+			return errAnotherSucceeds
+		}
 	}
+	return nil
+}
+
+// lives tells whether a process waits at path for others to replace it. One that has just ended may still seem to
+// listen, but ends the connection instead of waiting for a first word.
+func lives(path string) bool {
+	l, err := takeover.Dial(path)
+	if err != nil {
+		return false
+	}
+	defer l.Abandon()
+	l.SetReadDeadline(time.Now().Add(again))
+	_, err = l.Next()
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 func (h *handover) fromPredecessor(f takeover.Frame, first func()) {
 	switch f.Kind {
+	case frameState: // it did not come in time: of what it says, the ids are still of use
+		var state handoverState
+		if decode(f.Body, &state) == nil {
+			h.core.Learn(state.Core.Known)
+		}
 	case frameHeld:
-		h.mu.Lock()
-		if decode(f.Body, &h.predecessorHolds) == nil {
+		var now held
+		if decode(f.Body, &now) == nil {
+			h.mu.Lock()
+			h.predecessorHolds = now
 			h.share()
+			h.mu.Unlock()
 		}
-		h.mu.Unlock()
 		first()
 	case frameKnownIDs:
 		var ids []string
@@ -142,30 +179,40 @@
 	h.mu.Lock()
 	h.waiting = ln
 	h.mu.Unlock()
+	h.acceptSuccessors(ln)
+}
+
+// links is where processes come that want to replace this one.
+type links interface {
+	AcceptUnix() (*net.UnixConn, error)
+}
+
+// acceptSuccessors meets all who come until ln is closed. Any other fault is one of the moment.
+func (h *handover) acceptSuccessors(ln links) {
 	for {
 		c, err := ln.AcceptUnix()
-		if err != nil {
+		switch {
+		case errors.Is(err, net.ErrClosed):
 			return
+		case err != nil:
+			slog.Warn("takeover", "path", h.path, "error", err)
+			time.Sleep(again)
+		default:
+			go h.meet(takeover.New(c))
 		}
-		go h.meet(takeover.New(c))
 	}
 }
 
 func (h *handover) meet(l *takeover.Link) {
-	defer l.Close()
+	defer l.Abandon()
 	l.SetReadDeadline(time.Now().Add(helloTime))
 	if f, err := l.Next(); err != nil || f.Kind != frameHello {
 		return
 	}
 	l.SetReadDeadline(time.Time{})
-	h.mu.Lock()
-	if h.successor != nil { // it tries again, and finds whoever of us is there then
-		h.mu.Unlock()
+	if !h.admit(l) { // it tries again, and finds whoever of us is there then
 		return
 	}
-	h.successor = l
-	h.share()
-	h.mu.Unlock()
 	slog.Info("takeover", "young", "here")
 	now := handoverState{h.list.Legacy(), h.core.Legacy(), h.hosts.Legacy()}
 	err := l.Send(frameState, encode(now), h.ln.(syscall.Conn))
@@ -174,16 +221,36 @@
 	}
 	slog.Info("takeover", "young", "gone", "reason", err)
 	h.mu.Lock()
+	accepted, waiting := h.successorAccepts, h.waiting
 	h.successor, h.successorAccepts = nil, false
 	h.share()
 	h.mu.Unlock()
+	if !accepted {
+		return
+	}
 	h.core.Replaced(false)
 	h.clients.KeepOn()
 	h.clients.Resume()
-	h.waiting.Close() // the path was the successor's, if it came so far
+	waiting.Close() // the path was the successor's, if it came so far
 	go h.wait()
 }
 
+// admit makes l the link to the successor, and tells whether it is. There is one at a time; one that does not accept
+// by its time, and may hang, has to go for the next.
+func (h *handover) admit(l *takeover.Link) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.successor != nil {
+		if !h.successorAccepts && time.Since(h.successorCame) > acceptTime {
+			h.successor.Close() // its own meet makes the place free
+		}
+		return false
+	}
+	h.successor, h.successorCame = l, time.Now()
+	h.share()
+	return true
+}
+
 func (h *handover) fromSuccessor(f takeover.Frame) {
 	if f.File != nil {
 		f.File.Close()
@@ -191,12 +258,14 @@
 	if f.Kind != frameReady {
 		return
 	}
+	h.mu.Lock()
+	l := h.successor
+	h.successorAccepts = true
+	h.mu.Unlock()
 	h.core.Replaced(true)
 	_, in := bounds(h.c)
 	h.clients.Pause(in.Conns / 2)
 	h.mu.Lock()
-	l := h.successor
-	h.successorAccepts = true
 	h.share()
 	h.mu.Unlock()
 	go func() { // what this process holds becomes less
@@ -324,13 +393,15 @@
 			h.clients.Shut()
 			shut = true
 		}
-		done := h.core.InHand() == 0 && !h.hosts.Busy() && !predecessor
+		// A predecessor that hangs is not waited for any longer than its clients are.
+		late := since > h.longestWait()+lastCall
+		done := h.core.InHand() == 0 && !h.hosts.Busy() && (!predecessor || late)
 		// Idle connections go by themselves, but not in no time: one that is still here would be closed with the rest.
 		passed := h.clients.Conns() == 0 || h.clients.Busy() == 0 && since > passTime
 		if passing && done && passed || !passing && shut && done && since > lateComes+settle {
 			return
 		}
-		if passing && since > h.longestWait()+lastCall {
+		if passing && late {
 			return
 		}
 		time.Sleep(5 * time.Millisecond)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -26,9 +26,7 @@
 )
 
 const (
-	firstNews = 2 * time.Second        // how long to wait for discovery where no host is known
 	lateComes = 600 * time.Millisecond // after SIGTERM connections still come for up to 0.4 s
-	again     = 100 * time.Millisecond // between tries for an address that is taken
 	settle    = 50 * time.Millisecond  // for what was being read when the taking in ended
 	closeTime = time.Second            // for what is still being written when all has its answer
 )
@@ -68,10 +66,8 @@
 	place   *handover
 	serving atomic.Pointer[north.Side] // clients, once the operators may see them
 
-	listener    net.Listener
-	predecessor *takeover.Link // nil where this process replaces none
-	inherited   *handoverState // nil where this process replaces none
-	served      chan error     // why the accepting ended
+	entrance
+	served chan error // why the accepting ended
 }
 
 // Run runs a dispatcher until it has left. x is nil for the bare one.
@@ -122,7 +118,9 @@
 	}
 	d.awaitList(known)
 	if d.predecessor != nil {
-		d.place.succeed(d.predecessor)
+		if err := d.place.succeed(d.predecessor); err != nil {
+			return err
+		}
 		go d.serve()
 	}
 	d.setReady(known)
@@ -170,7 +168,7 @@
 // enter gets the listening socket, and the predecessor's state with it if there is one.
 func (d *dispatcher) enter() (err error) {
 	path := takeover.Path(d.config.Name, d.config.Listen)
-	d.listener, d.predecessor, d.inherited, err = enter(path, d.config.Listen, d.signals)
+	d.entrance, err = enter(path, d.config.Listen, d.signals)
 	return err
 }
 
@@ -233,10 +231,10 @@
 // there are then. What is known of addresses comes before the workers that have them, and those before what the core
 // says of them.
 func (d *dispatcher) takeKnown() (known int) {
-	if d.inherited != nil {
-		d.workers.Inherit(d.inherited.Addresses)
-		known = d.list.Inherit(d.inherited.List)
-		d.core.Inherit(d.inherited.Core)
+	if d.state != nil {
+		d.workers.Inherit(d.state.Addresses)
+		known = d.list.Inherit(d.state.List)
+		d.core.Inherit(d.state.Core)
 	}
 	if known == 0 {
 		known = d.list.Known(d.config.Known)
@@ -255,20 +253,8 @@
 func (d *dispatcher) serve() { d.served <- d.clients.Serve() }
 
 // awaitList waits for the first call to discovery to end, where that is of use, and until the core has what is known.
-// An empty list, or a silent discovery, is no reason to stay away for ever. But where lists come unasked, what the
-// agent has counts as told already.
 func (d *dispatcher) awaitList(known int) {
-	settings := &d.config.Settings
-	patience := firstNews
-	if known > 0 {
-		patience = time.Duration(settings.Contract.DrainGrace) * time.Microsecond / 4
-	}
-	if known == 0 || !settings.AskForList {
-		select {
-		case <-d.list.Tried():
-		case <-time.After(patience):
-		}
-	}
+	awaitFirst(d.list.Tried(), listPatience(&d.config.Settings, known))
 	d.core.Sync()
 }
 
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -60,7 +60,7 @@
 	defer other.Close()
 	stop := make(chan os.Signal, 1)
 	stop <- syscall.SIGTERM
-	ln, _, _, err := enter(filepath.Join(t.TempDir(), "none"), other.Addr().String(), stop)
-	require.Error(t, err)
-	require.Nil(t, ln)
+	e, err := enter(filepath.Join(t.TempDir(), "none"), other.Addr().String(), stop)
+	require.ErrorIs(t, err, ErrToldToEnd)
+	require.Nil(t, e.listener)
 }
--- a/internal/instance/transfer.go
+++ b/internal/instance/transfer.go
@@ -45,6 +45,7 @@
 	return b.Bytes()
 }
 
+// decode reads what encode has made of a value. v has to be a zero value: what is zero is not written.
 func decode(body []byte, v any) error { return gob.NewDecoder(bytes.NewReader(body)).Decode(v) }
 
 // held is what a predecessor says of the limits: the connections that it has, with those of the ones before it, and
--- a/internal/lab/discovery/faults.go
+++ b/internal/lab/discovery/faults.go
@@ -27,7 +27,8 @@
 	retryAfter   = "10"
 )
 
-// SetFault lets the fault hold from the next call on. Calls that a silent discovery has not answered stay without an answer.
+// SetFault lets the fault hold from the next call on. Calls that a silent discovery has not answered stay without an
+// answer.
 func (s *Server) SetFault(f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -36,6 +36,7 @@
 	Dial      time.Duration // limit of connecting, 0 for 250 ms
 	Idle      time.Duration // hosts' idle limit, 0 for 60 s
 	Attempts  int           // 0 for 6
+	Deadline  time.Duration // of all classes, 0 for 5 and 10 s
 	Asked     bool          // lists must be asked for
 	Known     string        // the list of hosts as last had, in the form of the wire; "" for none
 
@@ -81,6 +82,9 @@
 // Settings are the settings object that a process is told.
 func Settings(o Options) map[string]any {
 	class := func(name, repeat string, aim, deadline, points int) map[string]any {
+		if o.Deadline > 0 {
+			deadline = int(o.Deadline.Microseconds())
+		}
 		return map[string]any{"name": name, "aim_us": aim, "deadline_us": deadline, "points": points, "late_worth": 0, "repeat": repeat}
 	}
 	first := func(v, other time.Duration) int64 {
--- a/internal/takeover/takeover.go
+++ b/internal/takeover/takeover.go
@@ -217,31 +217,45 @@
 	l.files = nil
 }
 
-// Next reads one frame. It is for the first words of two processes, before Run.
+// ErrTooLarge is a frame of more bytes than any has.
+var ErrTooLarge = errors.New("a frame is too large")
+
+// Next reads one frame. It is for the first words of two processes, before Run. After a deadline that is over it may be
+// called again, and goes on where it was.
 func (l *Link) Next() (Frame, error) {
 	if err := l.fill(headSize); err != nil {
 		return Frame{}, err
 	}
 	f, size := Frame{Kind: l.read[0]}, int(binary.BigEndian.Uint32(l.read[1:]))
-	// A descriptor came with the first byte of its frame, and only there: it is here already, or there is none.
-	if len(l.files) > 0 {
-		f.File, l.files = l.files[0], l.files[1:]
+	if size > largest {
+		return Frame{}, ErrTooLarge
 	}
-	err := errors.New("a frame is too large")
-	if size <= largest {
-		err = l.fill(headSize + size)
-	}
-	if err != nil {
-		if f.File != nil {
-			f.File.Close()
-		}
+	if err := l.fill(headSize + size); err != nil {
 		return Frame{}, err
 	}
+	f.File = l.TakeFile()
 	f.Body = append([]byte(nil), l.read[headSize:headSize+size]...)
 	l.read = append(l.read[:0], l.read[headSize+size:]...)
 	return f, nil
 }
 
+// TakeFile is the descriptor of the frame that is being read, which comes with its first byte: it may be had before the
+// frame is whole. It is nil where there is none, or where it was taken before. It is for whoever calls Next.
+func (l *Link) TakeFile() (f *os.File) {
+	if len(l.files) > 0 {
+		f, l.files = l.files[0], l.files[1:]
+	}
+	return f
+}
+
+// Abandon ends a link that nobody reads any more, and closes what came over it and was not taken.
+func (l *Link) Abandon() {
+	l.c.Close()
+	for f := l.TakeFile(); f != nil; f = l.TakeFile() {
+		f.Close()
+	}
+}
+
 // SetReadDeadline bounds Next.
 func (l *Link) SetReadDeadline(t time.Time) { l.c.SetReadDeadline(t) }
 
--- a/internal/takeover/takeover_test.go
+++ b/internal/takeover/takeover_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,6 +69,44 @@
 	require.NoError(t, err, "closed in order")
 }
 
+// A frame stops in the middle: its descriptor may be had already, and the rest is read as it comes, with nothing lost of what
+// follows.
+func TestFrameInParts(t *testing.T) {
+	a, b := ends(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) {
+		_, _, err = a.c.WriteMsgUnix([]byte{'1', 0, 0, 0, 4, 'h'}, syscall.UnixRights(int(fd)), nil)
+	}))
+	require.NoError(t, err)
+	b.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	_, err = b.Next()
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	f := b.TakeFile()
+	require.NotNil(t, f)
+	f.Close()
+	require.Nil(t, b.TakeFile())
+	b.SetReadDeadline(time.Time{})
+	_, err = a.c.Write([]byte("alf"))
+	require.NoError(t, err)
+	require.NoError(t, a.Send('2', []byte("next"), ln.(*net.TCPListener)))
+	for _, want := range []struct {
+		text string
+		file bool
+	}{{"half", false}, {"next", true}} {
+		got, err := b.Next()
+		require.NoError(t, err)
+		require.Equal(t, want.text, string(got.Body))
+		require.Equal(t, want.file, got.File != nil)
+		if got.File != nil {
+			got.File.Close()
+		}
+	}
+}
+
 func TestQuestions(t *testing.T) {
 	a, b := ends(t)
 	go a.Run(func(Frame) {}, func([]byte) bool { return false })
