Play many restarts at once, and a message in hand that is passed on among idle clients

The term of nine in ten restarted processes was tested by no play of our own. Twenty processes are now killed and started again at once beside discovery that is down, silent, slow, refusing or answers one call in ten; half know of no worker and half of an old list, half are told lists and half must ask.

The play of the idle clients has a message in hand while its connection is passed to the next process, and a SIGHUP comes while the address is another's.

--- a/cmd/topazfall/crowd_test.go
+++ b/cmd/topazfall/crowd_test.go
@@ -108,9 +108,76 @@
 	})
 }
 
+// longWork is what a job takes that is in hand while its connection goes to another process.
+const longWork = 400 * time.Millisecond
+
+// sender is a client that sends one message after the other on one connection.
+type sender struct {
+	mu      sync.Mutex
+	answers []client.Answer
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+func (s *stage) keepSending() *sender {
+	k := &sender{stop: make(chan struct{}), done: make(chan struct{})}
+	c := client.New(s.program.Address(), s.client.NextID())
+	go func() {
+		defer close(k.done)
+		for {
+			a := c.Do(client.Message{ID: c.NextID(), Class: "usage-report", Tenant: "delta-mobile", Wait: 4 * time.Second})
+			k.mu.Lock()
+			k.answers = append(k.answers, a)
+			k.mu.Unlock()
+			select {
+			case <-k.stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+		}
+	}()
+	s.Cleanup(k.end)
+	return k
+}
+
+func (k *sender) end() {
+	select {
+	case <-k.stop:
+	default:
+		close(k.stop)
+	}
+	<-k.done
+}
+
+func (k *sender) count() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.answers)
+}
+
+// await waits for another answer, so that the connection has proved good.
+func (k *sender) await(t *testing.T) {
+	before := k.count()
+	require.Eventually(t, func() bool { return k.count() > before }, patience, time.Millisecond)
+}
+
+// spanned ends the sending. Every answer that came has to be a good one; it tells whether one came after that moment
+// to a message that was sent before.
+func (k *sender) spanned(t *testing.T, moment time.Time) (some bool) {
+	k.end()
+	for _, a := range k.answers {
+		if a.Err == nil { // a resting connection may be shut
+			require.Equal(t, 200, a.Status, a.Body)
+			some = some || a.Sent.Before(moment) && a.Sent.Add(a.Took).After(moment)
+		}
+	}
+	return some
+}
+
 // Idle clients take all the descriptors that they are left, while discovery is down. What the program itself needs them
 // for goes on: the operators are answered, a message is brought to a worker and its call-back taken, a new list is read
-// as soon as discovery is back, the configuration is read again, another process takes over, and both end when told to.
+// as soon as discovery is back, the configuration is read again, another process takes over, with a connection on which
+// a message is in hand, and both end when told to.
 func TestCrowdLeavesDescriptorsForTheProgram(t *testing.T) {
 	for _, d := range []struct {
 		name            string
@@ -135,7 +202,7 @@
 			require.NoError(t, s.program.Signal(syscall.SIGHUP))
 			s.eventually("the configuration is read", func() bool { return s.figure("app_sighup_applied_total") == 1 })
 
-			second, err := host.Start(host.Options{Name: "s-9", Dir: t.TempDir()},
+			second, err := host.Start(host.Options{Name: "s-9", Dir: t.TempDir(), Work: longWork},
 				func(body []byte) error { return s.program.CallBack(body) }, doors...)
 			require.NoError(t, err)
 			t.Cleanup(second.Close)
@@ -149,15 +216,20 @@
 			s.servedAmongCrowd()
 
 			s.list.SetFault(d.fault)
-			old := s.program
+			old, steady := s.program, s.keepSending()
 			o.Path, o.Dir, o.Listen, o.Discovery = os.Args[0], old.Dir(), old.Address(), s.list.Address()
 			o.Env = []string{"TOPAZFALL_PLAYED=1"}
 			s.start(o)
 			s.servedAmongCrowd()
 			require.LessOrEqual(t, descriptors(t, old), d.within)
+			steady.await(t)
+			time.Sleep(longWork / 2) // the next is in hand
+			termed := time.Now()
 			require.NoError(t, old.Term())
 			require.NoError(t, old.Wait(patience))
 			require.Zero(t, old.ExitCode())
+			steady.await(t)
+			require.True(t, steady.spanned(t, termed), "no message was in hand when its connection was passed on")
 			s.servedAmongCrowd()
 			require.NoError(t, s.program.Term())
 			require.NoError(t, s.program.Wait(patience))
--- a/cmd/topazfall/restart_test.go
+++ b/cmd/topazfall/restart_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -21,6 +23,27 @@
 // its address and neither answers nor goes. instance.readyBound says what it consists of.
 const readyWithin = 6 * time.Second
 
+// TestStarts plays starts and restarts that something stands in the way of, side by side, but not beside the other tests,
+// some of which measure milliseconds.
+func TestStarts(t *testing.T) {
+	for _, play := range []struct {
+		name string
+		test func(*testing.T)
+	}{
+		{"ReadyThoughThePredecessorHangs", testReadyThoughThePredecessorHangs},
+		{"NotReadyOnceThePredecessorHasGivenUp", testNotReadyOnceThePredecessorHasGivenUp},
+		{"ReadyThoughAnotherSuccessorHangs", testReadyThoughAnotherSuccessorHangs},
+		{"ReadyOnceAStoppedPredecessorGoesOnOrEnds", testReadyOnceAStoppedPredecessorGoesOnOrEnds},
+		{"ReadyOnceTheAddressIsFree", testReadyOnceTheAddressIsFree},
+		{"ManyRestartedAtOnce", testManyRestartedAtOnce},
+	} {
+		t.Run(play.name, func(t *testing.T) {
+			t.Parallel()
+			play.test(t)
+		})
+	}
+}
+
 // linkPath is where a process of the name and address that the stand-in for the program gives is found by others.
 func linkPath(dir, listen string) string {
 	return filepath.Join(dir, filepath.Base(takeover.Path("n0", listen)))
@@ -117,8 +140,7 @@
 
 // A process that is to be replaced hangs at each point of the hand-over, or says what cannot be read: the one that
 // replaces it is ready within the bound, on the socket that it was given, with discovery silent.
-func TestReadyThoughThePredecessorHangs(t *testing.T) {
-	t.Parallel()
+func testReadyThoughThePredecessorHangs(t *testing.T) {
 	state := emptyState(t)
 	for name, behave := range map[string]func(asking){
 		"in the middle of its state": asking.begin,
@@ -152,8 +174,7 @@
 
 // The predecessor has given up on the process that was to replace it, and lives: that one ends and takes nothing, as
 // both would accept, each without the other's knowledge of what is in hand.
-func TestNotReadyOnceThePredecessorHasGivenUp(t *testing.T) {
-	t.Parallel()
+func testNotReadyOnceThePredecessorHasGivenUp(t *testing.T) {
 	state, list := emptyState(t), listener(t)
 	f := newFakePredecessor(t, func(a asking) {
 		a.Send('s', state, a.clients)
@@ -167,8 +188,7 @@
 
 // One that comes to replace a process and hangs before it accepts stands in nobody's way: its link is ended, and the
 // next one is ready within the bound.
-func TestReadyThoughAnotherSuccessorHangs(t *testing.T) {
-	t.Parallel()
+func testReadyThoughAnotherSuccessorHangs(t *testing.T) {
 	list := listener(t)
 	p := launch(t, program.Options{Discovery: list.Address()})
 	_, err := p.AwaitReady(patience)
@@ -194,8 +214,7 @@
 
 // The address belongs to a process that is stopped (SIGSTOP). No way leads to it but that process's going on, or its
 // end: the one that replaces it is ready within the bound from then on, and the operators are answered meanwhile.
-func TestReadyOnceAStoppedPredecessorGoesOnOrEnds(t *testing.T) {
-	t.Parallel()
+func testReadyOnceAStoppedPredecessorGoesOnOrEnds(t *testing.T) {
 	for name, release := range map[string]syscall.Signal{"goes on": syscall.SIGCONT, "ends": syscall.SIGKILL} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -223,18 +242,88 @@
 	}
 }
 
-// The address is still another's, who hands nothing over and goes: the process has it at once then.
-func TestReadyOnceTheAddressIsFree(t *testing.T) {
-	t.Parallel()
+// The address is still another's, who hands nothing over and goes: the process has it at once then. A signal to read
+// the configuration that comes meanwhile does not end it, and is heeded.
+func testReadyOnceTheAddressIsFree(t *testing.T) {
 	other, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	list := listener(t)
 	p := launch(t, program.Options{Listen: other.Addr().String(), Discovery: list.Address()})
 	_, err = p.AwaitReady(time.Second)
 	require.ErrorContains(t, err, "not ready")
+	require.NoError(t, p.Signal(syscall.SIGHUP))
 	other.Close()
 	free := time.Now()
 	_, err = p.AwaitReady(patience)
 	require.NoError(t, err)
 	require.Less(t, time.Since(free), readyWithin)
+	require.Eventually(t, func() bool {
+		figures, err := p.Figures()
+		return err == nil && figures["app_sighup_applied_total"] == 1
+	}, patience, 10*time.Millisecond)
+}
+
+// oldList is a list that was known before a restart: its worker is not there any more.
+const oldList = `{"seq":3,"whole":true,"hosts":[{"host":"s-old","dial":"127.0.0.1:1","site":"hall-a","class":"small",` +
+	`"block":0,"health":"up","share":1,"born_ms":0}]}`
+
+// Many processes are killed and started again at once, while discovery is down, silent, slow, refusing, or answers one
+// call in ten; they know of no worker, or of an old list; lists come unasked or must be asked for. Nine in ten are
+// ready within the bound, and all in less than the longest that the platform waits.
+func testManyRestartedAtOnce(t *testing.T) {
+	faults := map[string]discovery.Fault{"silent": discovery.Silent, "slow": discovery.Slow, "refusing": discovery.Refuse,
+		"crowded": discovery.Crowded, "down": discovery.None}
+	var starts []program.Options
+	for name, fault := range faults {
+		list := listener(t)
+		if list.SetFault(fault); name == "down" {
+			list.Close()
+		}
+		for _, known := range []string{"", oldList} {
+			for _, asked := range []bool{false, true} {
+				starts = append(starts, program.Options{Discovery: list.Address(), Known: known, Asked: asked})
+			}
+		}
+	}
+	var killed []*program.Process
+	for i := range starts {
+		starts[i].Dir = t.TempDir()
+		p := launch(t, starts[i])
+		starts[i].Listen = p.Address()
+		killed = append(killed, p)
+	}
+	for _, p := range killed {
+		_, err := p.AwaitReady(longestStart)
+		require.NoError(t, err)
+		p.Kill()
+	}
+	var restarted []*program.Process
+	for _, o := range starts {
+		restarted = append(restarted, launch(t, o))
+	}
+	times := make([]time.Duration, len(restarted))
+	var wait sync.WaitGroup
+	for i, p := range restarted {
+		wait.Go(func() {
+			took, err := p.AwaitReady(longestStart)
+			if err != nil {
+				t.Errorf("%+v: %v", starts[i], err)
+			}
+			times[i] = took
+		})
+	}
+	wait.Wait()
+	slices.Sort(times)
+	t.Logf("ready after %v", times)
+	require.Less(t, times[len(times)*9/10-1], readyWithin)
+	for _, p := range restarted {
+		require.NoError(t, p.Term())
+	}
+	for _, p := range restarted {
+		require.NoError(t, p.Wait(patience))
+		require.Zero(t, p.ExitCode())
+	}
 }
+
+// longestStart is what no started process may take.
+const longestStart = 30 * time.Second
