Play a probe of a worker among idle clients that fill the descriptors

Beside discovery, the operators, a message, a SIGHUP and a replacement, a probe has to find a descriptor as well: the only worker's first address resets a job and serves again, which nothing but a probe can show there.

--- a/cmd/topazfall/crowd_test.go
+++ b/cmd/topazfall/crowd_test.go
@@ -108,6 +108,31 @@
 	})
 }
 
+// sendAmongCrowd hands in a message that must not run twice, and returns its id and its answer.
+func (s *stage) sendAmongCrowd() (id string, a client.Answer) {
+	s.eventually("answered", func() bool {
+		id = s.client.NextID()
+		c := client.New(s.program.Address(), "")
+		a = c.Do(client.Message{ID: id, Class: "dispute-extract", Tenant: "delta-mobile", Wait: 4 * time.Second})
+		return a.Err == nil
+	})
+	return id, a
+}
+
+// probedAmongCrowd lets the first address of the only worker reset a job, and serve again: nothing but a probe, as no
+// message that may run twice is sent, can show that.
+func (s *stage) probedAmongCrowd() {
+	s.fault(local, host.ResetWhole)
+	_, a := s.sendAmongCrowd()
+	require.Equal(s, 502, a.Status, a.Body)
+	s.fault(local, host.Serve)
+	s.eventually("probed", func() bool {
+		id, a := s.sendAmongCrowd()
+		seen := s.hosts[0].Seen(id)
+		return a.Status == 200 && len(seen) > 0 && seen[0].Door == local
+	})
+}
+
 // longWork is what a job takes that is in hand while its connection goes to another process.
 const longWork = 400 * time.Millisecond
 
@@ -175,9 +200,9 @@
 }
 
 // Idle clients take all the descriptors that they are left, while discovery is down. What the program itself needs them
-// for goes on: the operators are answered, a message is brought to a worker and its call-back taken, a new list is read
-// as soon as discovery is back, the configuration is read again, another process takes over, with a connection on which
-// a message is in hand, and both end when told to.
+// for goes on: the operators are answered, a message is brought to a worker and its call-back taken, a worker is probed,
+// a new list is read as soon as discovery is back, the configuration is read again, another process takes over, with a
+// connection on which a message is in hand, and both end when told to.
 func TestCrowdLeavesDescriptorsForTheProgram(t *testing.T) {
 	for _, d := range []struct {
 		name           string
@@ -190,7 +215,7 @@
 		{"less than the smallest", 96, 256, discovery.Silent, 200},
 	} {
 		t.Run(d.name, func(t *testing.T) {
-			o := program.Options{Sockets: d.sockets, Descriptors: d.limit}
+			o := program.Options{Sockets: d.sockets, Descriptors: d.limit, Probe: true}
 			s := enact(t, 1, o)
 			s.servedAmongCrowd()
 			s.list.SetFault(d.fault)
@@ -199,6 +224,7 @@
 				return descriptors(t, s.program) > d.limit/2
 			})
 			s.servedAmongCrowd()
+			s.probedAmongCrowd()
 			require.NoError(t, s.program.Signal(syscall.SIGHUP))
 			s.eventually("the configuration is read", func() bool { return s.figure("app_sighup_applied_total") == 1 })
 
