Split the leaving of a process from its hand-over, and name what the hand-over works with

leave was one function of 40 lines that kept four variables of its own across a loop of nested conditions. It is now a type with what is due at a moment, and when it is over; its file has the times that it goes by. The fields c, ln, hosts and waiting of the hand-over are config, listener, workers and links. Behaviour unchanged.

--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"time"
 
-	"topazfall"
 	"topazfall/internal/config"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/inventory"
@@ -22,34 +21,31 @@
 	helloTime = 2 * time.Second // for the first word of a process that asks for our place
 	noteTime  = time.Second     // for a call-back to be taken by the other process
 	holdTime  = 100 * time.Millisecond
-	passTime  = time.Second             // for idle connections to be handed over
-	hopeTime  = 3200 * time.Millisecond // for hosts to answer relays, after SIGTERM; the kill may come after 3.7 s
-	lastCall  = 500 * time.Millisecond  // beyond the longest deadline, after which a leaving process is killed
 )
 
 // handover is this process's place between its predecessor, which it has replaced, and its successor.
 type handover struct {
-	c       *config.Config
-	path    string
-	ln      net.Listener
-	core    *dispatch.Core
-	hosts   *south.Side
-	clients *north.Side
-	list    *inventory.Watch
+	config   *config.Config
+	path     string // of the socket at which successors find this process
+	listener net.Listener
+	core     *dispatch.Core
+	workers  *south.Side
+	clients  *north.Side
+	list     *inventory.Watch
 
 	mu               sync.Mutex
 	predecessor      *takeover.Link // nil where there is none, or no more
 	predecessorHolds held
 	successor        *takeover.Link // nil where there is none
 	successorAccepts bool
-	waiting          *net.UnixListener // where successors come
+	links            *net.UnixListener // where successors come
 	longest          time.Duration     // a client's wait, by any settings that held
 	successorCame    time.Time         // when the successor asked
 }
 
 // share sets the bounds from what the others have of the limits, and tells the successor; h.mu is held.
 func (h *handover) share() {
-	out, in := bounds(h.c)
+	out, in := bounds(h.config)
 	mine := held{Share: 1}
 	if h.predecessor != nil {
 		mine = h.predecessorHolds
@@ -61,8 +57,8 @@
 	in.Messages = max(in.Conns*2/3, 1)
 	in.Large = int(float64(in.Large) * mine.Share)
 	h.clients.SetBounds(in)
-	h.hosts.SetConns(max(int(float64(out)*mine.Share), 1))
-	within(h.c, mine.Share)
+	h.workers.SetConns(max(int(float64(out)*mine.Share), 1))
+	within(h.config, mine.Share)
 	if h.successorAccepts {
 		h.successor.Send(frameHeld, encode(held{Conns: h.clients.Conns() + mine.Conns, Share: mine.Share}), nil)
 	}
@@ -77,7 +73,7 @@
 func (h *handover) succeed(predecessor *takeover.Link) error {
 	h.mu.Lock()
 	h.predecessor = predecessor
-	_, in := bounds(h.c)
+	_, in := bounds(h.config)
 	h.predecessorHolds = held{Conns: in.Conns / 2, Share: 0.5}
 	h.share()
 	h.mu.Unlock()
@@ -177,18 +173,18 @@
 		return
 	}
 	h.mu.Lock()
-	h.waiting = ln
+	h.links = ln
 	h.mu.Unlock()
 	h.acceptSuccessors(ln)
 }
 
-// links is where processes come that want to replace this one.
-type links interface {
+// linkListener is where processes come that want to replace this one.
+type linkListener interface {
 	AcceptUnix() (*net.UnixConn, error)
 }
 
 // acceptSuccessors meets all who come until ln is closed. Any other fault is one of the moment.
-func (h *handover) acceptSuccessors(ln links) {
+func (h *handover) acceptSuccessors(ln linkListener) {
 	for {
 		c, err := ln.AcceptUnix()
 		switch {
@@ -214,14 +210,14 @@
 		return
 	}
 	slog.Info("takeover", "young", "here")
-	now := handoverState{h.list.Legacy(), h.core.Legacy(), h.hosts.Legacy()}
-	err := l.Send(frameState, encode(now), h.ln.(syscall.Conn))
+	now := handoverState{h.list.Legacy(), h.core.Legacy(), h.workers.Legacy()}
+	err := l.Send(frameState, encode(now), h.listener.(syscall.Conn))
 	if err == nil {
 		err = l.Run(h.fromSuccessor, func(body []byte) bool { return h.answer(body, l) })
 	}
 	slog.Info("takeover", "young", "gone", "reason", err)
 	h.mu.Lock()
-	accepted, waiting := h.successorAccepts, h.waiting
+	accepted, links := h.successorAccepts, h.links
 	h.successor, h.successorAccepts = nil, false
 	h.share()
 	h.mu.Unlock()
@@ -231,7 +227,7 @@
 	h.core.Replaced(false)
 	h.clients.KeepOn()
 	h.clients.Resume()
-	waiting.Close() // the path was the successor's, if it came so far
+	links.Close() // the path was the successor's, if it came so far
 	go h.wait()
 }
 
@@ -263,7 +259,7 @@
 	h.successorAccepts = true
 	h.mu.Unlock()
 	h.core.Replaced(true)
-	_, in := bounds(h.c)
+	_, in := bounds(h.config)
 	h.clients.Pause(in.Conns / 2)
 	h.mu.Lock()
 	h.share()
@@ -293,7 +289,7 @@
 
 // answer takes a call-back that came from one process, or asks the one beyond.
 func (h *handover) answer(body []byte, from *takeover.Link) bool {
-	taken, err := h.hosts.CallBack(body)
+	taken, err := h.workers.CallBack(body)
 	if err == nil && !taken {
 		taken, _ = h.ask(body, from)
 	}
@@ -304,7 +300,7 @@
 // crossed the question: it came before the answer, and is here now.
 func (h *handover) ask(body []byte, except *takeover.Link) (taken bool, err error) {
 	if taken, err = h.askOthers(body, except); !taken && err == nil {
-		taken, _ = h.hosts.CallBack(body)
+		taken, _ = h.workers.CallBack(body)
 	}
 	return taken, err
 }
@@ -327,83 +323,3 @@
 	}
 	return false, err
 }
-
-// passOn hands the clients over to the successor if that accepts, and tells whether it does.
-func (h *handover) passOn() bool {
-	h.mu.Lock()
-	l, takes := h.successor, h.successorAccepts
-	h.mu.Unlock()
-	if !takes {
-		return false
-	}
-	l.Send(frameKnownIDs, encode(h.core.Legacy().Known), nil)
-	h.clients.PassOn(func(k north.Kept) error {
-		return l.Send(frameConnection, encode(keptConnection{k.Proven, k.Client, k.More, k.Begun}), k.Conn)
-	})
-	return true
-}
-
-// holds notes that settings hold: clients may wait as long as their classes' deadlines, at least as long as the kill
-// does.
-func (h *handover) holds(now *topazfall.Settings) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.longest = max(h.longest, 3*time.Second)
-	for _, c := range now.Classes {
-		h.longest = max(h.longest, time.Duration(c.Deadline)*time.Microsecond)
-	}
-}
-
-func (h *handover) longestWait() time.Duration {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.longest
-}
-
-// linked tells whether the process before this one is still there, and whether the one after it accepts.
-func (h *handover) linked() (predecessor, successor bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.predecessor != nil, h.successorAccepts
-}
-
-// leave ends the taking in and returns when all that was taken has its answer.
-//
-// Without a successor all that comes is served while clients can still be sent here. What came later could be cut off
-// by the kill that follows, and would be lost; so it is refused. What is in hand is finished, and as its call-backs
-// need the listener, that stays open to the last. With a successor nothing is taken that had not begun to come.
-func (h *handover) leave() {
-	passing, shut, hopeless := h.passOn(), false, false
-	if !passing { // an answer between the two would end its connection, which the successor could go on with
-		h.clients.Leave()
-	}
-	began := time.Now()
-	for {
-		predecessor, successor := h.linked()
-		since := time.Since(began)
-		switch {
-		case !passing && successor:
-			passing = h.passOn()
-		case passing && !successor:
-			passing = false
-		case passing && !hopeless && since > hopeTime:
-			hopeless = true
-			h.core.EndUnanswered(time.Second.Microseconds()) // a message with such a relay cannot be handed over
-		case !passing && !shut && since > lateComes:
-			h.clients.Shut()
-			shut = true
-		}
-		// A predecessor that hangs is not waited for any longer than its clients are.
-		late := since > h.longestWait()+lastCall
-		done := h.core.InHand() == 0 && !h.hosts.Busy() && (!predecessor || late)
-		// Idle connections go by themselves, but not in no time: one that is still here would be closed with the rest.
-		passed := h.clients.Conns() == 0 || h.clients.Busy() == 0 && since > passTime
-		if passing && done && passed || !passing && shut && done && since > lateComes+settle {
-			return
-		}
-		if passing && late {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-}
--- a/internal/instance/handover_test.go
+++ b/internal/instance/handover_test.go
@@ -146,7 +146,8 @@
 	c := &config.Config{Sockets: 256, Settings: s}
 	out, in := bounds(c)
 	workers := south.New(core, south.Options{Conns: out, Figures: counts})
-	h := &handover{c: c, hosts: workers, clients: north.New(ln, core, workers, &s, in), predecessor: &takeover.Link{}}
+	clients := north.New(ln, core, workers, &s, in)
+	h := &handover{config: c, workers: workers, clients: clients, predecessor: &takeover.Link{}}
 	for _, says := range []held{{Conns: 3, Share: 0.5}, {Share: 0.5}} {
 		h.fromPredecessor(takeover.Frame{Kind: frameHeld, Body: encode(says)}, func() {})
 		require.Equal(t, says, h.predecessorHolds)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,11 +25,7 @@
 	"topazfall/internal/takeover"
 )
 
-const (
-	lateComes = 600 * time.Millisecond // after SIGTERM connections still come for up to 0.4 s
-	settle    = 50 * time.Millisecond  // for what was being read when the taking in ended
-	closeTime = time.Second            // for what is still being written when all has its answer
-)
+const closeTime = time.Second // for what is still being written when all has its answer
 
 // noDiscovery is the address of discovery where hosts come from an extension alone.
 const noDiscovery = "none"
@@ -183,8 +179,8 @@
 		news = d.extension
 	}
 	d.list = inventory.New(d.config.Discovery, news, inventory.TermsOf(settings))
-	d.place = &handover{c: &d.config, path: takeover.Path(d.config.Name, d.config.Listen), ln: d.listener, core: d.core,
-		hosts: d.workers, clients: d.clients, list: d.list}
+	d.place = &handover{config: &d.config, path: takeover.Path(d.config.Name, d.config.Listen), listener: d.listener,
+		core: d.core, workers: d.workers, clients: d.clients, list: d.list}
 	d.place.holds(settings)
 	d.clients.Others(d.place.tell)
 	d.joinPeers()
@@ -294,7 +290,7 @@
 // reload takes a replaced configuration at each SIGHUP, also while the program is leaving: its settings and its
 // address of discovery, all or nothing. Addresses of our own, the name and the limits are those of the start.
 func (h *handover) reload(hangups <-chan os.Signal, counts *figures.Figures) {
-	now := h.c
+	now := h.config
 	for range hangups {
 		c, err := now.Reload(os.Getenv)
 		if err != nil {
@@ -306,7 +302,7 @@
 		h.holds(&c.Settings)
 		// The core first: no class may come that it does not know.
 		h.clients.Renew(&c.Settings, h.core.Renew(c.Settings))
-		h.hosts.SetTimes(times(now))
+		h.workers.SetTimes(times(now))
 		h.list.Renew(inventory.TermsOf(&c.Settings))
 		h.list.Move(c.Discovery)
 		counts.HangupsTaken.Add(1)
