--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -26,18 +26,30 @@
 			require.LessOrEqual(t, in.Large*256, memory<<10/4, "kB")
 		}
 	}
+	require.GreaterOrEqual(t, reserved, ownDescriptors, "what the program itself needs is kept for it")
 	_, in := bounds(&config.Config{Sockets: 1024})
 	require.Equal(t, 736, in.Conns, "no limit on memory is given")
 }
 
-// A leaving process waits for what it has in hand as long as any settings that held allow its clients to wait, and not less
-// than it is left alone in any case.
+// The system's limit on descriptors holds where it is lower than the one that the configuration tells.
+func TestSystemAllowsFewerDescriptors(t *testing.T) {
+	var limit syscall.Rlimit
+	require.NoError(t, syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit))
+	require.Equal(t, 8, withinSystem(8))
+	require.Equal(t, int(limit.Cur), withinSystem(int(limit.Cur)+1))
+}
+
+// A leaving process waits for what it has in hand as long as any settings that held allow its clients to wait, and not
+// less than it is left alone in any case.
 func TestLongestWaitOfAllSettings(t *testing.T) {
-	s := &succession{}
-	for _, step := range []struct{ deadline, want time.Duration }{{time.Second, 3 * time.Second}, {8 * time.Second, 8 * time.Second},
-		{2 * time.Second, 8 * time.Second}} { // messages of the longer deadline may still be in hand
-		s.holds(&topazfall.Settings{Classes: []topazfall.Class{{Deadline: step.deadline.Microseconds()}}})
-		require.Equal(t, step.want, s.longestWait())
+	h := &handover{}
+	for _, step := range []struct{ deadline, want time.Duration }{
+		{time.Second, 3 * time.Second},
+		{8 * time.Second, 8 * time.Second},
+		{2 * time.Second, 8 * time.Second}, // messages of the longer deadline may still be in hand
+	} {
+		h.holds(&topazfall.Settings{Classes: []topazfall.Class{{Deadline: step.deadline.Microseconds()}}})
+		require.Equal(t, step.want, h.longestWait())
 	}
 }
 
@@ -48,7 +60,7 @@
 	defer other.Close()
 	stop := make(chan os.Signal, 1)
 	stop <- syscall.SIGTERM
-	ln, _, _, err := enter(filepath.Join(t.TempDir(), "none"), other.Addr().String(), stop)
-	require.Error(t, err)
-	require.Nil(t, ln)
+	e, err := enter(filepath.Join(t.TempDir(), "none"), other.Addr().String(), stop)
+	require.ErrorIs(t, err, ErrToldToEnd)
+	require.Nil(t, e.listener)
 }
