Bound what a cold worker gets in every window, by what its runs show it can do

Seen, in virtual time with whole fleets (the harness follows): where all workers return cold under load, some fell by dispatchers that all had been told of the start. Causes, found one by one: - A weight was taken for a number of standard cores, up to three times what was learned. The wire says that it is a figure without unit. Where lists use another unit, or hints come in other units than weights, the share was up to three times too large (20 dispatchers, N 14.2: 36.0 requests in a window, budget 23.7; 23 of 24 workers fell). - A dispatcher's place in the turns was taken modulo the number of sharers, which it derives from its list. While lists change, each change drew a new place: 19 dispatchers used one worker within 0.4 s, where 4 to 9 had turns. - What was heard of was counted from the start of a turn, so that a window that touches two turns had the sum of both; and what a dispatcher had sent just before it heard of the start was forgotten when the first turn began.

Now the share follows from the slots and the pace that are learned; a live weight tells the slots by what one job takes off. internal/decide/ramp is pure: a log of what was sent within a sliding window, and turns that outlive changes of the list. What is heard of has half of the rule in any window, parts as before. A worker that has just started has nothing in hand, as from its start: before, what all others held was believed of it at once where no list tells its load.

TestColdShareByWeight asserted the fault: that a weight raises the share. TestColdShareHasNoUnitOfWeight stands in its place and holds for five units. TestEveryColdTurnIsSomebodys compared different workers; it now checks every turn at each of six. The scene of TestColdWorkerIsSharedByTheTier told the size by the weight alone, from which one core of three was learned; its list shows now what one job takes off, and nine jobs in hand for six.

--- a/balancer.go
+++ b/balancer.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"topazfall/internal/decide/hearsay"
+	"topazfall/internal/decide/ramp"
 	"topazfall/internal/decide/share"
 )
 
@@ -152,7 +153,7 @@
 	a := &attempt{r: r, n: len(r.tries), w: w, sent: b.now, wait: b.backlog(w)}
 	a.region, r.tries, r.out = b.regionOf(w, a.wait), append(r.tries, a), r.out+1
 	w.own, w.lastTry, w.silent = append(w.own, a), b.now, cmp.Or(w.silent, b.now)
-	w.coldSpent, w.coldOwn, b.copies = w.coldSpent+r.work, w.coldOwn+r.work, min(b.copies+1./spares, 1)
+	b.copies = min(b.copies+1./spares, 1)
 	b.do(Action{Kind: Send, Request: r.id, Worker: w.ID})
 	b.tell(hearsay.Sent, a)
 	b.follow(r, a)
@@ -378,33 +379,32 @@
 	return harmless || !slices.ContainsFunc(r.tries, func(a *attempt) bool { return !a.notRun })
 }
 
-// coldShare is the work this dispatcher may still send to a cold worker. Those who share the worker share
-// what it bears in a turn of the fall time: in equal parts or, where a part holds no job, as many at a
-// time as bear one job each. The turns are each worker's own, lest one dispatcher has those of all that
-// start at once. The first job in a turn may be larger than its part. Where they tell each other what they
-// spend, the sum is bounded. Who is replaced leaves the part to the other. A window can touch two turns;
-// of what the rule has for it a quarter is left to hints that err and lost words.
+// coldShare is the work this dispatcher may still send to a cold worker. Of what the rule has for a window of
+// the fall time half is for all that is heard of; the rest is for hints that err, lost words, bursts and who
+// was not told. Those who share the worker share three eighths in each turn, as a window touches two, or half
+// where they tell each other: in equal parts or, where a part holds no job, as many as bear one job each. The
+// first job in a turn may be larger than its part. Who is replaced leaves the part to the other.
 func (b *Balancer) coldShare(w *worker) float64 {
-	c, turn := &b.s.Contract, b.turn(w)
+	c, me, n := &b.s.Contract, int64(b.s.Me), int64(b.s.Dispatchers)
 	warm := c.ColdFrom + (1-c.ColdFrom)*float64(b.now-w.StartedAt)/float64(max(c.RampTime, 1))
-	capacity := w.kind.slots / max(w.kind.pace, 0.1)
-	capacity = min(max(capacity, w.size), 3*capacity) // light dispatchers take long to learn its slots
-	rule := c.FallMultiple * min(warm, 1) * capacity * float64(c.FallTime)
-	jobs := b.s.quota() / float64(b.s.Dispatchers) * float64(c.FallTime) / 1e6 // that one gets in a turn
-	sharers := int64(max((b.reach*b.s.Dispatchers-1)/max(len(b.ranked), 1)+1, 1))
-	budget, all := rule*3/8, rule*3/8
-	if b.hasPeers() { // of what is not heard of, the parts make half of the rule
-		all = rule / 2
+	rule := c.FallMultiple * min(warm, 1) * w.kind.slots / max(w.kind.pace, 0.1) * float64(c.FallTime)
+	budget, all := rule/2, rule*3/8
+	if b.hasPeers() {
+		all = budget
 	}
+	jobs := b.s.quota() / float64(n) * float64(c.FallTime) / 1e6 // that one gets in a turn
+	sharers := max((int64(b.reach)*n-1)/max(int64(len(b.ranked)), 1)+1, 1)
 	part := max(all/float64(sharers), b.jobTime)
-	users := int64(max(all/(part*-math.Expm1(-jobs)), 1))
-	place := ((int64(b.s.Me)-turn-w.StartedAt/1000)%sharers + sharers) % sharers
-	if place >= users || b.replaced || !slices.Contains(b.buddies, w) {
+	users, turn := int64(max(all/(part*-math.Expm1(-jobs)), 1)), b.now/max(c.FallTime, 1)
+	if salt := int64(w.name) + w.StartedAt/1000; b.replaced || !slices.Contains(b.buddies, w) ||
+		!ramp.HasTurn(me, n, sharers, users, salt, turn) {
 		return 0
-	} else if w.coldOwn > 0 {
-		budget = min(budget, part+w.coldSpent-w.coldOwn)
 	}
-	return budget - w.coldSpent
+	spent, _ := w.sent.Since(max(b.now-c.FallTime, w.StartedAt-1))
+	if _, own := w.sent.Since(max(turn*c.FallTime, w.StartedAt) - 1); own > 0 {
+		budget = min(budget, part+spent-own)
+	}
+	return budget - spent
 }
 
 // ---- what is observed of a worker ----
@@ -648,10 +648,10 @@
 		b.workers[l.ID] = w
 	}
 	if l.StartedAt > w.StartedAt { // a new life: neither old distrust nor old backlog counts
-		w.errors, w.held = 0, -1
+		w.errors, w.held, w.heardAt = 0, -1, max(w.heardAt, min(l.StartedAt, b.now))
 		w.alive()
 	}
-	w.Worker, w.size = *l, max(w.size, l.Weight)
+	w.Worker = *l
 	if !w.listed && l.State != Gone {
 		b.ranked = append(b.ranked, w)
 	}
--- a/balancer_test.go
+++ b/balancer_test.go
@@ -426,12 +426,12 @@
 	}
 }
 
-// The weight on the list says how large a worker is before anything is learned of it; within bounds, as its unit is
-// not told. What it was lowered to by load says nothing of that.
-func TestColdShareByWeight(t *testing.T) {
+// A weight has no unit: it compares workers and tells nothing of what one bears. A worker's share is the same whatever
+// unit its list uses. What its weight loses by a job tells its cores, and with them the share grows.
+func TestColdShareHasNoUnitOfWeight(t *testing.T) {
 	share := func(weights ...float64) float64 {
 		s := settings()
-		s.Dispatchers = 1
+		s.Dispatchers, s.LiveWeights = 1, true
 		r := newRig(t, s, fleet(6)...)
 		w := r.b.workers["w0"].Worker
 		for _, w.Weight = range weights {
@@ -441,9 +441,15 @@
 		return r.b.coldShare(r.b.workers["w0"])
 	}
 	one := share(1)
-	for _, c := range []struct{ got, times float64 }{{share(0.2), 1}, {share(2), 2}, {share(2, 0.5), 2}, {share(99), 3}} {
-		if math.Abs(c.got-c.times*one) > 1 {
-			t.Errorf("%v, want %v times %v", c.got, c.times, one)
+	if one <= 0 {
+		t.Fatal("nothing may be sent")
+	}
+	for _, unit := range []float64{0.01, 0.2, 1, 2, 99} {
+		if got := share(unit); got != one {
+			t.Errorf("%v with a weight of %v, %v with one of 1", got, unit, one)
+		}
+		if got := share(unit, unit/(1+1./3)); math.Abs(got-3*one) > 1 {
+			t.Errorf("%v where a job takes a third off a weight of %v, want three times %v", got, unit, one)
 		}
 	}
 }
@@ -456,19 +462,22 @@
 			s := settings()
 			s.Me, s.Dispatchers = me, dispatchers
 			r := newRig(t, s, fleet(6)...)
-			w := r.b.buddies[0]
-			w.StartedAt = r.now
+			for _, w := range r.b.ranked {
+				w.StartedAt = r.now
+			}
 			for turn := range int64(12) {
 				r.now = 101e6 + turn*s.Contract.FallTime
 				r.b.now = r.now
-				if r.b.coldShare(w) > 0 {
-					may[turn]++
+				for i, w := range r.b.ranked {
+					if r.b.coldShare(w) > 0 {
+						may[turn*6+int64(i)]++
+					}
 				}
 			}
 		}
-		for turn := range int64(12) {
-			if may[turn] != 1 {
-				t.Errorf("%d dispatchers: turn %d is that of %d", dispatchers, turn, may[turn])
+		for i := range int64(12 * 6) {
+			if may[i] != 1 {
+				t.Errorf("%d dispatchers: turn %d at worker %d is that of %d", dispatchers, i/6, i%6, may[i])
 			}
 		}
 	}
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -320,6 +320,7 @@
 		if lost := coldWork(t, c.dispatchers, c.workers, c.cold, c.rate, "lost"); lost < none {
 			t.Errorf("%+v: %v is spent at a cold worker by who hears nothing, %v where nobody talks", c, lost, none)
 		}
+		t.Logf("%+v: none %v", c, none)
 		if heard := coldWork(t, c.dispatchers, c.workers, c.cold, c.rate, "heard"); heard < c.least {
 			t.Errorf("%+v: %v is spent at a cold worker, %v where nobody talks", c, heard, none)
 		}
@@ -337,7 +338,11 @@
 	ws := fleet(workers)
 	weigh(ws, 3)
 	a := newTier(t, s, dispatchers, ws)
-	weigh(ws, 3/(1+6./3)) // warm ones have jobs waiting
+	weigh(ws, 3/(1+1./3)) // what one job takes off tells the cores
+	for _, r := range a.rigs {
+		r.on(Event{Kind: ListPatch, List: ws})
+	}
+	weigh(ws, 3/(1+9./3)) // warm ones have jobs waiting
 	born := a.rigs[0].now
 	sent := map[string][]int64{} // to cold ones, when
 	for i := range cold {
@@ -448,7 +453,7 @@
 			r.b.now, r.b.jobTime = r.now, job
 			if share := r.b.coldShare(w); share > 0 {
 				turns++
-				rule = share * 8 / 3
+				rule = share * 2
 			}
 		}
 		chance := -math.Expm1(-float64(s.Contract.FallTime) / 1e6)                // that one gets a message in a turn
--- a/hearsay.go
+++ b/hearsay.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"topazfall/internal/decide/hearsay"
+	"topazfall/internal/decide/ramp"
 )
 
 // What dispatchers tell each other of workers, between the module and internal/decide/hearsay, which says whom. What it
@@ -15,8 +16,11 @@
 // tell lets those who share a worker know that a job has been sent there, or has ended. Worth its price is what occupies it
 // for long and can go nowhere else, and what leaves it with a backlog: to all who read the list it still looks freer than
 // others, and each would send there. What is short has mostly ended before the list is heard again. Of a cold worker all is
-// told, as what it bears is spent together.
+// told, as what it bears is spent together. What was sent is kept for this dispatcher's own account as well.
 func (b *Balancer) tell(op hearsay.Op, a *attempt) {
+	if op == hearsay.Sent {
+		a.w.sent.Add(ramp.Sent{At: b.now, Work: a.r.work, Own: true}, b.s.Contract.FallTime)
+	}
 	if op == hearsay.Sent && b.hasPeers() && a.w.listed {
 		final := a.r.class.Repeat == Unsafe && a.r.work > b.jobTime
 		a.told = b.cold(a.w) || final || 2*a.r.work > b.jobTime && b.region(a.w) > 0
@@ -72,8 +76,7 @@
 	switch word.Op {
 	case hearsay.Sent:
 		w.told.Add(word.At, 1)
-		b.turn(w)
-		w.coldSpent += float64(word.Work)
+		w.sent.Add(ramp.Sent{At: b.now, Work: float64(word.Work)}, b.s.Contract.FallTime)
 	case hearsay.Ended:
 		w.told.Add(word.At, -1)
 	case hearsay.Failed:
--- a/memory.go
+++ b/memory.go
@@ -1,6 +1,10 @@
 package topazfall
 
-import "slices"
+import (
+	"slices"
+
+	"topazfall/internal/decide/ramp"
+)
 
 // What comes from outside to a balancer that is at work: another's memory and requests, and other settings.
 
@@ -23,10 +27,10 @@
 // they are jobs like anybody's.
 type WorkerMemory struct {
 	Held, Pace                 float64
-	ColdSpent, ColdOwn         float64
-	HeardAt, ColdTurn          int64
+	HeardAt                    int64
 	Silent, LastTry, DownUntil int64
 	Failures, Errors           int
+	Sent                       ramp.Log // to a cold worker, of late
 	Table                      [regions][columns]float64
 }
 
@@ -41,10 +45,13 @@
 		m.Kinds[name] = KindMemory{k.slots, k.pace, k.p}
 	}
 	for _, w := range b.ranked {
-		m.Workers[w.ID] = WorkerMemory{Held: w.held + float64(len(w.own)), Pace: w.pace, ColdSpent: w.coldSpent,
-			ColdOwn: w.coldOwn,
-			HeardAt: w.heardAt, ColdTurn: w.coldTurn, Silent: w.silent, LastTry: w.lastTry, DownUntil: w.downUntil,
+		l := WorkerMemory{Held: w.held + float64(len(w.own)), Pace: w.pace,
+			HeardAt: w.heardAt, Silent: w.silent, LastTry: w.lastTry, DownUntil: w.downUntil,
 			Failures: w.failures, Errors: w.errors, Table: w.p}
+		if b.cold(w) {
+			l.Sent = slices.Clone(w.sent)
+		}
+		m.Workers[w.ID] = l
 	}
 	return m
 }
@@ -160,7 +167,9 @@
 	for _, w := range b.ranked {
 		if l, ok := m.Workers[w.ID]; ok && l.Pace > 0 {
 			w.held, w.pace, w.heardAt = l.Held, l.Pace, l.HeardAt
-			w.coldSpent, w.coldOwn, w.coldTurn = l.ColdSpent, l.ColdOwn, l.ColdTurn
+			for _, sent := range l.Sent {
+				w.sent.Add(sent, b.s.Contract.FallTime)
+			}
 			w.silent, w.lastTry, w.downUntil, w.failures, w.errors = l.Silent, l.LastTry, l.DownUntil, l.Failures, l.Errors
 			w.faultAt = now // when it was is not handed on
 			w.p = l.Table
--- a/memory_test.go
+++ b/memory_test.go
@@ -1,6 +1,10 @@
 package topazfall
 
-import "testing"
+import (
+	"testing"
+
+	"topazfall/internal/decide/ramp"
+)
 
 // A request goes from one balancer to another as it stands: what may have run is not sent again, what never ran may
 // be refused, nothing is called off, and the first owes nothing any more.
@@ -53,7 +57,7 @@
 	cold := workers[0]
 	cold.StartedAt = old.now - 1
 	old.on(Event{Kind: ListPatch, List: []Worker{cold}})
-	old.b.workers["w0"].coldTurn, old.b.workers["w0"].coldSpent = old.now/s.Contract.FallTime, 123
+	old.b.workers["w0"].sent.Add(ramp.Sent{At: old.now, Work: 123}, s.Contract.FallTime)
 	old.b.workers["w1"].downUntil = old.now + 5e6
 	id, acts := old.arrive(unsafe)
 	busy := old.sends(acts).Worker
--- a/state.go
+++ b/state.go
@@ -9,6 +9,7 @@
 
 	"topazfall/internal/decide/affinity"
 	"topazfall/internal/decide/hearsay"
+	"topazfall/internal/decide/ramp"
 	"topazfall/internal/decide/share"
 )
 
@@ -79,7 +80,6 @@
 	told      hearsay.Tally // what others have done here since the report
 	reportOf  int64         // the time that the last report is of
 	kind      *kind
-	size      float64 // in standard cores: the largest weight that the list gave it
 	inHand    float64 // jobs, by the last live weight; below 0 where it could not tell
 	held      float64 // jobs waiting by the last report that moved x; below 0: free slots
 	heardAt   int64
@@ -91,9 +91,7 @@
 	errors    int // jobs failed since the last that was served, here or at another dispatcher
 	faultAt   int64
 	downUntil int64
-	coldTurn  int64
-	coldSpent float64
-	coldOwn   float64 // of coldSpent, what this dispatcher has sent
+	sent      ramp.Log // what was sent there within the fall time, as far as is known
 	table
 }
 
@@ -192,15 +190,6 @@
 // nearer orders workers by the price of their zone.
 func (b *Balancer) nearer(v, w *worker) int { return cmp.Compare(b.crossing(v), b.crossing(w)) }
 
-// turn is the turn of the fall time that it is now; with each, what is spent at a cold worker is counted anew.
-func (b *Balancer) turn(w *worker) int64 {
-	turn := b.now / max(b.s.Contract.FallTime, 1)
-	if w.coldTurn != turn {
-		w.coldTurn, w.coldSpent, w.coldOwn = turn, 0, 0
-	}
-	return turn
-}
-
 // sane maps what a report cannot mean to "not reported".
 func sane(v float64) float64 {
 	if v >= 0 && v < 1e6 {
