--- a/coldfleet_test.go
+++ b/coldfleet_test.go
@@ -1,7 +1,8 @@
 package topazfall
 
-// A fleet in virtual time: real balancers, workers that queue and warm up, lists, answers and peer messages that take their
-// time. It counts what a cold worker is sent by all dispatchers together. Seeded: every run of a scenario is the same.
+// A fleet in virtual time: real balancers, workers that queue and warm up, lists, answers and peer messages
+// that take their time. It counts what a cold worker is sent by all dispatchers together. Seeded: every run of
+// a scenario is the same.
 
 import (
 	"cmp"
@@ -41,7 +42,7 @@
 	weightUnit                 float64 // of the list's weights, in standard cores; 0 for 1
 	noHints, noQuota           bool
 	hintBias                   float64 // of the work that hints tell; 0 for 1
-	restarted                  float64 // share of the dispatchers that are killed 1.5 s into the ramp, and back at once with nothing learned
+	restarted                  float64 // share of the dispatchers killed early in the ramp, and back with nothing learned
 	joins                      bool    // the cold workers are new, not back under their old ids
 	twice                      bool    // they return once more, half of the ramp later
 	lateTold                   int64   // one dispatcher in four is told of the start so much later
@@ -72,11 +73,13 @@
 func (f coldFigures) left() float64 { return 1 - f.sent/f.permit }
 
 func (f coldFigures) String() string {
-	return fmt.Sprintf("N %5.1f, used %5.1f of %5.1f (%.2f; %.2f by who was told), %d falls, %d broken; use %.2f, left %.2f",
+	return fmt.Sprintf(
+		"N %5.1f, used %5.1f of %5.1f (%.2f; %.2f by who was told), %d falls, %d broken; use %.2f, left %.2f",
 		f.allowed, f.used, f.budget, f.used/f.budget, f.byTold/max(f.used, 1e-9), f.falls, f.broken, f.use(), f.left())
 }
 
-// fleetEvent is a thing that happens at a time; events of one time happen in the order in which they were planned.
+// fleetEvent is a thing that happens at a time; events of one time happen in the order in which they were
+// planned.
 type fleetEvent struct {
 	at   int64
 	rank int
@@ -169,7 +172,8 @@
 
 func newFleetSim(t *testing.T, c coldScenario) *fleetSim {
 	t.Helper()
-	f := &fleetSim{c: c, mean: cmp.Or(c.work, plainWork), s: settings(), now: fleetEpoch, random: rand.New(rand.NewPCG(c.seed, 32)), byID: map[string]*fleetWorker{}}
+	f := &fleetSim{c: c, mean: cmp.Or(c.work, plainWork), s: settings(), now: fleetEpoch,
+		random: rand.New(rand.NewPCG(c.seed, 32)), byID: map[string]*fleetWorker{}}
 	s := &f.s
 	s.Dispatchers, s.LiveWeights, s.Allowed.PeerMessages = c.dispatchers, c.live, c.peers
 	s.Contract.ColdFrom, s.Contract.RampTime = c.coldFrom, c.rampTime
@@ -204,7 +208,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f.all = append(f.all, &fleetDispatcher{b: b, works: map[uint64]float64{}, open: map[uint64]bool{}, tries: map[uint64]int{},
+		f.all = append(f.all, &fleetDispatcher{b: b,
+			works: map[uint64]float64{}, open: map[uint64]bool{}, tries: map[uint64]int{},
 			jobs: map[[2]uint64]*fleetJob{}, homes: map[[2]uint64]*fleetWorker{}})
 		f.handle(me, Event{Kind: ListWhole, List: f.list()})
 		if float64(me%10) < 10*c.restarted {
@@ -341,7 +346,8 @@
 	d.arrived++
 	f.figures.requests++
 	id, work := d.arrived, f.mean*f.spread(workSpread)
-	e := Event{Kind: Arrival, Request: id, Class: safe, Due: f.now + 10e6, Hint: max(int64(work*f.spread(workSpread/2)*cmp.Or(f.c.hintBias, 1)), 1)}
+	hint := work * f.spread(workSpread/2) * cmp.Or(f.c.hintBias, 1)
+	e := Event{Kind: Arrival, Request: id, Class: safe, Due: f.now + 10e6, Hint: max(int64(hint), 1)}
 	if f.c.noHints {
 		e.Hint = 0
 	}
@@ -424,7 +430,8 @@
 		w.queue, w.running = w.queue[1:], append(w.running, j)
 		f.later(func() {
 			if !j.over {
-				f.handle(j.dispatcher, Event{Kind: JobStarted, Request: j.request, Attempt: j.attempt, Worker: w.ID})
+				started := Event{Kind: JobStarted, Request: j.request, Attempt: j.attempt, Worker: w.ID}
+				f.handle(j.dispatcher, started)
 			}
 		})
 		f.at(f.now+int64(j.work/w.speed/f.warm(w, f.now)), func() {
@@ -468,7 +475,8 @@
 	})
 }
 
-// count takes what a worker was sent in this life into the figures: for every send the window that ends with it.
+// count takes what a worker was sent in this life into the figures: for every send the window that ends with
+// it.
 func (f *fleetSim) count(w *fleetWorker) {
 	if w.StartedAt == 0 {
 		return
--- a/coldramp_test.go
+++ b/coldramp_test.go
@@ -8,7 +8,8 @@
 // coldSizes are the fleets that every scenario is played with.
 var coldSizes = []struct{ dispatchers, workers, cold int }{{5, 12, 3}, {30, 15, 4}, {300, 100, 10}}
 
-// coldBase is a fleet under a burst of half as much again, more than it bears, of which some workers return cold.
+// coldBase is a fleet under a burst of half as much again, more than it bears, of which some workers return
+// cold.
 var coldBase = coldScenario{cores: 3, speed: 1, load: 0.85, burst: 1.5, uneven: true, peers: true, live: true,
 	coldFrom: 0.36, rampTime: 6e6, fallTime: 3e6, multiple: 2.5, seed: 1}
 
@@ -29,7 +30,9 @@
 	{"half are new", func(c *coldScenario) { c.cold, c.joins = c.workers/2, true }, false},
 	{"cold again in the ramp", func(c *coldScenario) { c.twice = true }, false},
 	{"told 2 s late", func(c *coldScenario) { c.lateTold = 2e6 }, false},
-	{"told 2 s late, all cold, all words lost", func(c *coldScenario) { c.lateTold, c.cold, c.lost = 2e6, c.workers, 1 }, false},
+	{"told 2 s late, all cold, all words lost", func(c *coldScenario) {
+		c.lateTold, c.cold, c.lost = 2e6, c.workers, 1
+	}, false},
 	{"seven in ten dispatchers killed", func(c *coldScenario) { c.restarted, c.cold = 0.7, c.workers/2 }, false},
 	{"no hints", func(c *coldScenario) { c.noHints = true }, false},
 	{"no hints, fast cores, all cold", func(c *coldScenario) { c.noHints, c.speed, c.cold = true, 1.7, c.workers }, false},
@@ -59,10 +62,11 @@
 	{"cold for 20 s from 0.15 on", func(c *coldScenario) { c.coldFrom, c.rampTime, c.cores = 0.15, 20e6, 5 }, false},
 }
 
-// Cold workers fall under the sum of what all dispatchers send: in no window of the fall time, wherever it begins, is one sent
-// more than N + 2 root of N + 2 requests of mean work. Where some dispatchers are told late, whose work nobody can hold back,
-// no fall is by those who were told. And the ramp is used: where the fleet is offered more than it bears, cold workers get at
-// least half of what they can do, as the service floor of a day is half of what can be served.
+// Cold workers fall under the sum of what all dispatchers send: in no window of the fall time, wherever it
+// begins, is one sent more than N + 2 root of N + 2 requests of mean work. Where some dispatchers are told
+// late, whose work nobody can hold back, no fall is by those who were told. And the ramp is used: where the
+// fleet is offered more than it bears, cold workers get at least half of what they can do, as the service floor
+// of a day is half of what can be served.
 func TestRampHoldsForTheFleet(t *testing.T) {
 	for _, k := range coldCases {
 		for _, size := range coldSizes {
@@ -75,7 +79,7 @@
 			t.Run(fmt.Sprintf("%s, %d", k.name, size.dispatchers), func(t *testing.T) {
 				t.Parallel()
 				f := playCold(t, c)
-				t.Log(f)
+				t.Logf("%s, %d: %v", k.name, c.dispatchers, f)
 				if f.broken > 0 || c.lateTold == 0 && f.falls > 0 {
 					t.Errorf("%d cold workers fall, %d by who was told: %v", f.falls, f.broken, f)
 				}
@@ -96,8 +100,8 @@
 	}
 }
 
-// A worker that has just started has nothing in hand, and is taken for free where no list tells its load: what the others
-// hold says nothing of it.
+// A worker that has just started has nothing in hand, and is taken for free where no list tells its load: what
+// the others hold says nothing of it.
 func TestFreshWorkerIsTakenForFree(t *testing.T) {
 	s := settings()
 	s.Dispatchers = 1
--- /dev/null
+++ b/coldworker_test.go
@@ -0,0 +1,196 @@
+package topazfall
+
+// Cold workers, one balancer or a few by hand. Whole fleets in virtual time are in coldramp_test.go.
+
+import (
+	"math"
+	"slices"
+	"testing"
+)
+
+func TestColdWorkerBudget(t *testing.T) {
+	// Every dispatcher hears of the start at once and has far more to send than the worker can take.
+	s := settings()
+	s.Dispatchers = 12
+	var all []*rig
+	started := int64(100e6)
+	for me := range s.Dispatchers {
+		s.Me = me
+		all = append(all, newRig(t, s, Worker{ID: "cold", Zone: "a", Kind: "std", StartedAt: started}))
+	}
+	var work []float64 // by tick of 100 ms
+	for tick := range 200 {
+		sum := 0.0
+		for _, r := range all {
+			r.now = started + int64(tick)*100e3
+			_, acts := r.arrive(safe)
+			n, _ := count(acts, Send)
+			sum += float64(n) * 200e3
+		}
+		work = append(work, sum)
+		if tick < 10 {
+			continue
+		}
+		window := 0.0
+		for _, w := range work[tick-9:] {
+			window += w
+		}
+		capacity := 0.2 + 0.8*float64(tick-9)/200 // one core at standard speed, as far as is known
+		if limit := 2.5 * capacity * 1e6; window > limit {
+			t.Fatalf("at %d ms: %v of work within a second, budget %v", tick*100, window, limit)
+		}
+	}
+	total := 0.0
+	for _, w := range work {
+		total += w
+	}
+	if total == 0 {
+		t.Error("a cold worker never got anything")
+	}
+}
+
+// Light dispatchers cannot fill a cold worker one at a time: so many have a turn as it takes, by what they get, and
+// workers that start together do not all hang on the same ones.
+func TestColdTurnsOfLightDispatchers(t *testing.T) {
+	holders := func(quota float64, startedMS int64) (who []int) {
+		for me := range 36 {
+			s := settings()
+			s.Me, s.Dispatchers, s.Tenants = me, 36, []Tenant{{Quota: quota}}
+			r := newRig(t, s, fleet(6)...)
+			w := r.b.workers["w0"]
+			w.StartedAt = startedMS * 1000
+			if r.b.coldShare(w) > 0 {
+				who = append(who, me)
+			}
+		}
+		return who
+	}
+	busy, light := holders(1e6, 99_999), holders(0.5, 99_999)
+	if len(busy) != 1 || len(light) < 3 || len(light) > 20 || !slices.Contains(light, busy[0]) {
+		t.Errorf("the turn of busy ones is that of %v, of light ones %v", busy, light)
+	}
+	if other := holders(1e6, 99_998); len(other) != 1 || other[0] == busy[0] {
+		t.Errorf("of two that start together the turns are those of %v and %v", busy, other)
+	}
+}
+
+// A weight has no unit: it compares workers and tells nothing of what one bears. A worker's share is the same whatever
+// unit its list uses. What its weight loses by a job tells its cores, and with them the share grows.
+func TestColdShareHasNoUnitOfWeight(t *testing.T) {
+	share := func(weights ...float64) float64 {
+		s := settings()
+		s.Dispatchers, s.LiveWeights = 1, true
+		r := newRig(t, s, fleet(6)...)
+		w := r.b.workers["w0"].Worker
+		for _, w.Weight = range weights {
+			w.StartedAt = r.now
+			r.on(Event{Kind: ListPatch, List: []Worker{w}})
+		}
+		return r.b.coldShare(r.b.workers["w0"])
+	}
+	one := share(1)
+	if one <= 0 {
+		t.Fatal("nothing may be sent")
+	}
+	for _, unit := range []float64{0.01, 0.2, 1, 2, 99} {
+		if got := share(unit); got != one {
+			t.Errorf("%v with a weight of %v, %v with one of 1", got, unit, one)
+		}
+		if got := share(unit, unit/(1+1./3)); math.Abs(got-3*one) > 1 {
+			t.Errorf("%v where a job takes a third off a weight of %v, want three times %v", got, unit, one)
+		}
+	}
+}
+
+// Where all dispatchers have all workers as buddies, every turn at a cold worker is just one dispatcher's.
+func TestEveryColdTurnIsSomebodys(t *testing.T) {
+	for dispatchers := 1; dispatchers < 5; dispatchers++ {
+		may := map[int64]int{}
+		for me := range dispatchers {
+			s := settings()
+			s.Me, s.Dispatchers = me, dispatchers
+			r := newRig(t, s, fleet(6)...)
+			for _, w := range r.b.ranked {
+				w.StartedAt = r.now
+			}
+			for turn := range int64(12) {
+				r.now = 101e6 + turn*s.Contract.FallTime
+				r.b.now = r.now
+				for i, w := range r.b.ranked {
+					if r.b.coldShare(w) > 0 {
+						may[turn*6+int64(i)]++
+					}
+				}
+			}
+		}
+		for i := range int64(12 * 6) {
+			if may[i] != 1 {
+				t.Errorf("%d dispatchers: turn %d at worker %d is that of %d", dispatchers, i/6, i%6, may[i])
+			}
+		}
+	}
+}
+
+// The cold budget must hold at full size while dispatchers hear of the start at different times.
+func TestColdBudgetAtFullSizeWithLateLists(t *testing.T) {
+	s := settings()
+	s.Dispatchers = 200
+	started := int64(100e6)
+	var all []*rig
+	for me := range s.Dispatchers {
+		s.Me = me
+		r := newRig(t, s, fleet(200)...)
+		r.now = started + int64(me%40)*100e3 // up to four seconds late
+		cold := fleet(200)[77]
+		cold.StartedAt = started
+		r.on(Event{Kind: ListPatch, List: []Worker{cold}})
+		all = append(all, r)
+	}
+	var work []float64
+	for tick := range 180 {
+		sum := 0.0
+		for _, r := range all {
+			now := started + 4e6 + int64(tick)*100e3
+			r.now = now
+			for range 1 + tick%2 {
+				_, acts := r.arrive(safe)
+				for _, a := range acts {
+					if a.Kind == Send && a.Worker == "w77" {
+						sum += 200e3
+					}
+				}
+			}
+		}
+		work = append(work, sum)
+		if tick < 10 {
+			continue
+		}
+		window := 0.0
+		for _, w := range work[tick-9:] {
+			window += w
+		}
+		if limit := 2.5 * (0.2 + 0.8*float64(tick+31)/200) * 1e6; window > limit && tick < 150 {
+			t.Fatalf("at %d ms: %v of work within a second, budget %v", 4000+tick*100, window, limit)
+		}
+	}
+}
+
+// Only those who have a cold worker as a buddy share its budget: their turns count nobody else.
+func TestColdWorkerGetsNothingFromOutsideTheBuddySet(t *testing.T) {
+	s := settings()
+	s.Dispatchers = 40
+	r := newRig(t, s, fleet(40)...)
+	inside, outside := r.b.buddies[0], r.b.others[0]
+	inside.StartedAt, outside.StartedAt = r.now, r.now
+	shares := map[*worker]float64{}
+	for range 30 {
+		r.now += s.Contract.FallTime / 2
+		r.on(Event{Kind: PeerMessage}) // time passes
+		for _, w := range []*worker{inside, outside} {
+			shares[w] += r.b.coldShare(w)
+		}
+	}
+	if shares[inside] <= 0 || shares[outside] != 0 {
+		t.Errorf("a buddy may be sent %v, another %v", shares[inside], shares[outside])
+	}
+}
--- /dev/null
+++ b/evidence_test.go
@@ -0,0 +1,347 @@
+package topazfall
+
+// What is observed of workers, and what is learned from it.
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func TestHungWorkerIsLeftAlone(t *testing.T) {
+	s := settings()
+	r := newRig(t, s, fleet(6)...)
+	_, acts := r.arrive(unsafe)
+	hung := r.sends(acts).Worker // takes the job and says nothing
+	got := 0
+	for range 50 {
+		r.now += 200e3
+		id, acts := r.arrive(unsafe)
+		w := r.sends(acts).Worker
+		if w == hung {
+			got++
+			continue
+		}
+		r.now += 5e3
+		r.on(Event{Kind: JobStarted, Request: id, Attempt: 0, Worker: w})
+		r.now += 100e3
+		r.done(id, 0, w, Completed)
+	}
+	if got > 3 {
+		t.Errorf("a worker that answers nothing got %d more jobs", got)
+	}
+}
+
+// A worker that begins every job and fails it at once always looks free. It gets a few that may be repeated, in
+// ever longer intervals, and hardly any other; when it serves again it gets its part.
+func TestFailingWorkerIsLeftAlone(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	bad, got, serves := "", map[int]int{}, false
+	play := func(rounds int) {
+		for i := range rounds {
+			r.now += 100e3
+			if i%20 == 0 {
+				r.on(Event{Kind: TimerDue, Token: tokenPulse})
+			}
+			class := []int{safe, unsafe}[i%2]
+			id, acts := r.arrive(class)
+			for n := 0; ; n++ {
+				w := r.sends(acts).Worker
+				if bad == "" {
+					bad = w
+				}
+				r.now += 2e3
+				r.on(Event{Kind: JobStarted, Request: id, Attempt: n, Worker: w})
+				if w == bad {
+					got[class]++
+				}
+				if w != bad || serves {
+					r.now += 200e3
+					r.done(id, n, w, Completed)
+					break
+				}
+				r.now += 2e3
+				if acts = r.done(id, n, w, Errored); class == unsafe {
+					break
+				}
+			}
+		}
+	}
+	play(300)
+	if got[unsafe] > 1 || got[safe] < 2 || got[safe] > 12 {
+		t.Errorf("a worker that fails all got %d unsafe jobs and %d others", got[unsafe], got[safe])
+	}
+	serves, got = true, map[int]int{}
+	play(600)
+	if got[unsafe] < 3 {
+		t.Errorf("a worker that serves again got %v jobs", got)
+	}
+}
+
+// A worker that began jobs and then stands still tells no progress. It gets nothing more till it does.
+func TestQuietWorkerIsLeftAlone(t *testing.T) {
+	for _, tells := range []bool{false, true} {
+		s := settings()
+		s.Progress = 2e6
+		r := newRig(t, s, fleet(6)...)
+		long, acts := r.arrive(unsafe)
+		w := r.sends(acts).Worker
+		r.on(Event{Kind: JobStarted, Request: long, Attempt: 0, Worker: w})
+		got := 0
+		for range 50 {
+			r.now += 100e3
+			if tells && r.now%1e6 == 0 {
+				r.on(Event{Kind: JobProgress, Request: long, Attempt: 0, Worker: w, Amount: 0.1})
+			}
+			if r.now < 100e6+4.2e6 {
+				continue
+			}
+			r.b.workers[w].held, r.b.workers[w].heardAt = -3, r.now // its last report was of free slots
+			for _, o := range r.b.buddies {
+				if o.ID != w {
+					o.held, o.heardAt = 0, r.now
+				}
+			}
+			id, acts := r.arrive(unsafe)
+			to := r.sends(acts).Worker
+			if to == w {
+				got++
+			}
+			r.on(Event{Kind: JobStarted, Request: id, Attempt: 0, Worker: to})
+			r.done(id, 0, to, Completed)
+		}
+		if (got > 0) != tells {
+			t.Errorf("tells of progress: %t, got %d jobs", tells, got)
+		}
+	}
+}
+
+// Of two free workers the one that has shown to be much slower gets no long job; the risk alone would tie.
+func TestSlowWorkerGetsNoLongJob(t *testing.T) {
+	s := settings()
+	s.Classes[unsafe].Aim = 1.5e6
+	r := newRig(t, s, fleet(6)...)
+	slow := r.b.buddies[0]
+	slow.pace = 3
+	for range 10 {
+		r.now += 2e6
+		id, acts := r.arrive(unsafe)
+		w := r.sends(acts).Worker
+		if w == slow.ID {
+			t.Fatal("the slow worker was chosen")
+		}
+		r.on(Event{Kind: JobStarted, Request: id, Attempt: 0, Worker: w})
+		r.now += 200e3
+		r.done(id, 0, w, Completed)
+	}
+}
+
+// Jobs that die with their workers do not raise the price at which others are refused as too late.
+func TestBrokenWorkersSetNoPrice(t *testing.T) {
+	for o, want := range map[Outcome]bool{Severed: false, RefusedConn: false, Overdue: true} {
+		r := newRig(t, settings(), fleet(6)...)
+		id, acts := r.arrive(unsafe)
+		r.done(id, 0, r.sends(acts).Worker, o)
+		if (r.b.loss > 0) != want {
+			t.Errorf("after %v the price is %v", o, r.b.loss)
+		}
+	}
+}
+
+// Beyond the last threshold there is none to cross: a report of three jobs that wait must not hide a later one of thirty.
+func TestCrowdedWorkersAreToldApart(t *testing.T) {
+	r := newRig(t, settings(), fleet(2)...)
+	for _, queues := range [][2]float64{{3, 30}, {30, 3}, {6, 4}} {
+		r.now += 1e6
+		for i, q := range queues {
+			r.b.report(r.b.workers[fmt.Sprintf("w%d", i)], Load{Queue: q, Inflight: -1, Free: -1, Util: -1})
+		}
+		_, acts := r.arrive(unsafe)
+		if want := fmt.Sprintf("w%d", map[bool]int{true: 0, false: 1}[queues[0] < queues[1]]); r.sends(acts).Worker != want {
+			t.Errorf("queues %v: sent to %s", queues, r.sends(acts).Worker)
+		}
+	}
+}
+
+func TestReportsMoveTheChoice(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	_, acts := r.arrive(unsafe)
+	home := r.sends(acts).Worker
+	if _, acts := r.arrive(unsafe); r.sends(acts).Worker == "" {
+		t.Fatal("no worker")
+	}
+	r.now += 1e6
+	r.on(Event{Kind: ProbeDone, Worker: home, Outcome: Completed, Load: Load{Queue: 9, Inflight: 11, Free: 0, Util: 1}})
+	if _, acts := r.arrive(unsafe); r.sends(acts).Worker == home {
+		t.Error("a reported queue of nine did not keep a job away")
+	}
+}
+
+func TestLearningChangesAChoice(t *testing.T) {
+	// The home worker reports free slots, yet every job sent there begins late. Its table learns that.
+	choice := func(blends bool) string {
+		r := newRig(t, settings(), fleet(6)...)
+		home := r.b.buddies[0]
+		before := home.p
+		for range 10 {
+			for x := range regions {
+				home.sample(x, columns-1)
+				for _, w := range r.b.buddies[1:] {
+					w.sample(x, 0)
+				}
+			}
+		}
+		if blends {
+			r.now += r.b.pulse() * 5
+			r.on(Event{Kind: TimerDue, Token: tokenPulse})
+			if home.p == before {
+				t.Error("the table is as uniform as at the start")
+			}
+		}
+		_, acts := r.arrive(unsafe)
+		if got := r.sends(acts).Worker; got != home.ID {
+			return "other"
+		}
+		return "home"
+	}
+	if a, b := choice(false), choice(true); a != "home" || b != "other" {
+		t.Errorf("before the blend %s, after it %s", a, b)
+	}
+}
+
+func TestOddReports(t *testing.T) {
+	nan := 0.0
+	nan /= nan
+	for _, v := range []float64{nan, -7, 1e300, 0} {
+		r := newRig(t, settings(), fleet(3)...)
+		for _, w := range fleet(3) {
+			r.on(Event{Kind: ProbeDone, Worker: w.ID, Outcome: Completed, Load: Load{v, v, v, v}})
+		}
+		_, acts := r.arrive(safe)
+		r.sends(acts)
+	}
+}
+
+func TestOldEvidenceAges(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	w := r.b.buddies[0]
+	r.on(Event{Kind: ProbeDone, Worker: w.ID, Outcome: Completed, Load: Load{9, 11, 0, 1}})
+	fresh := r.b.backlog(w)
+	r.now += 60e6
+	r.on(Event{Kind: PeerMessage}) // time passes
+	if old := r.b.backlog(w); fresh <= 0 || old > fresh/3 {
+		t.Errorf("backlog %v, a minute later %v", fresh, old)
+	}
+}
+
+// A table row with odd samples must not make a worker with a long backlog look freer than a free one:
+// traced on a simulated day, jobs went to workers with nine own jobs out while others had none.
+func TestTailsRiseWithTheRegion(t *testing.T) {
+	r := newRig(t, settings(), fleet(3)...)
+	w := r.b.buddies[0]
+	for range 50 {
+		w.sample(0, columns-1)
+		w.sample(regions-1, 0)
+	}
+	w.blendWith(nil)
+	for x := 1; x < regions; x++ {
+		for c := range columns {
+			if w.tails[x][c] < w.tails[x-1][c] {
+				t.Fatalf("P(backlog > %d) is %v in region %d, %v in region %d",
+					c, w.tails[x][c], x, w.tails[x-1][c], x-1)
+			}
+		}
+	}
+}
+
+// At two jobs a second a dispatcher's tables must have learned something within its first minute.
+func TestTablesLearnAtALightDispatcher(t *testing.T) {
+	r := newRig(t, settings(), fleet(20)...)
+	uniform := r.b.buddies[0].p
+	pulse := r.now
+	for i := range 120 {
+		r.now += 500e3
+		if r.now >= pulse {
+			pulse = r.now + r.b.pulse()
+			r.on(Event{Kind: TimerDue, Token: tokenPulse})
+		}
+		id, acts := r.arrive(unsafe)
+		w := r.sends(acts).Worker
+		r.now += 5e3
+		r.on(Event{Kind: JobStarted, Request: id, Worker: w})
+		r.now += 200e3
+		queue := float64(i % 3)
+		r.on(Event{Kind: AttemptDone, Request: id, Worker: w, Final: true, Load: Load{queue, queue + 2, 0, 1}})
+	}
+	changed := 0
+	for _, w := range r.b.buddies {
+		if w.p != uniform {
+			changed++
+		}
+	}
+	if changed != len(r.b.buddies) {
+		t.Errorf("%d of %d buddies have tables that differ from uniform", changed, len(r.b.buddies))
+	}
+}
+
+// A rough hint must not make a job look late: on a quiet day a fifth of all jobs did, and others were refused for it.
+func TestRoughHintsDoNotLookLate(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	for _, wait := range []int64{0, 3e6} {
+		r.b.loss = 0
+		id, acts := r.arrive(unsafe) // hinted 0.2 s: wanted within 0.9 s
+		w := r.sends(acts).Worker
+		r.now += wait
+		r.on(Event{Kind: JobStarted, Request: id, Worker: w})
+		r.now += 1e6 // five times the hint, so wanted within 2.5 s
+		r.done(id, 0, w, Completed)
+		if late := r.b.loss > 0; late != (wait > 0) {
+			t.Errorf("after a wait of %d: late is %v", wait, late)
+		}
+	}
+}
+
+// The pace of a worker must not swing on small jobs, whose hints are the roughest.
+func TestPaceIsWeighedByWork(t *testing.T) {
+	pace := func(hint int64) float64 {
+		r := newRig(t, settings(), fleet(1)...)
+		r.on(Event{Kind: Arrival, Request: 9, Class: unsafe, Tenant: -1, Due: r.now + 10e6, Hint: hint})
+		r.on(Event{Kind: JobStarted, Request: 9, Worker: "w0"})
+		r.now += 4 * hint
+		r.done(9, 0, "w0", Completed)
+		return r.b.workers["w0"].pace
+	}
+	if small, large := pace(20e3), pace(1e6); small > 1.1 || large < 1.3 {
+		t.Errorf("pace after a small job %v, after a large one %v", small, large)
+	}
+}
+
+// Where clients give no hints, a job is taken for one like those of its class: its aim grows with its work all the same, and
+// it is not refused as one whose aim is lost.
+func TestNoHints(t *testing.T) {
+	s := settings()
+	s.Classes = s.Classes[:2]
+	s.Classes[safe].Aim, s.Classes[unsafe].Aim = 100e3, 100e3
+	r := newRig(t, s, fleet(1)...)
+	arrive := func(class int) (uint64, []Action) {
+		r.id++
+		return r.id, r.on(Event{Kind: Arrival, Request: r.id, Class: class, Tenant: -1, Due: r.now + 10e6})
+	}
+	for range 60 {
+		for class, run := range []int64{300e3, 900e3} {
+			id, acts := arrive(class)
+			r.sends(acts)
+			r.on(Event{Kind: JobStarted, Request: id, Worker: "w0"})
+			r.now += run
+			r.done(id, 0, "w0", Completed)
+		}
+	}
+	for class, want := range []float64{300e3, 900e3} {
+		id, _ := arrive(class)
+		q := r.b.requests[id]
+		if q == nil || math.Abs(q.hint-want) > want/4 || math.Abs(float64(q.aim-r.now)-(100e3+2*want)) > want {
+			t.Errorf("class %d: %+v", class, q)
+		}
+		r.on(Event{Kind: ClientGone, Request: id})
+	}
+}
--- a/internal/decide/ramp/place_test.go
+++ b/internal/decide/ramp/place_test.go
@@ -27,8 +27,8 @@
 	}
 }
 
-// Of those in a row who share a worker no more have a turn than may, but for two; on the mean at least two thirds of them.
-// One at a time is one at most.
+// Of those in a row who share a worker no more have a turn than may, but for two; on the mean at least two
+// thirds of them. One at a time is one at most.
 func TestNeighboursAreSpread(t *testing.T) {
 	const salts = 10
 	for _, n := range []int64{25, 30, 80, 200, 300} {
@@ -52,8 +52,9 @@
 	}
 }
 
-// Those who don't agree on how many share the worker, as long as they do on its size roughly, have no more turns together
-// than those who do: nobody gets one by a change of the list alone who would not have it by the larger number of users.
+// Those who don't agree on how many share the worker, as long as they do on its size roughly, have no more
+// turns together than those who do: nobody gets one by a change of the list alone who would not have it by the
+// larger number of users.
 func TestTurnsOutliveChangesOfTheList(t *testing.T) {
 	const n = 300
 	for me := range int64(n) {
--- a/internal/decide/ramp/ramp.go
+++ b/internal/decide/ramp/ramp.go
@@ -1,12 +1,12 @@
-// Package ramp counts the work that was sent to a worker within a sliding window, for the bound on what a cold worker
-// may get. It does no I/O and reads no clock; times and work are microseconds.
+// Package ramp counts the work that was sent to a worker within a sliding window, for the bound on what a cold
+// worker may get. It does no I/O and reads no clock; times and work are microseconds.
 //
-// A count that begins anew at fixed times lets twice its bound through around each of them. Here every window of the
-// length is bounded, wherever it begins.
+// A count that begins anew at fixed times lets twice its bound through around each of them. Here every window
+// of the length is bounded, wherever it begins.
 package ramp
 
-// most is how many sends are kept of a worker. Beyond it the two oldest count as one, at the time of the later: the
-// sum is never too small, however many words others send.
+// most is how many sends are kept of a worker. Beyond it the two oldest count as one, at the time of the later:
+// the sum is never too small, however many words others send.
 const most = 64
 
 // Sent is work that was sent to a worker.
@@ -19,8 +19,8 @@
 // Log holds what was sent to one worker of late, the oldest first. Its zero value is empty.
 type Log []Sent
 
-// Add counts what was sent at a time, and forgets what is older than the window. A time before the last one counts as
-// the last one: clocks don't run backwards here.
+// Add counts what was sent at a time, and forgets what is older than the window. A time before the last one
+// counts as the last one: clocks don't run backwards here.
 func (l *Log) Add(s Sent, window int64) {
 	if n := len(*l); n > 0 {
 		s.At = max(s.At, (*l)[n-1].At)
