--- a/fleet_test.go
+++ b/fleet_test.go
@@ -320,7 +320,6 @@
 		if lost := coldWork(t, c.dispatchers, c.workers, c.cold, c.rate, "lost"); lost < none {
 			t.Errorf("%+v: %v is spent at a cold worker by who hears nothing, %v where nobody talks", c, lost, none)
 		}
-		t.Logf("%+v: none %v", c, none)
 		if heard := coldWork(t, c.dispatchers, c.workers, c.cold, c.rate, "heard"); heard < c.least {
 			t.Errorf("%+v: %v is spent at a cold worker, %v where nobody talks", c, heard, none)
 		}
