Forget at a cold worker what is older than the window, also where hundreds are sent in one

Cause, by reading: the log kept 64 sends and counted the oldest with the next when it was full. Where more than 64 are sent in a window the oldest moved on with each and was never forgotten, so that the share would shrink to nothing. Now a window is cut into 32 parts, and what is sent in one counts with the last of it: at most a part too much. TestWindow fails with the log as it was (hundreds in a window: 1,097 where 1,065 to 1,091 may be).

--- a/internal/decide/ramp/ramp.go
+++ b/internal/decide/ramp/ramp.go
@@ -5,9 +5,10 @@
 // of the length is bounded, wherever it begins.
 package ramp
 
-// most is how many sends are kept of a worker. Beyond it the two oldest count as one, at the time of the later:
-// the sum is never too small, however many words others send.
-const most = 64
+// parts is how many a window is cut into. What is sent in one part counts as sent with the last of it: a log takes
+// a bounded place, however many words others send, and its sum is never too small, nor that of more than one part
+// more than the window.
+const parts = 32
 
 // Sent is work that was sent to a worker.
 type Sent struct {
@@ -19,34 +20,24 @@
 // Log holds what was sent to one worker of late, the oldest first. Its zero value is empty.
 type Log []Sent
 
-// Add counts what was sent at a time, and forgets what is older than the window. A time before the last one
-// counts as the last one: clocks don't run backwards here.
+// Add counts what was sent at a time, and forgets what is older than the window. A time before the last one counts
+// as the last one: clocks don't run backwards here.
 func (l *Log) Add(s Sent, window int64) {
 	if n := len(*l); n > 0 {
 		s.At = max(s.At, (*l)[n-1].At)
 	}
-	old := 0
-	for old < len(*l) && (*l)[old].At <= s.At-window {
-		old++
-	}
-	*l = append((*l)[:0], (*l)[old:]...)
-	if len(*l) >= most {
-		l.merge()
-	}
-	*l = append(*l, s)
-}
-
-// merge makes room: of the first two of one kind, own or others', the earlier counts at the time of the later.
-func (l *Log) merge() {
-	for i := range *l {
-		for j := i + 1; j < len(*l); j++ {
-			if (*l)[i].Own == (*l)[j].Own {
-				(*l)[j].Work += (*l)[i].Work
-				*l = append((*l)[:i], (*l)[i+1:]...)
-				return
-			}
+	part := max(window/parts, 1)
+	kept := (*l)[:0]
+	for _, old := range *l {
+		switch {
+		case old.At <= s.At-window:
+		case old.At/part == s.At/part && old.Own == s.Own:
+			s.Work += old.Work
+		default:
+			kept = append(kept, old)
 		}
 	}
+	*l = append(kept, s)
 }
 
 // Since sums up the work that was sent later than a time: by all, and by this dispatcher.
