Keep the jobs of a key together, and count what they fetch against the aim

Lines at fault: - Balancer.homes passed over resting workers. A resting worker keeps its place now. - Balancer.setup took all three homes for equal, so the jobs of one key were spread over three workers at any load: 46 keys in three places each are more than 12 workers keep. A later home counts as a third and two thirds of a fetch now. - Balancer.risk left the fetch out of the slack. It is in now. - judge and ran took the fetch for running time: a class of 0.68 s of work was taken for up to 2.0 s, and what had 1.0 to 1.5 s left was refused as lost. The mean of the class and the pace of a worker are learned from jobs at first homes only now.

--- a/balancer.go
+++ b/balancer.go
@@ -314,11 +314,11 @@
 	return nil
 }
 
-// risk is the loss expected of this worker: P(backlog > slack) against the aim, and against the deadline for
-// what a late answer still earns; the wait in view as a share of the time wanted, without which jobs pile up
-// on the first of the list where all would be late; and the price of another zone.
+// risk is the loss expected of this worker: P(backlog > slack, less what is fetched) against the aim, and
+// against the deadline for what a late answer still earns; the wait in view as a share of the time wanted,
+// without which jobs pile up on the first of the list where all would be late; and the price of another zone.
 func (b *Balancer) risk(r *request, w *worker) float64 {
-	x, run, late := b.region(w), r.hint*w.pace, r.class.LateWorth
+	x, run, late := b.region(w), r.hint*w.pace+b.setup(r, w), r.class.LateWorth
 	risk := (1-late)*b.tail(w, x, float64(r.aim-b.now)-run) + late*b.tail(w, x, float64(r.due-b.now)-run)
 	if r.class.Repeat == Unsafe { // that it fails this one too, by the rule of succession
 		risk += float64(w.errors) / float64(w.errors+1)
@@ -337,12 +337,11 @@
 	return ws
 }
 
-// setup is the time that a worker spends on fetching what the key needs: a job's, unless it is a home.
+// setup is the time that a worker is expected to spend on fetching what the key needs: a job's where it is no
+// home, nothing at the first home, and at the next ones in proportion. Jobs go there only if the homes before
+// are busy, so that few workers hold a key, and each keeps what it has.
 func (b *Balancer) setup(r *request, w *worker) float64 {
-	if r.key == 0 || slices.Contains(r.homes, w) {
-		return 0
-	}
-	return b.jobTime
+	return b.jobTime * float64(r.homesBefore(w)) / cover
 }
 
 // ---- legality ----
@@ -516,8 +515,9 @@
 		w.errors = 0
 		w.alive()
 		run := float64(b.now - max(a.started, a.sent))
-		b.ran(a.r, run)
-		if a.r.hint > 0 {
+		fetched := b.setup(a.r, w) > 0 // perhaps: its running time says little of the job, or of the worker
+		b.ran(a.r, run, fetched)
+		if a.r.hint > 0 && !fetched {
 			// Weighed by work: the ratios of small jobs with rough hints would throw it about.
 			ratio, weight := min(max(run/a.r.hint, 0.1), 10), min(a.r.hint/b.jobTime, 2)/8
 			w.pace += (ratio - w.pace) * weight * 2
--- a/state.go
+++ b/state.go
@@ -251,9 +251,12 @@
 	return b.jobTime
 }
 
-// ran counts how long a job has run.
-func (b *Balancer) ran(r *request, run float64) {
+// ran counts how long a job has run. What its class is taken for comes from those that fetched nothing.
+func (b *Balancer) ran(r *request, run float64, fetched bool) {
 	b.jobTime += (run - b.jobTime) / 32
+	if fetched {
+		return
+	}
 	k := b.runs[r.class.Name]
 	if k == nil {
 		if b.runs == nil {
@@ -266,7 +269,8 @@
 	k.mean += (run - k.mean) / k.n
 }
 
-// homes lists the workers that should hold what the jobs of a key need.
+// homes lists the workers that should hold what the jobs of a key need, in the order in which they are asked. One
+// that rests keeps its place: it still holds what it has, and the others would have to fetch it.
 func (b *Balancer) homes(key uint64) (ws []*worker) {
 	if key == 0 {
 		return nil
@@ -274,7 +278,7 @@
 	var places [cover]int
 	for _, i := range affinity.Homes(key, len(b.ranked), cover, func(i int) (uint32, bool) {
 		w := b.ranked[i]
-		return w.name, w.State == Ready && b.now >= w.downUntil
+		return w.name, w.State == Ready
 	}, places[:0]) {
 		ws = append(ws, b.ranked[i])
 	}
@@ -316,6 +320,19 @@
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.w == w })
 }
 
+// homesBefore counts the homes of the request's key that come before a worker: cover of them if it is no home, and
+// none without a key.
+func (r *request) homesBefore(w *worker) int {
+	switch place := slices.Index(r.homes, w); {
+	case r.key == 0:
+		return 0
+	case place < 0:
+		return cover
+	default:
+		return place
+	}
+}
+
 // broken lists the workers that broke the connection of an attempt.
 func (r *request) broken() (ws []*worker) {
 	for _, a := range r.tries {
