--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -32,16 +32,21 @@
 	seq     int64
 	entries map[string]Entry
 	changed map[string]int64 // by host: the version of its last change, removals too
+	answers map[int64][]byte // of this version, by the version that they begin after: many ask for the same
 	news    chan struct{}    // closed at the next change
 }
 
+// fromNothing stands for the version of whoever asks for the whole list.
+const fromNothing = -1
+
 // Start listens on a free port of 127.0.0.1.
 func Start() (*Server, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln, seq: 1, entries: map[string]Entry{}, changed: map[string]int64{}, news: make(chan struct{})}
+	s := &Server{ln: ln, seq: 1, entries: map[string]Entry{}, changed: map[string]int64{},
+		answers: map[int64][]byte{}, news: make(chan struct{})}
 	s.server.Handler = s.handle
 	go s.server.Serve(ln)
 	return s, nil
@@ -67,6 +72,7 @@
 			delete(s.entries, e.Host)
 		}
 	}
+	clear(s.answers)
 	close(s.news)
 	s.news = make(chan struct{})
 }
@@ -78,11 +84,13 @@
 	}
 	args := ctx.QueryArgs()
 	after, err := args.GetUint("after")
-	whole := err != nil
+	if err != nil {
+		after = fromNothing
+	}
 	limit := time.After(time.Duration(min(args.GetUintOrZero("wait_ms"), 60_000)) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if whole || s.seq > int64(after) {
+		if s.seq > int64(after) {
 			break
 		}
 		news := s.news
@@ -96,6 +104,16 @@
 		break
 	}
 	defer s.mu.Unlock()
+	ctx.SetContentType("application/json")
+	ctx.SetBody(s.answer(int64(after)))
+}
+
+// answer is the list, or what has changed in it after a version.
+func (s *Server) answer(after int64) []byte {
+	if text := s.answers[after]; text != nil {
+		return text
+	}
+	whole := after == fromNothing
 	list := struct {
 		Seq   int64   `json:"seq"`
 		Whole bool    `json:"whole"`
@@ -106,11 +124,11 @@
 		if !listed {
 			e = Entry{Host: host, Health: "removed"}
 		}
-		if whole && listed || !whole && seq > int64(after) {
+		if whole && listed || !whole && seq > after {
 			list.Hosts = append(list.Hosts, e)
 		}
 	}
 	text, _ := jsoniter.Marshal(list)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(text)
+	s.answers[after] = text
+	return text
 }
--- /dev/null
+++ b/internal/lab/discovery/entrance.go
@@ -0,0 +1,104 @@
+package discovery
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Entrance is a further address of the stand-in, for a group of callers whose traffic is counted apart, and which can be
+// cut off from it as by a network that loses everything.
+type Entrance struct {
+	net.Listener
+
+	in, out atomic.Int64
+	mu      sync.Mutex
+	open    map[*counted]bool
+	healed  chan struct{} // closed where it is not cut
+}
+
+// Traffic is what went through an entrance, in bytes of the connections' contents.
+type Traffic struct{ In, Out int64 }
+
+// Entrance opens a further address, on a free port of 127.0.0.1.
+func (s *Server) Entrance() (*Entrance, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Entrance{Listener: ln, open: map[*counted]bool{}, healed: make(chan struct{})}
+	close(e.healed)
+	go s.server.Serve(e)
+	return e, nil
+}
+
+// Address is where it listens.
+func (e *Entrance) Address() string { return e.Addr().String() }
+
+// Traffic is what went through it so far.
+func (e *Entrance) Traffic() Traffic { return Traffic{In: e.in.Load(), Out: e.out.Load()} }
+
+// Cut keeps everything back, in both directions, until Heal: connections stay, and nothing arrives on them.
+func (e *Entrance) Cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.healed = make(chan struct{})
+}
+
+// Heal ends a cut. Connections that were there are closed, as their callers have given them up.
+func (e *Entrance) Heal() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.healed)
+	for c := range e.open {
+		c.Conn.Close()
+	}
+}
+
+// wait returns when there is no cut.
+func (e *Entrance) wait() {
+	e.mu.Lock()
+	healed := e.healed
+	e.mu.Unlock()
+	<-healed
+}
+
+// Accept waits for a caller.
+func (e *Entrance) Accept() (net.Conn, error) {
+	conn, err := e.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &counted{Conn: conn, of: e}
+	e.mu.Lock()
+	e.open[c] = true
+	e.mu.Unlock()
+	return c, nil
+}
+
+// counted is a connection through an entrance.
+type counted struct {
+	net.Conn
+	of *Entrance
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.of.wait()
+	c.of.in.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	c.of.wait()
+	n, err := c.Conn.Write(p)
+	c.of.out.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Close() error {
+	c.of.mu.Lock()
+	delete(c.of.open, c)
+	c.of.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/lab/discovery/entrance_test.go
@@ -0,0 +1,74 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+func call(e *Entrance, query string) (string, error) {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+e.Address()+"/v1/endpoints"+query, 300*time.Millisecond)
+	if err == nil && status != fasthttp.StatusOK {
+		return "", fasthttp.ErrNoFreeConns
+	}
+	return string(body), err
+}
+
+// What one entrance's callers are sent counts there alone, and a cut keeps it from them until it heals.
+func TestEntranceCountsAndCuts(t *testing.T) {
+	s, err := Start()
+	require.NoError(t, err)
+	defer s.Close()
+	s.Set(Entry{Host: "a", Share: 1})
+	one, err := s.Entrance()
+	require.NoError(t, err)
+	defer one.Close()
+	other, err := s.Entrance()
+	require.NoError(t, err)
+	defer other.Close()
+	body, err := call(one, "")
+	require.NoError(t, err)
+	require.Contains(t, body, `"whole":true`)
+	traffic := one.Traffic()
+	require.GreaterOrEqual(t, traffic.Out, int64(len(body)))
+	require.Less(t, traffic.Out, int64(len(body)+300))
+	require.Positive(t, traffic.In)
+	require.Zero(t, other.Traffic())
+	one.Cut()
+	_, err = call(one, "")
+	require.Error(t, err)
+	require.Equal(t, traffic, one.Traffic())
+	_, err = call(other, "")
+	require.NoError(t, err)
+	one.Heal()
+	_, err = call(one, "")
+	require.NoError(t, err)
+}
+
+// A change shows in the next answer, whichever version is asked from: nothing kept of the version before is served.
+func TestAnswersFollowChanges(t *testing.T) {
+	s, err := Start()
+	require.NoError(t, err)
+	defer s.Close()
+	e, err := s.Entrance()
+	require.NoError(t, err)
+	defer e.Close()
+	s.Set(Entry{Host: "a", Share: 1}) // version 2
+	for _, query := range []string{"", "?after=1", "?after=1"} {
+		body, err := call(e, query)
+		require.NoError(t, err)
+		require.Contains(t, body, `"share":1`)
+	}
+	s.Set(Entry{Host: "a", Share: 2}, Entry{Host: "b", Share: 1})
+	for _, query := range []string{"", "?after=1", "?after=2"} {
+		body, err := call(e, query)
+		require.NoError(t, err)
+		require.Contains(t, body, `"share":2`)
+		require.Contains(t, body, `"host":"b"`)
+	}
+	body, err := call(e, "?after=3")
+	require.NoError(t, err)
+	require.Contains(t, body, `"hosts":[]`)
+}
--- a/internal/lab/measure/agent.go
+++ b/internal/lab/measure/agent.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strconv"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -81,23 +80,6 @@
 	}
 }
 
-// spent is the processor time that a process has had, and its resident memory in MB.
-func spent(pid int) (cpu time.Duration, memory float64) {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return 0, 0
-	}
-	_, rest, _ := strings.Cut(string(text), ") ")
-	if f := strings.Fields(rest); len(f) > 21 {
-		user, _ := strconv.ParseInt(f[11], 10, 64)
-		system, _ := strconv.ParseInt(f[12], 10, 64)
-		pages, _ := strconv.ParseInt(f[21], 10, 64)
-		cpu = time.Duration(user+system) * 10 * time.Millisecond // 100 ticks a second, on all that Linux runs on
-		memory = float64(pages*int64(os.Getpagesize())) / (1 << 20)
-	}
-	return cpu, memory
-}
-
 // targetOf is a stand-in host as DNS lists it.
 func targetOf(h *host.Host) resolver.Target {
 	_, port, _ := net.SplitHostPort(h.Addresses()[0])
--- a/internal/lab/measure/dns.go
+++ b/internal/lab/measure/dns.go
@@ -21,6 +21,7 @@
 	"topazfall/internal/hostlist"
 	"topazfall/internal/lab/discovery"
 	"topazfall/internal/lab/host"
+	"topazfall/internal/lab/program"
 	"topazfall/internal/lab/report"
 	"topazfall/internal/lab/resolver"
 )
@@ -379,10 +380,17 @@
 		return err
 	}
 	const length = 15 * time.Second
-	before, _ := spent(a.PID())
+	before, err := program.UsageOf(a.PID())
+	if err != nil {
+		return err
+	}
 	pause(ctx, length)
-	after, memory := spent(a.PID())
-	r.Add("processor time with 2,000 hosts, lifetime 5 s", (after-before).Seconds()/length.Seconds()*100, "% of a core")
+	after, err := program.UsageOf(a.PID())
+	if err != nil {
+		return err
+	}
+	memory := float64(after.Resident) / (1 << 20)
+	r.Add("processor time with 2,000 hosts, lifetime 5 s", (after.CPU-before.CPU).Seconds()/length.Seconds()*100, "% of a core")
 	r.Add("resident memory with 2,000 hosts", memory, "MB")
 	return nil
 }
--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/renameio/v2"
 	jsoniter "github.com/json-iterator/go"
 	"github.com/valyala/fasthttp"
 )
@@ -33,9 +34,10 @@
 	Sockets   int // most descriptors, 0 for 1,024
 	MemoryMB  int // 0 for 192
 	Probe     bool
-	Dial      time.Duration // limit of connecting, 0 for 250 ms
-	Idle      time.Duration // hosts' idle limit, 0 for 60 s
-	Attempts  int           // 0 for 6
+	Dial      time.Duration               // limit of connecting, 0 for 250 ms
+	Idle      time.Duration               // hosts' idle limit, 0 for 60 s
+	Attempts  int                         // 0 for 6
+	Change    func(config map[string]any) // what is to be other in its configuration; nil for nothing
 }
 
 // Classes are the classes of the settings, the last two of which must not run twice.
@@ -49,6 +51,8 @@
 	o              Options
 	cmd            *exec.Cmd
 	listen, manage string
+	config         string         // its file
+	document       map[string]any // what stands there
 	log            *buffer
 	done           chan struct{}
 }
@@ -121,18 +125,15 @@
 		}
 		return v
 	}
-	text, err := jsoniter.MarshalIndent(map[string]any{"name": o.Name, "listen": p.listen, "discovery": o.Discovery, "seed": "1",
+	p.document = map[string]any{"name": o.Name, "listen": p.listen, "discovery": o.Discovery, "seed": "1",
 		"limits":   map[string]any{"cores": 1, "memory_mb": first(o.MemoryMB, 192), "sockets": first(o.Sockets, 1024)},
-		"settings": Settings(o)}, "", " ")
-	if err != nil {
-		return nil, err
-	}
-	config := filepath.Join(o.Dir, fmt.Sprintf("%s-%d.json", o.Name, time.Now().UnixNano()))
-	if err := os.WriteFile(config, text, 0o600); err != nil {
+		"settings": Settings(o)}
+	p.config = filepath.Join(o.Dir, fmt.Sprintf("%s-%d.json", o.Name, time.Now().UnixNano()))
+	if _, err := p.Configure(o.Change); err != nil {
 		return nil, err
 	}
 	p.cmd = exec.Command(o.Path, o.Args...)
-	p.cmd.Env = append(append(os.Environ(), "LB_CONFIG="+config, "LB_MANAGEMENT="+p.manage, "TMPDIR="+o.Dir), o.Env...)
+	p.cmd.Env = append(append(os.Environ(), "LB_CONFIG="+p.config, "LB_MANAGEMENT="+p.manage, "TMPDIR="+o.Dir), o.Env...)
 	p.cmd.Stderr = p.log
 	if err := p.cmd.Start(); err != nil {
 		return nil, err
@@ -157,6 +158,28 @@
 	}
 }
 
+// Configure changes the configuration and writes its file, whole or not at all; the process takes it at Reload. It
+// returns the bytes of the file.
+func (p *Process) Configure(change func(config map[string]any)) (size int, err error) {
+	if change != nil {
+		change(p.document)
+	}
+	text, err := jsoniter.MarshalIndent(p.document, "", " ")
+	if err != nil {
+		return 0, err
+	}
+	return len(text), renameio.WriteFile(p.config, text, 0o600)
+}
+
+// Reload tells the process to take its configuration anew.
+func (p *Process) Reload() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+
+// Freeze stops the process, as a machine that swaps does, until Thaw.
+func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets it go on.
+func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
 // started counts the processes, each of which has an address of its own: a port that was free a moment ago may be
 // somebody else's when the process has come so far.
 var started atomic.Uint32
