--- /dev/null
+++ b/internal/lab/scale/fit_test.go
@@ -0,0 +1,92 @@
+package scale
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// planted are points of a known growth with noise in proportion to the value.
+func planted(model Model, intercept, slope, noise float64, seed uint64) (points []Point) {
+	chance := rand.New(rand.NewPCG(seed, 2))
+	for _, x := range []float64{200, 800, 1600, 3000, 5500} {
+		for range 6 {
+			y := intercept + slope*model.transform(x)
+			points = append(points, Point{x, y * (1 + noise*chance.NormFloat64())})
+		}
+	}
+	return points
+}
+
+// Lines and n log n curves are told apart, with the slope that was planted within the interval: of so many fits about
+// one in twenty may miss.
+func TestModelsAreToldApart(t *testing.T) {
+	for _, model := range []Model{Linear, NLogN} {
+		const fits = 100
+		found, rejected, within := 0, 0, 0
+		for seed := range uint64(fits) {
+			f, err := Regress(planted(model, 5, 0.04, 0.02, seed))
+			require.NoError(t, err)
+			if f.Model == model {
+				found++
+				if f.Rejected != "none" {
+					rejected++
+				}
+				if f.Low <= 0.04 && 0.04 <= f.High {
+					within++
+				}
+			}
+		}
+		require.GreaterOrEqual(t, found, 98, model)
+		require.GreaterOrEqual(t, rejected, 90, model)
+		require.GreaterOrEqual(t, within, 88, model)
+	}
+}
+
+// Where the noise hides the curve, neither is rejected.
+func TestNoiseRejectsNothing(t *testing.T) {
+	rejected := 0
+	for seed := range uint64(100) {
+		f, err := Regress(planted(Linear, 5, 0.04, 0.4, seed))
+		require.NoError(t, err)
+		if f.Rejected == string(Linear) {
+			rejected++
+		}
+	}
+	require.LessOrEqual(t, rejected, 5)
+}
+
+func TestFlat(t *testing.T) {
+	flat, growing := 0, 0
+	for seed := range uint64(100) {
+		f, err := Regress(planted(Linear, 30, 0, 0.05, seed))
+		require.NoError(t, err)
+		if f.Flat() {
+			flat++
+		}
+		if f, err = Regress(planted(Linear, 30, 0.01, 0.05, seed)); err == nil && !f.Flat() {
+			growing++
+		}
+	}
+	require.GreaterOrEqual(t, flat, 85)
+	require.Equal(t, 100, growing)
+}
+
+// Exact data gives the exact line; and what cannot be fitted is an error.
+func TestRegress(t *testing.T) {
+	f, err := Regress([]Point{{1, 3}, {2, 5}, {3, 7}, {10, 21}})
+	require.NoError(t, err)
+	require.Equal(t, Linear, f.Model)
+	require.InDelta(t, 2, f.Slope, 1e-9)
+	require.InDelta(t, 1, f.Intercept, 1e-9)
+	require.InDelta(t, 41, f.At(20), 1e-6)
+	_, err = Regress([]Point{{1, 1}, {1, 2}, {2, 3}, {2, 4}})
+	require.ErrorIs(t, err, errFew)
+	_, err = Regress([]Point{{1, 1}, {2, math.NaN()}, {3, 4}})
+	require.ErrorContains(t, err, "no number")
+	f, err = Regress([]Point{{1, 0}, {2, 0}, {3, 0}})
+	require.NoError(t, err)
+	require.True(t, f.Flat())
+}
