Start hollow dispatchers beside real ones over one discovery, and measure windows from outside

A hollow dispatcher is the decision module, its goroutine, the watch of discovery, the side towards workers and the datagrams of the others, as the program wires them, with no clients; many share a process, which ends with its input.

--- a/internal/lab/measure/agent.go
+++ b/internal/lab/measure/agent.go
@@ -4,17 +4,13 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"strconv"
 	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/types/known/durationpb"
 
-	"topazfall/internal/control/client"
 	pb "topazfall/internal/control/controlpb"
-	"topazfall/internal/control/controlpb/controlpbconnect"
 	"topazfall/internal/lab/host"
 	"topazfall/internal/lab/program"
 	"topazfall/internal/lab/resolver"
@@ -23,36 +19,21 @@
 const jobs = "_jobs._tcp.w.example"
 
 // instance is a running agent and its control API.
-type instance struct {
-	*program.Process
-	api controlpbconnect.ControlClient
-}
+type instance struct{ *program.Agent }
 
 // startAgent starts the agent at path; its state is in a folder of its own below dir, named after it.
 func startAgent(path, dir, name, discovery string) (*instance, error) {
-	state := filepath.Join(dir, name)
-	if err := os.MkdirAll(state, 0o700); err != nil {
-		return nil, err
-	}
-	p, err := program.Start(program.Options{Path: path, Args: []string{"--state", state}, Dir: dir, Name: name, Discovery: discovery})
-	if err != nil {
-		return nil, err
-	}
-	api, err := client.New("unix:" + filepath.Join(state, "control.sock"))
-	if err != nil {
-		p.Kill()
-		return nil, err
-	}
-	return &instance{p, api}, nil
+	a, err := program.StartAgent(path, dir, name, discovery)
+	return &instance{a}, err
 }
 
 // follow makes the agent ask a resolver for the name that all measurements use.
 func (i *instance) follow(ctx context.Context, r *resolver.Resolver) error {
-	now, err := i.api.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
+	now, err := i.API.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
 	if err != nil {
 		return err
 	}
-	_, err = i.api.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: now.Msg.Revision.GetNumber(), Settings: &pb.Settings{Sources: &pb.Sources{
+	_, err = i.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: now.Msg.Revision.GetNumber(), Settings: &pb.Settings{Sources: &pb.Sources{
 		Resolvers: []string{r.Address()}, Timeout: durationpb.New(200 * time.Millisecond), LeastLifetime: durationpb.New(200 * time.Millisecond),
 		Srv: []*pb.Srv{{Name: jobs, Zone: "hall-a", Kind: "small"}}}}}))
 	return err
@@ -61,7 +42,7 @@
 // up counts the hosts that may get something new, and waits until there are so many.
 func (i *instance) up(ctx context.Context, want int) error {
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-		r, err := i.api.Hosts(ctx, connect.NewRequest(&pb.HostsRequest{}))
+		r, err := i.API.Hosts(ctx, connect.NewRequest(&pb.HostsRequest{}))
 		if err != nil {
 			return err
 		}
--- a/internal/lab/measure/settings.go
+++ b/internal/lab/measure/settings.go
@@ -77,7 +77,7 @@
 	var mu sync.Mutex
 	turned, odd, missed := 0, 0, 0
 	for range watchers {
-		stream, err := a.api.Watch(ctx, connect.NewRequest(&pb.WatchRequest{}))
+		stream, err := a.API.Watch(ctx, connect.NewRequest(&pb.WatchRequest{}))
 		if err != nil {
 			return err
 		}
@@ -107,12 +107,12 @@
 	for range writers {
 		writing.Go(func() {
 			for done := 0; done < each && ctx.Err() == nil; {
-				now, err := a.api.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
+				now, err := a.API.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
 				if err != nil {
 					return
 				}
 				from := now.Msg.Revision.GetNumber()
-				if _, err := a.api.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: from, Settings: numbered(from + 1)})); err == nil {
+				if _, err := a.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: from, Settings: numbered(from + 1)})); err == nil {
 					done++
 					continue
 				}
@@ -146,7 +146,7 @@
 			return fmt.Errorf("after kill %d: %w", i, err)
 		}
 		slowest = max(slowest, time.Since(began))
-		got, err := a.api.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
+		got, err := a.API.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
 		if err != nil {
 			a.Kill()
 			return err
@@ -166,7 +166,7 @@
 		acknowledged = now.GetNumber()
 		kill := time.AfterFunc(time.Duration(chance.Int64N(int64(20*time.Millisecond))), a.Kill)
 		for {
-			if _, err := a.api.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: acknowledged, Settings: numbered(acknowledged + 1)})); err != nil {
+			if _, err := a.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: acknowledged, Settings: numbered(acknowledged + 1)})); err != nil {
 				break
 			}
 			acknowledged++
--- /dev/null
+++ b/internal/lab/scale/window.go
@@ -0,0 +1,132 @@
+package scale
+
+import (
+	"context"
+	"time"
+
+	"topazfall/internal/lab/discovery"
+	"topazfall/internal/lab/program"
+)
+
+// Usage is what one process of an installation has used in a window, for each dispatcher that it holds.
+type Usage struct {
+	Kind     kind          `json:"kind"`
+	CPU      time.Duration `json:"cpu_ns"`   // processor time in the window
+	Resident float64       `json:"resident"` // bytes at its end
+}
+
+// Window is what was measured over a stretch of time.
+type Window struct {
+	Length  time.Duration      `json:"length_ns"`
+	Events  int                `json:"events"` // that the run brought to each dispatcher
+	Usages  []Usage            `json:"usages"` // by process
+	Traffic map[kind]Bandwidth `json:"traffic"`
+}
+
+// Bandwidth is what discovery sent and was sent, in bytes a second for each dispatcher.
+type Bandwidth struct{ FromDiscovery, ToDiscovery float64 }
+
+// Sum is both directions.
+func (b Bandwidth) Sum() float64 { return b.FromDiscovery + b.ToDiscovery }
+
+// Watch measures for so long, while do is called so often a second; a rate of 0 calls nothing.
+func (in *Installation) Watch(ctx context.Context, length time.Duration, rate float64, do func() error) (w Window, err error) {
+	before, err := in.usages()
+	if err != nil {
+		return w, err
+	}
+	traffic := in.traffic()
+	began := time.Now()
+	w.Events, err = drive(ctx, length, rate, do)
+	if err != nil {
+		return w, err
+	}
+	w.Length = time.Since(began)
+	after, err := in.usages()
+	if err != nil {
+		return w, err
+	}
+	for i := range after {
+		after[i].CPU -= before[i].CPU
+	}
+	w.Usages, w.Traffic = after, map[kind]Bandwidth{}
+	for k, now := range in.traffic() {
+		if n := float64(in.count(k)); n > 0 {
+			w.Traffic[k] = Bandwidth{float64(now.Out-traffic[k].Out) / n / w.Length.Seconds(),
+				float64(now.In-traffic[k].In) / n / w.Length.Seconds()}
+		}
+	}
+	return w, nil
+}
+
+// drive calls do at a rate, and returns how often. What is late is made up for, so that the number holds on a busy machine;
+// the last part of the window is left for the dispatchers to take what came.
+func drive(ctx context.Context, length time.Duration, rate float64, do func() error) (calls int, err error) {
+	const rest = 0.1 // of the window
+	began := time.Now()
+	active := time.Duration(float64(length) * (1 - rest))
+	for want := int(rate * length.Seconds()); calls < want; calls++ {
+		due := began.Add(active * time.Duration(calls) / time.Duration(want))
+		if err := sleep(ctx, time.Until(due)); err != nil {
+			return calls, err
+		}
+		if err := do(); err != nil {
+			return calls, err
+		}
+	}
+	return calls, sleep(ctx, time.Until(began.Add(length)))
+}
+
+// count is how many dispatchers of a kind run.
+func (in *Installation) count(k kind) int {
+	if k == realKind {
+		return len(in.real)
+	}
+	return in.setup.Hollow
+}
+
+// usages are those of all processes since their start, for each of their dispatchers.
+func (in *Installation) usages() (list []Usage, err error) {
+	for _, p := range in.real {
+		u, err := program.UsageOf(p.PID())
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, Usage{realKind, u.CPU, float64(u.Resident)})
+	}
+	for _, p := range in.hollow {
+		u, err := program.UsageOf(p.cmd.Process.Pid)
+		if err != nil {
+			return nil, err
+		}
+		list = append(list, Usage{hollowKind, u.CPU / time.Duration(p.count), float64(u.Resident) / float64(p.count)})
+	}
+	return list, nil
+}
+
+func (in *Installation) traffic() map[kind]discovery.Traffic {
+	sums := map[kind]discovery.Traffic{}
+	for k, doors := range in.doors {
+		var sum discovery.Traffic
+		for _, door := range doors {
+			t := door.Traffic()
+			sum.In, sum.Out = sum.In+t.In, sum.Out+t.Out
+		}
+		sums[k] = sum
+	}
+	return sums
+}
+
+// perEvent is the processor time of one event in each process of a kind: what the window took beyond a quiet one.
+func perEvent(quiet, busy Window, k kind) (list []float64) {
+	if busy.Events == 0 {
+		return nil
+	}
+	for i, u := range busy.Usages {
+		if u.Kind == k {
+			idle := quiet.Usages[i].CPU.Seconds() / quiet.Length.Seconds() * busy.Length.Seconds()
+			list = append(list, (u.CPU.Seconds()-idle)/float64(busy.Events))
+		}
+	}
+	return list
+}
