Measure slopes over workers, dispatchers, teams, changes and cuts by topazlab scale

The operators expect 5,500 workers and 490 teams within two years, and no figure says what that costs. topazlab scale runs five real dispatchers beside hollow ones and measures what each event costs from outside, fits lines, n log n and parabolas, works the operators' figures out and exits with 1 and their names where they are missed. Parts: the decision module alone, the fleet's size, the number of dispatchers, changes a second, quotas of teams, regions cut, the start of urgent work, and the time until a change of configuration is in force, by a Carrier: today one Apply after the other. Bars in wall-clock time say that the machine was too busy where a fixed loop varies. Reports name the missed bars.

--- a/cmd/topazlab/main.go
+++ b/cmd/topazlab/main.go
@@ -28,7 +28,7 @@
 		Version:      version.String(),
 		SilenceUsage: true,
 	}
-	root.AddCommand(addressesCommand(), dnsCommand(), settingsCommand())
+	root.AddCommand(addressesCommand(), dnsCommand(), settingsCommand(), scaleCommand(), hollowCommand())
 	return root
 }
 
--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -47,11 +47,17 @@
 	}
 	s := &Server{ln: ln, seq: 1, entries: map[string]Entry{}, changed: map[string]int64{},
 		answers: map[int64][]byte{}, news: make(chan struct{})}
-	s.server.Handler = s.handle
+	s.server.Handler, s.server.Logger = s.handle, silent{}
 	go s.server.Serve(ln)
 	return s, nil
 }
 
+// silent drops what the server says of connections that break: faults are made on purpose here.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
 // Address is where it listens.
 func (s *Server) Address() string { return s.ln.Addr().String() }
 
--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -164,7 +164,7 @@
 	if change != nil {
 		change(p.document)
 	}
-	text, err := jsoniter.MarshalIndent(p.document, "", " ")
+	text, err := jsoniter.Marshal(p.document)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -29,3 +29,16 @@
 	require.Equal(t, 1.5, back.Rows[0]["figure"])
 	require.False(t, back.Bars[1].Holds())
 }
+
+// What a busy machine has spoilt is neither kept nor missed, and an error all the same; one that is kept is kept.
+func TestUnjudged(t *testing.T) {
+	r := New("test", 7, "case")
+	r.Bars = []Bar{{What: "slow", Value: 2, Most: 1, Unjudged: "machine too busy"}, {What: "fast", Value: 1, Most: 1, Unjudged: "machine too busy"}}
+	var out strings.Builder
+	require.ErrorContains(t, r.Finish(&out, ""), "1 of 2 bars were not judged: slow (machine too busy)")
+	require.Contains(t, out.String(), "kept")
+	require.NotContains(t, out.String(), "MISSED")
+	r.Check("wrong", 0.0012, 0, "s")
+	require.ErrorContains(t, r.Finish(&out, ""), "1 of 3 bars were missed: wrong; slow (machine too busy)")
+	require.Contains(t, out.String(), "0.0012")
+}
--- /dev/null
+++ b/internal/lab/scale/capacity.go
@@ -0,0 +1,147 @@
+package scale
+
+import (
+	"fmt"
+	"math"
+
+	"topazfall/internal/decide/hearsay"
+)
+
+// The operators' figures for control, of each dispatcher.
+const (
+	mostCPU      = 1.0    // % of a core
+	mostMemory   = 64.0   // MB
+	mostBytes    = 2000.0 // a second
+	mostInForce  = 4.0    // seconds from a change of configuration to all
+	mostStarting = 6.6    // seconds until urgent work starts
+)
+
+// Load is how often a second each dispatcher has to do with what it is controlled by.
+type Load struct {
+	Name      string
+	Changes   float64 // of one worker
+	Reweighs  float64 // of the live weights of all
+	Words     float64 // of other dispatchers
+	Lists     float64 // whole ones
+	Revisions float64 // of the configuration, with the quotas of all teams
+}
+
+// What the operators' figures make of an ordinary day.
+const (
+	day             = 86_400.0 // seconds
+	failures        = 64.0     // machines a day: each is taken off the list and comes back
+	restarts        = 790.0    // machines a day: each drains, goes, comes back and is warm
+	revisionsADay   = 5200.0
+	startsAtPeak    = 700.0 // tasks a second
+	wordsOfAStart   = 2.0   // that it was sent, and that it has ended
+	sharers         = 2.0   // other dispatchers that share a worker, as the module has three for each
+	listsADay       = 24.0  // assumed: one an hour, after a failed watch or a restart
+	peak            = 10.0  // assumed: how much busier the busiest minutes are than the day
+	reweighsAssumed = 1.0   // assumed where weights are live: all of them once a second
+)
+
+// ordinary is the load of an ordinary day, with the most words that there can be.
+func ordinary() Load {
+	return Load{Name: "ordinary day", Changes: (2*failures + 4*restarts) / day, Lists: listsADay / day, Revisions: revisionsADay / day,
+		Words: startsAtPeak * wordsOfAStart * sharers / sizeDispatchers}
+}
+
+// loads are those that the bars are worked out for.
+func loads() []Load {
+	busiest := ordinary()
+	busiest.Name = "busiest minutes"
+	busiest.Changes, busiest.Lists, busiest.Revisions = peak*busiest.Changes, peak*busiest.Lists, peak*busiest.Revisions
+	live := ordinary()
+	live.Name, live.Reweighs = "ordinary day with live weights", reweighsAssumed
+	return []Load{ordinary(), busiest, live}
+}
+
+// cost is a part of what a load costs: how often a second, and the figure that says how much each time.
+type cost struct {
+	rate         float64
+	figure, axis string
+	at, unit     float64 // place on the axis, and factor to seconds or bytes
+}
+
+// work sums up costs, by the fits over their axes.
+func (d *Data) work(costs []cost) (sum float64, err error) {
+	for _, c := range costs {
+		each, err := d.At(c.figure, c.axis, fromReal, c.at)
+		if err != nil {
+			return 0, err
+		}
+		sum += c.rate * max(each, 0) * c.unit
+	}
+	return sum, nil
+}
+
+// CPU is the processor time that a load takes at the size in two years, in % of a core.
+func (d *Data) CPU(l Load) (float64, error) {
+	const ms = 1e-3 * 100 // to % of a core
+	return d.work([]cost{{1, figureIdle, axisWorkers, sizeWorkers, 1}, {l.Changes, figureChange, axisWorkers, sizeWorkers, ms},
+		{l.Reweighs, figureReweigh, axisWorkers, sizeWorkers, ms}, {l.Words, figureWordReal, axisWorkers, sizeWorkers, ms},
+		{l.Lists, figureLoad, axisWorkers, sizeWorkers, ms}, {l.Revisions, figureReload, axisTeams, sizeTeams, ms}})
+}
+
+// Bytes are those that a load takes a second, at the size in two years.
+func (d *Data) Bytes(l Load) (float64, error) {
+	const kilo = 1e3
+	sum, err := d.work([]cost{{1, figureIdleBytes, axisWorkers, sizeWorkers, 1}, {l.Changes, figureChangeBytes, axisWorkers, sizeWorkers, 1},
+		{l.Reweighs, figureReweighB, axisWorkers, sizeWorkers, 1}, {l.Lists, figureLoadBytes, axisWorkers, sizeWorkers, kilo},
+		{l.Revisions, figureReloadBytes, axisTeams, sizeTeams, 1}})
+	return sum + l.Words*(hearsay.Size+datagramOverhead), err
+}
+
+// margin is by how much the cost of a hollow dispatcher may differ from that of a real one, as a part of the latter.
+const margin = 0.35
+
+// Judge adds the bars that follow from all that was measured.
+func (b *Bench) Judge() error {
+	for _, l := range loads() {
+		cpu, err := b.CPU(l)
+		if err != nil {
+			return err
+		}
+		bytes, err := b.Bytes(l)
+		if err != nil {
+			return err
+		}
+		b.Check(Bar{What: "processor time for control, " + l.Name, Value: cpu, Most: mostCPU, Unit: "% of a core"})
+		b.Check(Bar{What: "bytes for control, " + l.Name, Value: bytes, Most: mostBytes, Unit: "B/s"})
+	}
+	if err := b.judgeSerial(); err != nil {
+		return err
+	}
+	memory, err := b.At(figureResident, axisWorkers, fromReal, sizeWorkers)
+	if err != nil {
+		return err
+	}
+	b.Check(Bar{What: "resident memory of a dispatcher", Value: memory, Most: mostMemory, Unit: "MB"})
+	return b.compareKinds()
+}
+
+// judgeSerial works out how long one Apply after the other takes at all dispatchers.
+func (b *Bench) judgeSerial() error {
+	serial, err := b.At(figureInForce+(&SerialApply{}).Name(), axisInstances, fromReal, sizeDispatchers)
+	b.Check(Bar{What: fmt.Sprintf("one Apply after the other, worked out for %d instances on one machine, none frozen", sizeDispatchers),
+		Value: serial / 1e3, Most: mostInForce, Unit: "s", Timed: true})
+	return err
+}
+
+// compareKinds checks that hollow dispatchers cost what real ones do, where both ran.
+func (b *Bench) compareKinds() error {
+	for _, c := range []struct{ figure, axis string }{{figureChange, axisWorkers}, {figureReweigh, axisWorkers},
+		{figureWordReal, axisWorkers}, {figureChangeBytes, axisWorkers}} {
+		real, err := b.At(c.figure, c.axis, fromReal, sizeWorkers)
+		if err != nil {
+			return err
+		}
+		hollow, err := b.At(c.figure, c.axis, fromHollow, sizeWorkers)
+		if err != nil {
+			return err
+		}
+		b.Check(Bar{What: fmt.Sprintf("hollow dispatchers differ from real ones: %s", c.figure), Value: math.Abs(hollow/real - 1),
+			Most: margin, Unit: "part"})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/scale/configuration.go
@@ -0,0 +1,236 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	pb "topazfall/internal/control/controlpb"
+	"topazfall/internal/lab/discovery"
+	"topazfall/internal/lab/program"
+)
+
+// Carrier brings revisions of the configuration to all instances. Each way of doing that is one, so that they are measured
+// alike, in one run: the one before, and what takes its place.
+type Carrier interface {
+	Name() string
+	// Start starts so many agents, with files below dir.
+	Start(ctx context.Context, b *Bench, dir string, instances int) error
+	// Bring hands revision number n to whoever takes it, and returns when there is nothing left to do for the caller.
+	Bring(ctx context.Context, n uint64) error
+	// Holds is the revision in force at an instance.
+	Holds(ctx context.Context, instance int) (uint64, error)
+	// Process is that of an instance, to freeze it.
+	Process(instance int) *program.Process
+	Close()
+}
+
+// Configuration measures carriers.
+type Configuration struct{ Carriers []Carrier }
+
+const (
+	inForce       = 4 * time.Second        // within which a change must be in force everywhere
+	applyLimit    = 10 * time.Second       // of topazctl, by its default
+	askEvery      = 10 * time.Millisecond  // how often an instance is asked what it holds
+	askLimit      = 200 * time.Millisecond // for its answer
+	axisInstances = "instances"
+	figureInForce = "time until a change is in force everywhere: " // and the carrier
+)
+
+// Name implements Measurement.
+func (Configuration) Name() string { return "a change of configuration at all instances" }
+
+// Measure implements Measurement.
+func (c Configuration) Measure(ctx context.Context, b *Bench) error {
+	for _, carrier := range c.Carriers {
+		for _, instances := range []int{1, 2, 3, 4, realCount} {
+			if err := c.carry(ctx, b, carrier, instances); err != nil {
+				return fmt.Errorf("%s, %d instances: %w", carrier.Name(), instances, err)
+			}
+		}
+	}
+	return nil
+}
+
+func (c Configuration) carry(ctx context.Context, b *Bench, carrier Carrier, instances int) error {
+	dir, err := os.MkdirTemp("", "topazlab-scale")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	defer carrier.Close()
+	if err := carrier.Start(ctx, b, dir, instances); err != nil {
+		return err
+	}
+	figure, revision := figureInForce+carrier.Name(), uint64(0)
+	for range pick(b, 5, 20) {
+		revision++
+		began := time.Now()
+		if err := carrier.Bring(ctx, revision); err != nil {
+			return err
+		}
+		if err := awaitRevision(ctx, carrier, revision, instances); err != nil {
+			return err
+		}
+		b.Add(figure, axisInstances, "ms", fromReal, float64(instances), time.Since(began).Seconds()*1e3)
+	}
+	if instances < realCount {
+		return nil
+	}
+	lacking, err := c.frozen(ctx, carrier, revision+1, instances)
+	b.Check(Bar{What: fmt.Sprintf("%s: reachable instances, of %d, without the change after 4 s while one is frozen",
+		carrier.Name(), instances-1), Value: float64(lacking)})
+	return err
+}
+
+// awaitRevision waits until all instances hold a revision.
+func awaitRevision(ctx context.Context, carrier Carrier, revision uint64, instances int) error {
+	ctx, cancel := context.WithTimeout(ctx, loading)
+	defer cancel()
+	for i := range instances {
+		for {
+			held, err := carrier.Holds(ctx, i)
+			if err == nil && held >= revision {
+				break
+			}
+			if err := sleep(ctx, askEvery); err != nil {
+				return fmt.Errorf("instance %d holds revision %d, not %d: %w", i, held, revision, err)
+			}
+		}
+	}
+	return nil
+}
+
+// frozen counts the instances that lack a change when it should be in force, while the first is frozen.
+func (Configuration) frozen(ctx context.Context, carrier Carrier, revision uint64, instances int) (lacking int, err error) {
+	if err := carrier.Process(0).Freeze(); err != nil {
+		return 0, err
+	}
+	defer carrier.Process(0).Thaw()
+	began := time.Now()
+	bringing, cancel := context.WithCancel(ctx)
+	brought := make(chan error, 1)
+	go func() { brought <- carrier.Bring(bringing, revision) }()
+	defer func() { // who brings it must have ended when the carrier is closed
+		cancel()
+		<-brought
+	}()
+	if err := sleep(ctx, inForce-time.Since(began)); err != nil {
+		return 0, err
+	}
+	for i := 1; i < instances; i++ {
+		asking, cancel := context.WithTimeout(ctx, askLimit)
+		if held, err := carrier.Holds(asking, i); err != nil || held < revision {
+			lacking++
+		}
+		cancel()
+	}
+	return lacking, nil
+}
+
+// SerialApply is what there is without a carrier: a call of the control API at one agent after the other, as an operator
+// makes it with topazctl.
+type SerialApply struct {
+	list   *discovery.Server
+	agents []*program.Agent
+}
+
+// Name implements Carrier.
+func (s *SerialApply) Name() string { return "one Apply after the other" }
+
+// Start implements Carrier.
+func (s *SerialApply) Start(_ context.Context, b *Bench, dir string, instances int) (err error) {
+	if s.list, err = discovery.Start(); err != nil {
+		return err
+	}
+	s.list.Set()
+	for i := range instances {
+		a, err := program.StartAgent(b.Agent, dir, fmt.Sprintf("agent-%d", i), s.list.Address())
+		if err != nil {
+			return err
+		}
+		s.agents = append(s.agents, a)
+	}
+	return nil
+}
+
+// Bring implements Carrier.
+func (s *SerialApply) Bring(ctx context.Context, n uint64) (faults error) {
+	for i, a := range s.agents {
+		if err := s.apply(ctx, a, n); err != nil {
+			faults = errors.Join(faults, fmt.Errorf("agent %d: %w", i, err))
+		}
+	}
+	return faults
+}
+
+func (s *SerialApply) apply(ctx context.Context, a *program.Agent, n uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, applyLimit)
+	defer cancel()
+	now, err := a.API.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
+	if err != nil {
+		return err
+	}
+	_, err = a.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: now.Msg.Revision.GetNumber(),
+		Settings: &pb.Settings{Sources: &pb.Sources{Hold: durationpb.New(time.Duration(n) * time.Millisecond)}}}))
+	return err
+}
+
+// Holds implements Carrier.
+func (s *SerialApply) Holds(ctx context.Context, instance int) (uint64, error) {
+	now, err := s.agents[instance].API.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
+	if err != nil {
+		return 0, err
+	}
+	return now.Msg.Revision.GetNumber(), nil
+}
+
+// Process implements Carrier.
+func (s *SerialApply) Process(instance int) *program.Process { return s.agents[instance].Process }
+
+// Close implements Carrier.
+func (s *SerialApply) Close() {
+	for _, a := range s.agents {
+		a.Kill()
+	}
+	if s.list != nil {
+		s.list.Close()
+	}
+	s.agents, s.list = nil, nil
+}
+
+// reloaded tells a process to take its configuration, and returns when it has.
+func reloaded(ctx context.Context, p *program.Process) (time.Duration, error) {
+	taken := func() (float64, error) {
+		f, err := p.Figures()
+		return f["app_sighup_applied_total"], err
+	}
+	before, err := taken()
+	if err != nil {
+		return 0, err
+	}
+	began := time.Now()
+	if err := p.Reload(); err != nil {
+		return 0, err
+	}
+	for {
+		now, err := taken()
+		if err != nil {
+			return 0, err
+		}
+		if now > before {
+			return time.Since(began), nil
+		}
+		if time.Since(began) > loading {
+			return 0, errors.New("the configuration is not taken")
+		}
+		if err := sleep(ctx, time.Millisecond); err != nil {
+			return 0, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/scale/scale.go
@@ -0,0 +1,75 @@
+// Package scale measures how the program's costs grow with the size of an installation: slopes over workers, dispatchers,
+// teams, changes a second and regions cut, with an interval each, and what they make of the size that the operators expect
+// in two years. Real dispatchers run beside hollow ones, which are the same code without clients, many in a process.
+package scale
+
+import (
+	"context"
+	"io"
+
+	"topazfall/internal/lab/report"
+)
+
+// Measurements are those of a run, in order.
+func Measurements() []Measurement {
+	return []Measurement{Module{}, Workers{}, Dispatchers{}, Changes{}, Quotas{}, Regions{}, Urgent{},
+		Configuration{Carriers: []Carrier{&SerialApply{}}}}
+}
+
+// Run measures everything, and tells its progress to w.
+func Run(ctx context.Context, o Options, w io.Writer) (*report.Report, error) {
+	b := NewBench(o, w)
+	if err := b.Run(ctx, Measurements()); err != nil {
+		return nil, err
+	}
+	if err := b.Judge(); err != nil {
+		return nil, err
+	}
+	if o.Charts != "" {
+		if err := Charts(o.Charts, b.Series); err != nil {
+			return nil, err
+		}
+	}
+	return b.Report(), nil
+}
+
+// sizes are the places of the axes for which figures are worked out.
+var sizes = map[string]float64{axisWorkers: sizeWorkers, axisTeams: sizeTeams, axisDispatchers: sizeDispatchers,
+	axisInstances: sizeDispatchers, axisRegions: 1, axisChanges: 1,
+	axisRequests: startsAtPeak * realCount / sizeDispatchers}
+
+// Report is what was measured, as a table with its bars.
+func (b *Bench) Report() *report.Report {
+	r := report.New("scale", b.Seed, "figure", "of", "axis", "from", "to", "unit", "points", "fit", "rejected", "slope", "low",
+		"high", "spread", "at", "is", "in loops")
+	for _, s := range b.Series {
+		x, _ := s.ranges()
+		if s.Fit == nil {
+			r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), "none", "", "", "", "", "", "", "", "")
+			continue
+		}
+		f, at := s.Fit, sizes[s.Axis]
+		is, _ := s.at(at)
+		r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), string(f.Model), f.Rejected, f.Slope, f.Low, f.High,
+			f.Spread, at, is, b.loops(s.Unit, is))
+	}
+	for _, bar := range b.Bars {
+		kept := report.Bar{What: bar.What, Value: bar.Value, Most: bar.Most, Unit: bar.Unit}
+		if bar.Timed && b.Pace.Busy() {
+			kept.Unjudged = "machine too busy"
+		}
+		r.Bars = append(r.Bars, kept)
+	}
+	r.Notes, r.Data = b.Notes, b.Series
+	r.Notes = append(r.Notes, b.paceNote())
+	return r
+}
+
+// loops is a time as a ratio to the fixed loop's, where the unit is one of time.
+func (b *Bench) loops(unit string, value float64) any {
+	seconds, ok := map[string]float64{"us": 1e-6, "ms": 1e-3, "s": 1}[unit]
+	if !ok {
+		return ""
+	}
+	return value * seconds / b.Pace.Loop().Seconds()
+}
