--- a/internal/lab/scale/capacity.go
+++ b/internal/lab/scale/capacity.go
@@ -109,9 +109,6 @@
 		b.Check(Bar{What: "processor time for control, " + l.Name, Value: cpu, Most: mostCPU, Unit: "% of a core"})
 		b.Check(Bar{What: "bytes for control, " + l.Name, Value: bytes, Most: mostBytes, Unit: "B/s"})
 	}
-	if err := b.judgeSerial(); err != nil {
-		return err
-	}
 	memory, err := b.At(figureResident, axisWorkers, fromReal, sizeWorkers)
 	if err != nil {
 		return err
@@ -120,14 +117,6 @@
 	return b.compareKinds()
 }
 
-// judgeSerial works out how long one Apply after the other takes at all dispatchers.
-func (b *Bench) judgeSerial() error {
-	serial, err := b.At(figureInForce+(&SerialApply{}).Name(), axisInstances, fromReal, sizeDispatchers)
-	b.Check(Bar{What: fmt.Sprintf("one Apply after the other, worked out for %d instances on one machine, none frozen", sizeDispatchers),
-		Value: serial / 1e3, Most: mostInForce, Unit: "s", Timed: true})
-	return err
-}
-
 // compareKinds checks that hollow dispatchers cost what real ones do, where both ran.
 func (b *Bench) compareKinds() error {
 	for _, c := range []struct{ figure, axis string }{{figureChange, axisWorkers}, {figureReweigh, axisWorkers},
--- a/internal/lab/scale/capacity_test.go
+++ b/internal/lab/scale/capacity_test.go
@@ -35,9 +35,6 @@
 		b.Add(figureReload, axisTeams, "ms", fromReal, teams, 1)
 		b.Add(figureReloadBytes, axisTeams, "B", fromReal, teams, 100)
 	}
-	for _, n := range []float64{1, 3, 5} {
-		b.Add(figureInForce+(&SerialApply{}).Name(), axisInstances, "ms", fromReal, n, n)
-	}
 	return b
 }
 
--- a/internal/lab/scale/configuration.go
+++ b/internal/lab/scale/configuration.go
@@ -23,6 +23,8 @@
 	Start(ctx context.Context, b *Bench, dir string, instances int) error
 	// Bring hands revision number n to whoever takes it, and returns when there is nothing left to do for the caller.
 	Bring(ctx context.Context, n uint64) error
+	// InTurn tells whether instances are reached one after the other, so that the time grows with their number.
+	InTurn() bool
 	// Holds is the revision in force at an instance.
 	Holds(ctx context.Context, instance int) (uint64, error)
 	// Process is that of an instance, to freeze it.
@@ -67,7 +69,7 @@
 	if err := carrier.Start(ctx, b, dir, instances); err != nil {
 		return err
 	}
-	figure, revision := figureInForce+carrier.Name(), uint64(0)
+	figure, revision, slowest := figureInForce+carrier.Name(), uint64(0), 0.0
 	for range pick(b, 5, 20) {
 		revision++
 		began := time.Now()
@@ -77,17 +79,41 @@
 		if err := awaitRevision(ctx, carrier, revision, instances); err != nil {
 			return err
 		}
-		b.Add(figure, axisInstances, "ms", fromReal, float64(instances), time.Since(began).Seconds()*1e3)
+		took := time.Since(began).Seconds()
+		b.Add(figure, axisInstances, "ms", fromReal, float64(instances), took*1e3)
+		slowest = max(slowest, took)
 	}
 	if instances < realCount {
 		return nil
 	}
+	b.Check(Bar{What: fmt.Sprintf("%s: slowest change at %d instances", carrier.Name(), instances), Value: slowest, Most: mostInForce,
+		Unit: "s", Timed: true})
+	if carrier.InTurn() {
+		if revision, err = c.allInTurn(ctx, b, carrier, revision, instances); err != nil {
+			return err
+		}
+	}
 	lacking, err := c.frozen(ctx, carrier, revision+1, instances)
 	b.Check(Bar{What: fmt.Sprintf("%s: reachable instances, of %d, without the change after 4 s while one is frozen",
 		carrier.Name(), instances-1), Value: float64(lacking)})
 	return err
 }
 
+// allInTurn measures the time until a change is in force at as many instances as there are to be dispatchers: by so many
+// rounds over those that run that as many calls are made, one after the other.
+func (Configuration) allInTurn(ctx context.Context, b *Bench, carrier Carrier, revision uint64, instances int) (uint64, error) {
+	began := time.Now()
+	for range sizeDispatchers / instances {
+		revision++
+		if err := carrier.Bring(ctx, revision); err != nil {
+			return revision, err
+		}
+	}
+	b.Check(Bar{What: fmt.Sprintf("%s: time for %d instances on one machine, in rounds over %d, none frozen", carrier.Name(),
+		sizeDispatchers, instances), Value: time.Since(began).Seconds(), Most: mostInForce, Unit: "s", Timed: true})
+	return revision, awaitRevision(ctx, carrier, revision, instances)
+}
+
 // awaitRevision waits until all instances hold a revision.
 func awaitRevision(ctx context.Context, carrier Carrier, revision uint64, instances int) error {
 	ctx, cancel := context.WithTimeout(ctx, loading)
@@ -143,6 +169,9 @@
 // Name implements Carrier.
 func (s *SerialApply) Name() string { return "one Apply after the other" }
 
+// InTurn implements Carrier.
+func (s *SerialApply) InTurn() bool { return true }
+
 // Start implements Carrier.
 func (s *SerialApply) Start(_ context.Context, b *Bench, dir string, instances int) (err error) {
 	if s.list, err = discovery.Start(); err != nil {
--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -55,6 +55,8 @@
 const (
 	confidence  = 0.95
 	leastPlaces = 3 // below which no curve can be told from a line
+	// none is in the place of rejected models where none is.
+	none = "none"
 	// decisive is the difference of two models' -2 log likelihood, with which the less likely one counts as rejected:
 	// it is then less than a twentieth as likely (2 ln 20).
 	decisive = 5.99
@@ -80,15 +82,22 @@
 		return Fit{}, errFew
 	}
 	weights := weigh(points)
-	var best Fit
+	var best, line Fit
 	least, rests := math.Inf(1), map[Model]float64{}
 	for _, model := range models {
 		f, rest := regress(points, weights, model)
 		if rests[model] = rest; rest < least {
 			best, least = f, rest
 		}
+		if model == Linear {
+			line = f
+		}
+	}
+	against := rejected(rests, least, len(points))
+	if against == none { // nothing speaks for a curve
+		best = line
 	}
-	best.Places, best.Rejected = len(places), rejected(rests, least, len(points))
+	best.Places, best.Rejected = len(places), against
 	return best, nil
 }
 
@@ -101,7 +110,7 @@
 		}
 	}
 	if len(names) == 0 {
-		return "none"
+		return none
 	}
 	return strings.Join(names, ", ")
 }
@@ -157,3 +166,11 @@
 
 // Flat tells whether the points do not show that the figure depends on the axis at all.
 func (f Fit) Flat() bool { return f.Low <= 0 && f.High >= 0 }
+
+// name is the model for a reader: "flat" where the slope may as well be none.
+func (f Fit) name() string {
+	if f.Flat() {
+		return "flat"
+	}
+	return string(f.Model)
+}
--- a/internal/lab/scale/fleetaxis.go
+++ b/internal/lab/scale/fleetaxis.go
@@ -52,6 +52,9 @@
 		return err
 	}
 	defer in.Close()
+	for k, sent := range in.traffic() { // each has loaded the list once
+		b.Add(figureLoadBytes, axisWorkers, "kB", string(k), float64(workers), float64(sent.In+sent.Out)/float64(in.count(k))/1e3)
+	}
 	x, length := float64(workers), pick(b, 1500*time.Millisecond, 6*time.Second)
 	quiet, err := in.Watch(ctx, 2*length, 0, nil)
 	if err != nil {
@@ -109,8 +112,6 @@
 	for i, cost := range perEvent(quiet, moving, realKind) {
 		b.Add(figureLoad, axisWorkers, "ms", fromReal, x, (cost-perEvent(quiet, still, realKind)[i])*1e3)
 	}
-	b.Add(figureLoadBytes, axisWorkers, "kB", fromReal, x,
-		(moving.Traffic[realKind].Sum()-still.Traffic[realKind].Sum())*moving.Length.Seconds()/float64(moving.Events)/1e3)
 	return nil
 }
 
--- a/internal/lab/scale/otheraxes.go
+++ b/internal/lab/scale/otheraxes.go
@@ -235,5 +235,8 @@
 		return err
 	}
 	b.addEvents(figureReload, "", axisTeams, x, quiet, w)
+	for _, u := range w.Usages {
+		b.Add(figureResident, axisTeams, "MB", string(u.Kind), x, u.Resident/1e6)
+	}
 	return nil
 }
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -35,7 +35,7 @@
 
 // sizes are the places of the axes for which figures are worked out.
 var sizes = map[string]float64{axisWorkers: sizeWorkers, axisTeams: sizeTeams, axisDispatchers: sizeDispatchers,
-	axisInstances: sizeDispatchers, axisRegions: 1, axisChanges: 1,
+	axisInstances: realCount, axisRegions: 1, axisChanges: 1,
 	axisRequests: startsAtPeak * realCount / sizeDispatchers}
 
 // Report is what was measured, as a table with its bars.
@@ -50,7 +50,7 @@
 		}
 		f, at := s.Fit, sizes[s.Axis]
 		is, _ := s.at(at)
-		r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), string(f.Model), f.Rejected, f.Slope, f.Low, f.High,
+		r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), f.name(), f.Rejected, f.Slope, f.Low, f.High,
 			f.Spread, at, is, b.loops(s.Unit, is))
 	}
 	for _, bar := range b.Bars {
