--- a/cmd/topazlab/scale.go
+++ b/cmd/topazlab/scale.go
@@ -15,10 +15,11 @@
 	var file string
 	c := &cobra.Command{
 		Use:   "scale",
-		Short: "Measures how costs grow with workers, dispatchers, teams, changes and cuts, and what is met at the size in two years",
-		Long: "scale starts real dispatchers and hollow ones, which are the same code without clients, and measures what each\n" +
-			"event costs over the size of the installation: a slope with its 95% interval and the growth that was tested and\n" +
-			"rejected. The operators' figures are worked out from the slopes and checked, and the exit code is 1 if one is missed.",
+		Short: "Measures how costs grow with the size of an installation, and what is met at that of two years",
+		Long: "scale starts real dispatchers and hollow ones, which are the same code without clients, and measures\n" +
+			"what each event costs over the size of the installation: a slope with its 95% interval and the growth that\n" +
+			"was tested and rejected. The operators' figures are worked out from the slopes and checked, and the exit\n" +
+			"code is 1 if one is missed.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if err := beside(&o.Dispatcher, "topazfall"); err != nil {
--- a/internal/lab/discovery/entrance.go
+++ b/internal/lab/discovery/entrance.go
@@ -6,8 +6,8 @@
 	"sync/atomic"
 )
 
-// Entrance is a further address of the stand-in, for a group of callers whose traffic is counted apart, and which can be
-// cut off from it as by a network that loses everything.
+// Entrance is a further address of the stand-in, for a group of callers whose traffic is counted apart, and which can
+// be cut off from it as by a network that loses everything.
 type Entrance struct {
 	net.Listener
 
--- a/internal/lab/program/usage.go
+++ b/internal/lab/program/usage.go
@@ -16,9 +16,9 @@
 	Resident int64         // bytes
 }
 
-// UsageOf reads the usage of a process. Processor time comes from the process's clock, which counts what /proc/PID/stat
-// counts, in nanoseconds: its ticks of 10 ms are too coarse for windows of seconds. Resident memory is that of
-// /proc/PID/statm.
+// UsageOf reads the usage of a process. Processor time comes from the process's clock, which counts what
+// /proc/PID/stat counts, in nanoseconds: its ticks of 10 ms are too coarse for windows of seconds. Resident memory is
+// that of /proc/PID/statm.
 func UsageOf(pid int) (Usage, error) {
 	var spent unix.Timespec
 	if err := unix.ClockGettime(processClock(pid), &spent); err != nil {
--- a/internal/lab/scale/bench.go
+++ b/internal/lab/scale/bench.go
@@ -93,16 +93,19 @@
 		return nil, err
 	}
 	if fits := hollowWithin(room, s); fits < s.Hollow {
-		b.Note("%d hollow dispatchers with %d workers in place of %d, for half of the machine's memory", fits, s.Workers, s.Hollow)
+		b.Note("%d hollow dispatchers with %d workers in place of %d, for half of the machine's memory", fits,
+			s.Workers, s.Hollow)
 		s.Hollow = fits
 	}
 	b.Pace.Time(paceLoops)
-	b.Progress("%d workers, %d dispatchers (%d real, %d hollow), %d teams", s.Workers, s.Dispatchers, s.Real, s.Hollow, s.Teams)
+	b.Progress("%d workers, %d dispatchers (%d real, %d hollow), %d teams", s.Workers, s.Dispatchers, s.Real,
+		s.Hollow, s.Teams)
 	return Start(ctx, b.Programs, s, b.Seed)
 }
 
 // paceNote says how fast and how steady the machine was.
 func (b *Bench) paceNote() string {
-	return fmt.Sprintf("the fixed loop takes %s of processor time, and at the 90th percentile %.2f times that by the clock (too busy above %.1f)",
+	return fmt.Sprintf("the fixed loop takes %s of processor time, and its 90th percentile %.2f times that by the clock "+
+		"(too busy above %.1f)",
 		b.Pace.Loop(), b.Pace.Variation(), unsteady)
 }
--- a/internal/lab/scale/capacity.go
+++ b/internal/lab/scale/capacity.go
@@ -42,8 +42,9 @@
 
 // ordinary is the load of an ordinary day, with the most words that there can be.
 func ordinary() Load {
-	return Load{Name: "ordinary day", Changes: (2*failures + 4*restarts) / day, Lists: listsADay / day, Revisions: revisionsADay / day,
-		Words: startsAtPeak * wordsOfAStart * sharers / sizeDispatchers}
+	return Load{Name: "ordinary day", Changes: (2*failures + 4*restarts) / day, Lists: listsADay / day,
+		Revisions: revisionsADay / day,
+		Words:     startsAtPeak * wordsOfAStart * sharers / sizeDispatchers}
 }
 
 // loads are those that the bars are worked out for.
@@ -78,16 +79,20 @@
 // CPU is the processor time that a load takes at the size in two years, in % of a core.
 func (d *Data) CPU(l Load) (float64, error) {
 	const ms = 1e-3 * 100 // to % of a core
-	return d.work([]cost{{1, figureIdle, axisWorkers, sizeWorkers, 1}, {l.Changes, figureChange, axisWorkers, sizeWorkers, ms},
-		{l.Reweighs, figureReweigh, axisWorkers, sizeWorkers, ms}, {l.Words, figureWordReal, axisWorkers, sizeWorkers, ms},
+	return d.work([]cost{{1, figureIdle, axisWorkers, sizeWorkers, 1}, {l.Changes, figureChange, axisWorkers,
+		sizeWorkers, ms},
+		{l.Reweighs, figureReweigh, axisWorkers, sizeWorkers, ms}, {l.Words, figureWordReal, axisWorkers,
+			sizeWorkers, ms},
 		{l.Lists, figureLoad, axisWorkers, sizeWorkers, ms}, {l.Revisions, figureReload, axisTeams, sizeTeams, ms}})
 }
 
 // Bytes are those that a load takes a second, at the size in two years.
 func (d *Data) Bytes(l Load) (float64, error) {
 	const kilo = 1e3
-	sum, err := d.work([]cost{{1, figureIdleBytes, axisWorkers, sizeWorkers, 1}, {l.Changes, figureChangeBytes, axisWorkers, sizeWorkers, 1},
-		{l.Reweighs, figureReweighB, axisWorkers, sizeWorkers, 1}, {l.Lists, figureLoadBytes, axisWorkers, sizeWorkers, kilo},
+	sum, err := d.work([]cost{{1, figureIdleBytes, axisWorkers, sizeWorkers, 1}, {l.Changes, figureChangeBytes,
+		axisWorkers, sizeWorkers, 1},
+		{l.Reweighs, figureReweighB, axisWorkers, sizeWorkers, 1}, {l.Lists, figureLoadBytes, axisWorkers,
+			sizeWorkers, kilo},
 		{l.Revisions, figureReloadBytes, axisTeams, sizeTeams, 1}})
 	return sum + l.Words*(hearsay.Size+datagramOverhead), err
 }
@@ -129,8 +134,9 @@
 		if err != nil {
 			return err
 		}
-		b.Check(Bar{What: fmt.Sprintf("hollow dispatchers differ from real ones: %s", c.figure), Value: math.Abs(hollow/real - 1),
-			Most: margin, Unit: "part"})
+		b.Check(Bar{What: fmt.Sprintf("hollow dispatchers differ from real ones: %s", c.figure),
+			Value: math.Abs(hollow/real - 1),
+			Most:  margin, Unit: "part"})
 	}
 	return nil
 }
--- a/internal/lab/scale/capacity_test.go
+++ b/internal/lab/scale/capacity_test.go
@@ -87,8 +87,8 @@
 	require.ErrorContains(t, err, "hollow dispatchers differ from real ones: processor time of a change")
 }
 
-// A figure in wall-clock time that is missed on a busy machine is not judged, and still no success; one that is missed on a
-// steady one is missed, and so is one that counts events whatever the machine does.
+// A figure in wall-clock time that is missed on a busy machine is not judged, and still no success; one that is
+// missed on a steady one is missed, and so is one that counts events whatever the machine does.
 func TestBusyMachine(t *testing.T) {
 	slow := Bar{What: "slow", Value: 5, Most: 4, Unit: "s", Timed: true}
 	for _, c := range []struct {
--- a/internal/lab/scale/configuration.go
+++ b/internal/lab/scale/configuration.go
@@ -15,8 +15,8 @@
 	"topazfall/internal/lab/program"
 )
 
-// Carrier brings revisions of the configuration to all instances. Each way of doing that is one, so that they are measured
-// alike, in one run: the one before, and what takes its place.
+// Carrier brings revisions of the configuration to all instances. Each way of doing that is one, so that they are
+// measured alike, in one run: the one before, and what takes its place.
 type Carrier interface {
 	Name() string
 	// Start starts so many agents, with files below dir.
@@ -86,7 +86,8 @@
 	if instances < realCount {
 		return nil
 	}
-	b.Check(Bar{What: fmt.Sprintf("%s: slowest change at %d instances", carrier.Name(), instances), Value: slowest, Most: mostInForce,
+	b.Check(Bar{What: fmt.Sprintf("%s: slowest change at %d instances", carrier.Name(), instances),
+		Value: slowest, Most: mostInForce,
 		Unit: "s", Timed: true})
 	if carrier.InTurn() {
 		if revision, err = c.allInTurn(ctx, b, carrier, revision, instances); err != nil {
@@ -99,9 +100,10 @@
 	return err
 }
 
-// allInTurn measures the time until a change is in force at as many instances as there are to be dispatchers: by so many
-// rounds over those that run that as many calls are made, one after the other.
-func (Configuration) allInTurn(ctx context.Context, b *Bench, carrier Carrier, revision uint64, instances int) (uint64, error) {
+// allInTurn measures the time until a change is in force at as many instances as there are to be dispatchers: by so
+// many rounds over those that run that as many calls are made, one after the other.
+func (Configuration) allInTurn(ctx context.Context, b *Bench, carrier Carrier, revision uint64,
+	instances int) (uint64, error) {
 	began := time.Now()
 	for range sizeDispatchers / instances {
 		revision++
@@ -109,7 +111,8 @@
 			return revision, err
 		}
 	}
-	b.Check(Bar{What: fmt.Sprintf("%s: time for %d instances on one machine, in rounds over %d, none frozen", carrier.Name(),
+	b.Check(Bar{What: fmt.Sprintf("%s: time for %d instances on one machine, in rounds over %d, none frozen",
+		carrier.Name(),
 		sizeDispatchers, instances), Value: time.Since(began).Seconds(), Most: mostInForce, Unit: "s", Timed: true})
 	return revision, awaitRevision(ctx, carrier, revision, instances)
 }
@@ -133,7 +136,8 @@
 }
 
 // frozen counts the instances that lack a change when it should be in force, while the first is frozen.
-func (Configuration) frozen(ctx context.Context, carrier Carrier, revision uint64, instances int) (lacking int, err error) {
+func (Configuration) frozen(ctx context.Context, carrier Carrier, revision uint64, instances int) (lacking int,
+	err error) {
 	if err := carrier.Process(0).Freeze(); err != nil {
 		return 0, err
 	}
@@ -159,8 +163,8 @@
 	return lacking, nil
 }
 
-// SerialApply is what there is without a carrier: a call of the control API at one agent after the other, as an operator
-// makes it with topazctl.
+// SerialApply is what there is without a carrier: a call of the control API at one agent after the other, as an
+// operator makes it with topazctl.
 type SerialApply struct {
 	list   *discovery.Server
 	agents []*program.Agent
--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -60,16 +60,16 @@
 	// decisive is the difference of two models' -2 log likelihood, with which the less likely one counts as rejected:
 	// it is then less than a twentieth as likely (2 ln 20).
 	decisive = 5.99
-	// floor is the part of the largest value that the noise of small ones is taken for, in the weights: noise grows with
-	// the value, but a value near zero is not free of it.
+	// floor is the part of the largest value that the noise of small ones is taken for, in the weights: noise grows
+	// with the value, but a value near zero is not free of it.
 	floor = 0.1
 )
 
 // errFew is returned where the points cannot carry a fit.
 var errFew = errors.New("too few places on the axis for a fit")
 
-// Regress fits all models to the points by least squares, weighted by the inverse square of the noise, which is taken to
-// grow with the value, and returns the likeliest one.
+// Regress fits all models to the points by least squares, weighted by the inverse square of the noise, which is taken
+// to grow with the value, and returns the likeliest one.
 func Regress(points []Point) (Fit, error) {
 	places := map[float64]bool{}
 	for _, p := range points {
@@ -145,8 +145,8 @@
 		across += weights[i] * (xs[i] - mean) * (xs[i] - mean)
 		total += weights[i]
 	}
-	// The interval does not rely on the weights being right: each residual stands for the noise at its own place (the HC3
-	// estimator of MacKinnon and White).
+	// The interval does not rely on the weights being right: each residual stands for the noise at its own place (the
+	// HC3 estimator of MacKinnon and White).
 	noise := 0.0
 	for i := range xs {
 		off := xs[i] - mean
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -21,8 +21,8 @@
 	return points
 }
 
-// Lines, n log n curves and parabolas are told apart, with the slope that was planted within the interval: of so many fits about
-// one in twenty may miss.
+// Lines, n log n curves and parabolas are told apart, with the slope that was planted within the interval: of so many
+// fits about one in twenty may miss.
 func TestModelsAreToldApart(t *testing.T) {
 	for _, model := range models {
 		const fits = 100
--- a/internal/lab/scale/fleetaxis.go
+++ b/internal/lab/scale/fleetaxis.go
@@ -23,8 +23,8 @@
 	changeRate  = 10.0 // a second, where a cost is for each change
 	wordRate    = 50.0
 	reweighRate = 2.0
-	// fewTeams are the teams where lists are measured, which do not depend on them: the reading of the configuration, by
-	// which real dispatchers are made to load lists, does.
+	// fewTeams are the teams where lists are measured, which do not depend on them: the reading of the configuration,
+	// by which real dispatchers are made to load lists, does.
 	fewTeams = 6
 	loadRate = 5.0
 )
@@ -37,7 +37,8 @@
 
 // Measure implements Measurement.
 func (w Workers) Measure(ctx context.Context, b *Bench) error {
-	for _, workers := range pick(b, []int{200, 800, 1600, 3000, sizeWorkers}, []int{200, 500, 1000, 2000, 3500, sizeWorkers}) {
+	for _, workers := range pick(b, []int{200, 800, 1600, 3000, sizeWorkers}, []int{200, 500, 1000, 2000, 3500,
+		sizeWorkers}) {
 		if err := w.atSize(ctx, b, workers); err != nil {
 			return err
 		}
@@ -46,14 +47,16 @@
 }
 
 func (Workers) atSize(ctx context.Context, b *Bench, workers int) error {
-	in, err := b.start(ctx, Setup{Workers: workers, Dispatchers: sizeDispatchers, Real: realCount, Hollow: pick(b, 12, 40),
+	in, err := b.start(ctx, Setup{Workers: workers, Dispatchers: sizeDispatchers, Real: realCount, Hollow: pick(b,
+		12, 40),
 		PerProcess: pick(b, 6, 10), Teams: fewTeams, LiveWeights: true})
 	if err != nil {
 		return err
 	}
 	defer in.Close()
 	for k, sent := range in.traffic() { // each has loaded the list once
-		b.Add(figureLoadBytes, axisWorkers, "kB", string(k), float64(workers), float64(sent.In+sent.Out)/float64(in.count(k))/1e3)
+		b.Add(figureLoadBytes, axisWorkers, "kB", string(k), float64(workers),
+			float64(sent.In+sent.Out)/float64(in.count(k))/1e3)
 	}
 	x, length := float64(workers), pick(b, 1500*time.Millisecond, 6*time.Second)
 	quiet, err := in.Watch(ctx, 2*length, 0, nil)
@@ -79,9 +82,11 @@
 	return in.measureLoads(ctx, b, x, quiet, length)
 }
 
-// measureLoads makes the real dispatchers load the whole list again and again, as by a move of discovery's address. What
-// the reading of the configuration takes by itself is taken off: a reading that moves nothing is measured beside it.
-func (in *Installation) measureLoads(ctx context.Context, b *Bench, x float64, quiet Window, length time.Duration) error {
+// measureLoads makes the real dispatchers load the whole list again and again, as by a move of discovery's address.
+// What the reading of the configuration takes by itself is taken off: a reading that moves nothing is measured beside
+// it.
+func (in *Installation) measureLoads(ctx context.Context, b *Bench, x float64, quiet Window,
+	length time.Duration) error {
 	reload := func(moves bool) func() error {
 		n := 0
 		return func() error {
@@ -91,7 +96,8 @@
 				if moves && n%2 == 1 {
 					door = in.doors[realKind][(i+1)%regions]
 				}
-				if _, err := p.Configure(func(config map[string]any) { config["discovery"] = door.Address() }); err != nil {
+				if _,
+					err := p.Configure(func(config map[string]any) { config["discovery"] = door.Address() }); err != nil {
 					return err
 				}
 				if err := p.Reload(); err != nil {
@@ -135,7 +141,8 @@
 			b.Add(cpu, axis, "ms", string(k), x, cost*1e3)
 		}
 		if t, ok := busy.Traffic[k]; ok && bytes != "" && busy.Events > 0 {
-			b.Add(bytes, axis, "B", string(k), x, (t.Sum()-quiet.Traffic[k].Sum())*busy.Length.Seconds()/float64(busy.Events))
+			b.Add(bytes, axis, "B", string(k), x,
+				(t.Sum()-quiet.Traffic[k].Sum())*busy.Length.Seconds()/float64(busy.Events))
 		}
 	}
 }
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -22,9 +22,9 @@
 	"topazfall/internal/south"
 )
 
-// HollowSpec says which hollow dispatchers a process holds. A hollow dispatcher has the decision module, its goroutine, the
-// watch of discovery, the side towards workers and the datagrams of the others, all as the program has them; it listens for
-// no clients, and gets no requests.
+// HollowSpec says which hollow dispatchers a process holds. A hollow dispatcher has the decision module, its
+// goroutine, the watch of discovery, the side towards workers and the datagrams of the others, all as the program has
+// them; it listens for no clients, and gets no requests.
 type HollowSpec struct {
 	Settings    jsoniter.RawMessage `json:"settings"` // as the program's configuration has them
 	Dispatchers []HollowDispatcher  `json:"dispatchers"`
@@ -92,8 +92,8 @@
 	return h, nil
 }
 
-// ServeHollow runs the hollow dispatchers that the first line of in asks for, and answers each further line with their
-// status, until in ends.
+// ServeHollow runs the hollow dispatchers that the first line of in asks for, and answers each further line with
+// their status, until in ends.
 func ServeHollow(in io.Reader, out io.Writer) error {
 	lines := bufio.NewReader(in)
 	first, err := lines.ReadBytes('\n')
--- a/internal/lab/scale/installation.go
+++ b/internal/lab/scale/installation.go
@@ -70,7 +70,8 @@
 	for i := range list {
 		region, zone := i%regions, i/regions%zones
 		list[i] = discovery.Entry{Host: fmt.Sprintf("worker-%05d.region-%d", i, region),
-			Dial: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), Site: fmt.Sprintf("region-%d%c", region, 'a'+rune(zone)),
+			Dial: fmt.Sprintf("10.%d.%d.%d:9000", i>>16, i>>8&255, i&255), Site: fmt.Sprintf("region-%d%c",
+				region, 'a'+rune(zone)),
 			Class: "small", Block: i / rackOf, Health: "up", Share: cores, Born: now.Add(-time.Hour).UnixMilli()}
 	}
 	return list
@@ -89,7 +90,8 @@
 // Teams are so many teams with quotas, in the form of the configuration.
 func Teams(n int) (list []any) {
 	for i := range n {
-		list = append(list, map[string]any{"name": fmt.Sprintf("team-%03d", i), "share": 1 / float64(n), "quota_per_s": 5})
+		list = append(list, map[string]any{"name": fmt.Sprintf("team-%03d", i), "share": 1 / float64(n),
+			"quota_per_s": 5})
 	}
 	return list
 }
@@ -107,8 +109,9 @@
 
 // Start starts an installation and waits until everybody has loaded the list.
 func Start(ctx context.Context, programs Programs, setup Setup, seed uint64) (in *Installation, err error) {
-	in = &Installation{setup: setup, chance: rand.New(rand.NewPCG(seed, uint64(setup.Workers))), entries: Fleet(setup.Workers, time.Now()),
-		doors: map[kind][]*discovery.Entrance{}}
+	in = &Installation{setup: setup, chance: rand.New(rand.NewPCG(seed, uint64(setup.Workers))),
+		entries: Fleet(setup.Workers, time.Now()),
+		doors:   map[kind][]*discovery.Entrance{}}
 	defer func() {
 		if err != nil {
 			in.Close()
@@ -144,7 +147,8 @@
 		}
 	}
 	for first := setup.Real; first < setup.Real+setup.Hollow; first += setup.PerProcess {
-		if err := in.startHollow(programs.Hollow, first, min(setup.PerProcess, setup.Real+setup.Hollow-first)); err != nil {
+		if err := in.startHollow(programs.Hollow, first, min(setup.PerProcess,
+			setup.Real+setup.Hollow-first)); err != nil {
 			return nil, err
 		}
 	}
@@ -154,7 +158,8 @@
 	return in, sleep(ctx, settle)
 }
 
-// wordAddress is where a dispatcher listens for datagrams: an address of its own, that depends on this process as well.
+// wordAddress is where a dispatcher listens for datagrams: an address of its own, that depends on this process as
+// well.
 func wordAddress(number int) string {
 	return fmt.Sprintf("127.%d.%d.%d:7946", 128+os.Getpid()%120, number/250, number%250+1)
 }
@@ -164,7 +169,8 @@
 	p, err := program.Start(program.Options{Path: path, Dir: in.dir, Name: fmt.Sprintf("n%d", number),
 		Discovery: in.doors[realKind][number%regions].Address(), Change: func(config map[string]any) {
 			in.setup.settingsFor(config["settings"].(map[string]any), number)
-			config["peer_listen"], config["peers"], config["peers_all"] = listen, []string{in.words.address()}, in.words.address()
+			config["peer_listen"], config["peers"], config["peers_all"] = listen, []string{in.words.address()},
+				in.words.address()
 		}})
 	if err != nil {
 		return err
@@ -261,7 +267,8 @@
 	return least, most, nil
 }
 
-// Restart changes one worker that chance names, as when it is restarted: one that is up drains, one that drains comes back.
+// Restart changes one worker that chance names, as when it is restarted: one that is up drains, one that drains comes
+// back.
 func (in *Installation) Restart() {
 	e := &in.entries[in.chance.IntN(len(in.entries))]
 	if e.Health == "up" {
--- a/internal/lab/scale/installation_test.go
+++ b/internal/lab/scale/installation_test.go
@@ -36,7 +36,8 @@
 	t.Setenv(playing, "dispatcher") // for the program; hollow processes have their own
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
-	in, err := Start(ctx, programs(), Setup{Workers: 40, Dispatchers: 8, Real: 2, Hollow: 6, PerProcess: 3, Teams: 6}, 1)
+	in, err := Start(ctx, programs(), Setup{Workers: 40, Dispatchers: 8, Real: 2, Hollow: 6, PerProcess: 3,
+		Teams: 6}, 1)
 	require.NoError(t, err)
 	defer in.Close()
 	require.Len(t, in.real, 2)
@@ -73,15 +74,18 @@
 
 // A hollow process ends with an error for what it cannot be, and whole when its input ends.
 func TestServeHollowRefuses(t *testing.T) {
-	for _, text := range []string{"", "{", `{"dispatchers":[]}` + "\n", `{"settings":{},"dispatchers":[{"number":0}]}` + "\n"} {
+	for _, text := range []string{"", "{", `{"dispatchers":[]}` + "\n",
+		`{"settings":{},"dispatchers":[{"number":0}]}` + "\n"} {
 		require.Error(t, ServeHollow(strings.NewReader(text), os.Stderr), text)
 	}
 }
 
 // What an event costs is what a window took beyond a quiet one of the same process.
 func TestPerEvent(t *testing.T) {
-	quiet := Window{Length: 2 * time.Second, Usages: []Usage{{Kind: realKind, CPU: 2 * time.Millisecond}, {Kind: hollowKind, CPU: 4 * time.Millisecond}}}
-	busy := Window{Length: 4 * time.Second, Events: 10, Usages: []Usage{{Kind: realKind, CPU: 14 * time.Millisecond}, {Kind: hollowKind, CPU: 8 * time.Millisecond}}}
+	quiet := Window{Length: 2 * time.Second, Usages: []Usage{{Kind: realKind, CPU: 2 * time.Millisecond},
+		{Kind: hollowKind, CPU: 4 * time.Millisecond}}}
+	busy := Window{Length: 4 * time.Second, Events: 10, Usages: []Usage{{Kind: realKind,
+		CPU: 14 * time.Millisecond}, {Kind: hollowKind, CPU: 8 * time.Millisecond}}}
 	require.InDeltaSlice(t, []float64{1e-3}, perEvent(quiet, busy, realKind), 1e-9)
 	require.InDeltaSlice(t, []float64{0}, perEvent(quiet, busy, hollowKind), 1e-9)
 	require.Empty(t, perEvent(quiet, Window{}, realKind))
--- a/internal/lab/scale/module.go
+++ b/internal/lab/scale/module.go
@@ -52,7 +52,8 @@
 
 // Measure implements Measurement.
 func (m Module) Measure(ctx context.Context, b *Bench) error {
-	for _, workers := range pick(b, []int{200, 800, 1600, 3000, sizeWorkers}, []int{200, 500, 1000, 2000, 3500, sizeWorkers}) {
+	for _, workers := range pick(b, []int{200, 800, 1600, 3000, sizeWorkers}, []int{200, 500, 1000, 2000, 3500,
+		sizeWorkers}) {
 		if err := m.atSize(ctx, b, axisWorkers, workers, sizeTeams, float64(workers)); err != nil {
 			return err
 		}
@@ -91,7 +92,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &player{module: module, now: time.Now().UnixMicro(), teams: setup.Teams, chance: rand.New(rand.NewPCG(seed, 3))}
+	p := &player{module: module, now: time.Now().UnixMicro(), teams: setup.Teams,
+		chance: rand.New(rand.NewPCG(seed, 3))}
 	for _, e := range Fleet(setup.Workers, time.Now()) {
 		p.fleet = append(p.fleet, workerOf(e))
 	}
@@ -99,7 +101,8 @@
 }
 
 func workerOf(e discovery.Entry) topazfall.Worker {
-	return topazfall.Worker{ID: e.Host, Zone: e.Site, Kind: e.Class, Cell: e.Block, Weight: e.Share, StartedAt: e.Born * 1000}
+	return topazfall.Worker{ID: e.Host, Zone: e.Site, Kind: e.Class, Cell: e.Block, Weight: e.Share,
+		StartedAt: e.Born * 1000}
 }
 
 func (p *player) on(e topazfall.Event) {
@@ -136,20 +139,23 @@
 func (p *player) word() {
 	op := []hearsay.Op{hearsay.Sent, hearsay.Ended}[p.request%2]
 	p.request++
-	word := hearsay.Word{Op: op, At: p.now, Host: hearsay.Name(p.fleet[p.chance.IntN(len(p.fleet))].ID), Work: requestTicks}
+	word := hearsay.Word{Op: op, At: p.now, Host: hearsay.Name(p.fleet[p.chance.IntN(len(p.fleet))].ID),
+		Work: requestTicks}
 	p.on(topazfall.Event{Kind: topazfall.PeerMessage, From: 0, Data: word.Append(nil)})
 }
 
 // serve plays a request from its arrival to its answer.
 func (p *player) serve() {
 	p.request++
-	p.on(topazfall.Event{Kind: topazfall.Arrival, Request: p.request, Tenant: int(p.request) % p.teams, Due: p.now + 5_000_000,
+	p.on(topazfall.Event{Kind: topazfall.Arrival, Request: p.request, Tenant: int(p.request) % p.teams,
+		Due:  p.now + 5_000_000,
 		Hint: requestTicks})
 	for _, a := range p.actions {
 		if a.Kind == topazfall.Send && a.Request == p.request {
 			p.now += requestTicks
-			p.on(topazfall.Event{Kind: topazfall.AttemptDone, Request: p.request, Worker: a.Worker, Outcome: topazfall.Completed,
-				Took: requestTicks, Final: true, Load: topazfall.NoLoad})
+			p.on(topazfall.Event{Kind: topazfall.AttemptDone, Request: p.request, Worker: a.Worker,
+				Outcome: topazfall.Completed,
+				Took:    requestTicks, Final: true, Load: topazfall.NoLoad})
 			return
 		}
 	}
--- a/internal/lab/scale/otheraxes.go
+++ b/internal/lab/scale/otheraxes.go
@@ -48,7 +48,8 @@
 		return err
 	}
 	b.addEvents(figureChange, figureChangeBytes, axisDispatchers, float64(n), quiet, restarts)
-	b.Add("bytes that discovery sends all dispatchers, at 10 changes a second", axisDispatchers, "kB/s", "all", float64(n),
+	b.Add("bytes that discovery sends all dispatchers, at 10 changes a second", axisDispatchers, "kB/s", "all",
+		float64(n),
 		(restarts.Traffic[realKind].FromDiscovery*float64(len(in.real))+
 			restarts.Traffic[hollowKind].FromDiscovery*float64(in.setup.Hollow))/1e3)
 	return nil
@@ -67,20 +68,23 @@
 
 // Measure implements Measurement.
 func (Changes) Measure(ctx context.Context, b *Bench) error {
-	in, err := b.start(ctx, Setup{Workers: someFleet, Dispatchers: sizeDispatchers, Real: realCount, Hollow: pick(b, 12, 40),
+	in, err := b.start(ctx, Setup{Workers: someFleet, Dispatchers: sizeDispatchers, Real: realCount,
+		Hollow:     pick(b, 12, 40),
 		PerProcess: pick(b, 6, 10), Teams: sizeTeams, LiveWeights: true})
 	if err != nil {
 		return err
 	}
 	defer in.Close()
 	for _, rate := range []float64{0, 2, 5, 10, 20, 40} {
-		w, err := in.Watch(ctx, pick(b, 1500*time.Millisecond, 6*time.Second), rate, func() error { in.Restart(); return nil })
+		w, err := in.Watch(ctx, pick(b, 1500*time.Millisecond, 6*time.Second), rate,
+			func() error { in.Restart(); return nil })
 		if err != nil {
 			return err
 		}
 		x := float64(w.Events) / w.Length.Seconds()
 		for _, u := range w.Usages {
-			b.Add(figureChangesCPU, axisChanges, "% of a core", string(u.Kind), x, u.CPU.Seconds()/w.Length.Seconds()*100)
+			b.Add(figureChangesCPU, axisChanges, "% of a core", string(u.Kind), x,
+				u.CPU.Seconds()/w.Length.Seconds()*100)
 		}
 		for _, k := range []kind{realKind, hollowKind} {
 			b.Add(figureChangesBytes, axisChanges, "B/s", string(k), x, w.Traffic[k].Sum())
@@ -113,7 +117,8 @@
 }
 
 func (Regions) cut(ctx context.Context, b *Bench, regionsCut int) error {
-	in, err := b.start(ctx, Setup{Workers: someFleet, Dispatchers: sizeDispatchers, Real: realCount, Hollow: pick(b, 12, 40),
+	in, err := b.start(ctx, Setup{Workers: someFleet, Dispatchers: sizeDispatchers, Real: realCount,
+		Hollow:     pick(b, 12, 40),
 		PerProcess: pick(b, 6, 10), Teams: sizeTeams, LiveWeights: true})
 	if err != nil {
 		return err
@@ -176,7 +181,8 @@
 
 // Measure implements Measurement.
 func (q Quotas) Measure(ctx context.Context, b *Bench) error {
-	in, err := b.start(ctx, Setup{Workers: smallFleet, Dispatchers: sizeDispatchers, Real: realCount, Teams: 6, PerProcess: 1})
+	in, err := b.start(ctx, Setup{Workers: smallFleet, Dispatchers: sizeDispatchers, Real: realCount, Teams: 6,
+		PerProcess: 1})
 	if err != nil {
 		return err
 	}
@@ -198,7 +204,8 @@
 const quotaRate = 4
 
 // change changes the quotas of so many teams: in a window for the processor time, and one by one for the time.
-func (q Quotas) change(ctx context.Context, b *Bench, in *Installation, quiet Window, teams int, length time.Duration) error {
+func (q Quotas) change(ctx context.Context, b *Bench, in *Installation, quiet Window, teams int,
+	length time.Duration) error {
 	x, n := float64(teams), 0
 	configure := func(p *program.Process) (int, error) {
 		n++
--- a/internal/lab/scale/pace.go
+++ b/internal/lab/scale/pace.go
@@ -9,8 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// Pace is how fast the machine is, by a fixed loop that is timed in the same run again and again: processor time is also
-// given in loops, as machines differ, and figures in wall-clock time are only judged where the loop's own time is steady.
+// Pace is how fast the machine is, by a fixed loop that is timed in the same run again and again: processor time is
+// also given in loops, as machines differ, and figures in wall-clock time are only judged where the loop's own time
+// is steady.
 type Pace struct {
 	wall, spent []time.Duration
 	block       []byte
@@ -51,8 +52,8 @@
 // Loop is the processor time of one loop: the median.
 func (p *Pace) Loop() time.Duration { return quantile(p.spent, 0.5) }
 
-// Variation is the 90th percentile of the loop's wall-clock time as a ratio to its median processor time: 1 on a machine
-// that nothing else uses.
+// Variation is the 90th percentile of the loop's wall-clock time as a ratio to its median processor time: 1 on a
+// machine that nothing else uses.
 func (p *Pace) Variation() float64 {
 	if len(p.wall) == 0 {
 		return 0
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -1,6 +1,7 @@
-// Package scale measures how the program's costs grow with the size of an installation: slopes over workers, dispatchers,
-// teams, changes a second and regions cut, with an interval each, and what they make of the size that the operators expect
-// in two years. Real dispatchers run beside hollow ones, which are the same code without clients, many in a process.
+// Package scale measures how the program's costs grow with the size of an installation: slopes over workers,
+// dispatchers, teams, changes a second and regions cut, with an interval each, and what they make of the size that
+// the operators expect in two years. Real dispatchers run beside hollow ones, which are the same code without
+// clients, many in a process.
 package scale
 
 import (
@@ -40,7 +41,8 @@
 
 // Report is what was measured, as a table with its bars.
 func (b *Bench) Report() *report.Report {
-	r := report.New("scale", b.Seed, "figure", "of", "axis", "from", "to", "unit", "points", "fit", "rejected", "slope", "low",
+	r := report.New("scale", b.Seed, "figure", "of", "axis", "from", "to", "unit", "points", "fit", "rejected",
+		"slope", "low",
 		"high", "spread", "at", "is", "in loops")
 	for _, s := range b.Series {
 		x, _ := s.ranges()
@@ -50,7 +52,8 @@
 		}
 		f, at := s.Fit, sizes[s.Axis]
 		is, _ := s.at(at)
-		r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), f.name(), f.Rejected, f.Slope, f.Low, f.High,
+		r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), f.name(), f.Rejected, f.Slope, f.Low,
+			f.High,
 			f.Spread, at, is, b.loops(s.Unit, is))
 	}
 	for _, bar := range b.Bars {
--- a/internal/lab/scale/urgent.go
+++ b/internal/lab/scale/urgent.go
@@ -13,8 +13,9 @@
 	"topazfall/internal/lab/program"
 )
 
-// Urgent measures how soon work begins at a worker, at real dispatchers that hold the whole list while it changes. All but a
-// few workers drain, so that the list costs what it costs at its size and the work goes to stand-ins that run.
+// Urgent measures how soon work begins at a worker, at real dispatchers that hold the whole list while it changes.
+// All but a few workers drain, so that the list costs what it costs at its size and the work goes to stand-ins that
+// run.
 type Urgent struct{}
 
 const (
@@ -31,7 +32,8 @@
 
 // Measure implements Measurement.
 func (u Urgent) Measure(ctx context.Context, b *Bench) error {
-	in, err := b.start(ctx, Setup{Workers: sizeWorkers - servingWorkers, Dispatchers: sizeDispatchers, Real: realCount, PerProcess: 1,
+	in, err := b.start(ctx, Setup{Workers: sizeWorkers - servingWorkers, Dispatchers: sizeDispatchers,
+		Real: realCount, PerProcess: 1,
 		Teams: sizeTeams, LiveWeights: true, Draining: true})
 	if err != nil {
 		return err
@@ -46,18 +48,21 @@
 		}
 		defer h.Close()
 		workers[i] = h
-		in.list.Set(discovery.Entry{Host: h.Name(), Dial: h.Addresses()[0], Site: in.entries[i].Site, Class: "small", Share: cores})
+		in.list.Set(discovery.Entry{Host: h.Name(), Dial: h.Addresses()[0], Site: in.entries[i].Site,
+			Class: "small", Share: cores})
 	}
 	if err := in.Await(ctx, sizeWorkers, loading); err != nil {
 		return err
 	}
-	for _, rate := range []float64{startsAtPeak * realCount / sizeDispatchers, 30, 60, 120} { // at all real ones together
+	for _, rate := range []float64{startsAtPeak * realCount / sizeDispatchers, 30, 60,
+		120} { // at all real ones together
 		starts, unserved, err := u.play(ctx, b, in, workers, rate)
 		if err != nil {
 			return err
 		}
 		b.Add(figureStart, axisRequests, "ms", fromReal, rate, quantile(starts, 0.999)*1e3)
-		b.Check(Bar{What: fmt.Sprintf("urgent work without a start, of %d requests at %.0f a second", len(starts)+unserved, rate),
+		b.Check(Bar{What: fmt.Sprintf("urgent work without a start, of %d requests at %.0f a second",
+			len(starts)+unserved, rate),
 			Value: float64(unserved), Most: 0})
 		b.Check(Bar{What: fmt.Sprintf("time until urgent work starts, p99.9 of %d at %.0f a second", len(starts), rate),
 			Value: quantile(starts, 0.999), Most: mostStarting, Unit: "s", Timed: true})
@@ -78,9 +83,10 @@
 // prefixOf begins the ids of the requests to a dispatcher.
 func prefixOf(dispatcher int) string { return fmt.Sprintf("u%d-", dispatcher) }
 
-// play sends requests at a rate while the list changes, and returns the times to their starts in seconds, from when each
-// was to be sent, and how many had none.
-func (Urgent) play(ctx context.Context, b *Bench, in *Installation, workers []*host.Host, rate float64) (starts []float64, unserved int,
+// play sends requests at a rate while the list changes, and returns the times to their starts in seconds, from when
+// each was to be sent, and how many had none.
+func (Urgent) play(ctx context.Context, b *Bench, in *Installation, workers []*host.Host,
+	rate float64) (starts []float64, unserved int,
 	err error) {
 	var clients []*client.Client
 	for i, p := range in.real {
@@ -96,7 +102,8 @@
 		c, due := clients[n%len(clients)], time.Now()
 		n++
 		waiting.Go(func() {
-			m := client.Message{ID: c.NextID(), Class: program.Classes[0], Tenant: "team-000", Body: []byte("{}"), Wait: urgentWait, Hint: workTime}
+			m := client.Message{ID: c.NextID(), Class: program.Classes[0], Tenant: "team-000", Body: []byte("{}"),
+				Wait: urgentWait, Hint: workTime}
 			c.Do(m)
 			start, ok := startOf(workers, m.ID)
 			mu.Lock()
--- a/internal/lab/scale/window.go
+++ b/internal/lab/scale/window.go
@@ -30,7 +30,8 @@
 func (b Bandwidth) Sum() float64 { return b.FromDiscovery + b.ToDiscovery }
 
 // Watch measures for so long, while do is called so often a second; a rate of 0 calls nothing.
-func (in *Installation) Watch(ctx context.Context, length time.Duration, rate float64, do func() error) (w Window, err error) {
+func (in *Installation) Watch(ctx context.Context, length time.Duration, rate float64, do func() error) (w Window,
+	err error) {
 	before, err := in.usages()
 	if err != nil {
 		return w, err
@@ -59,8 +60,8 @@
 	return w, nil
 }
 
-// drive calls do at a rate, and returns how often. What is late is made up for, so that the number holds on a busy machine;
-// the last part of the window is left for the dispatchers to take what came.
+// drive calls do at a rate, and returns how often. What is late is made up for, so that the number holds on a busy
+// machine; the last part of the window is left for the dispatchers to take what came.
 func drive(ctx context.Context, length time.Duration, rate float64, do func() error) (calls int, err error) {
 	const rest = 0.1 // of the window
 	began := time.Now()
--- a/internal/lab/scale/words.go
+++ b/internal/lab/scale/words.go
@@ -29,8 +29,8 @@
 
 func (w *wordSource) address() string { return w.conn.LocalAddr().String() }
 
-// say sends each dispatcher a word about a worker: that a request was sent there or, every second time, that it has ended,
-// so that nothing piles up.
+// say sends each dispatcher a word about a worker: that a request was sent there or, every second time, that it has
+// ended, so that nothing piles up.
 func (w *wordSource) say(worker string) error {
 	op := hearsay.Sent
 	if w.sent.Load()%2 == 1 {
