--- a/cmd/topazlab/scale.go
+++ b/cmd/topazlab/scale.go
@@ -42,6 +42,7 @@
 	}
 	c.Flags().StringVar(&file, "json", "", "keep the figures in this file as well")
 	c.Flags().StringVar(&o.Charts, "charts", "", "draw the slopes as SVG files in this folder")
+	c.Flags().StringVar(&o.Only, "only", "", "make only the measurements whose names contain this")
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "of what is drawn by chance")
 	c.Flags().BoolVar(&o.Quick, "quick", false, "fewer and shorter measurements: under 3 minutes")
 	c.Flags().StringVar(&o.Dispatcher, "program", "", "the dispatcher to run (default: topazfall beside this program)")
--- a/internal/lab/scale/bench.go
+++ b/internal/lab/scale/bench.go
@@ -13,6 +13,7 @@
 	Agent  string // path of the agent
 	Seed   uint64
 	Quick  bool
+	Only   string // part of the names of the measurements to make; "" for all
 	Charts string // folder for the charts; "" for none
 }
 
@@ -105,7 +106,7 @@
 
 // paceNote says how fast and how steady the machine was.
 func (b *Bench) paceNote() string {
-	return fmt.Sprintf("the fixed loop takes %s of processor time, and its 90th percentile %.2f times that by the clock "+
-		"(too busy above %.1f)",
+	return fmt.Sprintf("the fixed loop takes %s of processor time, and its 90th percentile %.2f times that by the "+
+		"clock (too busy above %.1f)",
 		b.Pace.Loop(), b.Pace.Variation(), unsteady)
 }
--- a/internal/lab/scale/fleetaxis.go
+++ b/internal/lab/scale/fleetaxis.go
@@ -87,31 +87,11 @@
 // it.
 func (in *Installation) measureLoads(ctx context.Context, b *Bench, x float64, quiet Window,
 	length time.Duration) error {
-	reload := func(moves bool) func() error {
-		n := 0
-		return func() error {
-			n++
-			for i, p := range in.real {
-				door := in.doors[realKind][i%regions]
-				if moves && n%2 == 1 {
-					door = in.doors[realKind][(i+1)%regions]
-				}
-				if _,
-					err := p.Configure(func(config map[string]any) { config["discovery"] = door.Address() }); err != nil {
-					return err
-				}
-				if err := p.Reload(); err != nil {
-					return err
-				}
-			}
-			return nil
-		}
-	}
-	still, err := in.Watch(ctx, length, loadRate, reload(false))
+	still, err := in.Watch(ctx, length, loadRate, in.reloads(false))
 	if err != nil {
 		return err
 	}
-	moving, err := in.Watch(ctx, length, loadRate, reload(true))
+	moving, err := in.Watch(ctx, length, loadRate, in.reloads(true))
 	if err != nil {
 		return err
 	}
@@ -121,6 +101,28 @@
 	return nil
 }
 
+// reloads returns what makes the real dispatchers read their configuration, which moves discovery's address if move is set.
+func (in *Installation) reloads(move bool) func() error {
+	times := 0
+	return func() error {
+		times++
+		for i, p := range in.real {
+			region := i
+			if move {
+				region += times
+			}
+			address := in.doors[realKind][region%regions].Address()
+			if _, err := p.Configure(func(config map[string]any) { config["discovery"] = address }); err != nil {
+				return err
+			}
+			if err := p.Reload(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
 // addQuiet adds the figures of a window in which nothing changed.
 func (b *Bench) addQuiet(w Window, axis string, x float64) {
 	for _, u := range w.Usages {
--- a/internal/lab/scale/installation_test.go
+++ b/internal/lab/scale/installation_test.go
@@ -74,7 +74,9 @@
 		require.NoError(t, err)
 		require.EqualValues(t, 3*(40+20), s.Entries)
 	}
-	for k, sent := range in.traffic() { // the text of an entry has 110 to 150 bytes; answers a head, one a second at least
+	// The text of an entry has 110 to 150 bytes; answers have a head, and come once a second at least.
+	// The text of an entry has 110 to 150 bytes; answers have a head, and come once a second at least.
+	for k, sent := range in.traffic() {
 		const entries, answers = 40 + 20, 1 + 20 + 60
 		require.Greater(t, sent.Out/int64(in.count(k)), int64(entries*110), k)
 		require.Less(t, sent.Out/int64(in.count(k)), int64(entries*150+answers*200), k)
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -6,24 +6,33 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"slices"
+	"strings"
 
 	"topazfall/internal/lab/report"
 )
 
 // Measurements are those of a run, in order.
 func Measurements() []Measurement {
-	return []Measurement{Module{}, Workers{}, Dispatchers{}, Changes{}, Quotas{}, Regions{}, Urgent{},
+	return []Measurement{Module{}, Workers{}, Dispatchers{}, Changes{}, Quotas{}, Regions{}, Losses{}, Urgent{},
 		Configuration{Carriers: []Carrier{&SerialApply{}}}}
 }
 
 // Run measures everything, and tells its progress to w.
 func Run(ctx context.Context, o Options, w io.Writer) (*report.Report, error) {
 	b := NewBench(o, w)
-	if err := b.Run(ctx, Measurements()); err != nil {
+	all := slices.DeleteFunc(Measurements(), func(m Measurement) bool { return !strings.Contains(m.Name(), o.Only) })
+	if len(all) == 0 {
+		return nil, fmt.Errorf("no measurement has %q in its name", o.Only)
+	}
+	if err := b.Run(ctx, all); err != nil {
 		return nil, err
 	}
-	if err := b.Judge(); err != nil {
+	if o.Only != "" {
+		b.Note("measured are only parts with %q in their names: what they alone do not tell is not judged", o.Only)
+	} else if err := b.Judge(); err != nil {
 		return nil, err
 	}
 	if o.Charts != "" {
@@ -36,7 +45,7 @@
 
 // sizes are the places of the axes for which figures are worked out.
 var sizes = map[string]float64{axisWorkers: sizeWorkers, axisTeams: sizeTeams, axisDispatchers: sizeDispatchers,
-	axisInstances: realCount, axisRegions: 1, axisChanges: 1,
+	axisInstances: realCount, axisRegions: 1, axisChanges: 1, axisLost: zoneSize,
 	axisRequests: startsAtPeak * realCount / sizeDispatchers}
 
 // Report is what was measured, as a table with its bars.
