Lose the work in hand of workers that die, and fit no curve to fewer than five places

Three places with their noise near zero rejected a line there, which is nothing that three places can show.

--- a/internal/lab/scale/capacity_test.go
+++ b/internal/lab/scale/capacity_test.go
@@ -18,7 +18,7 @@
 	b := NewBench(Options{Seed: 7}, &strings.Builder{})
 	b.Pace.Time(20)
 	for _, k := range []string{fromReal, fromHollow} {
-		for _, workers := range []float64{200, 1600, 5500} {
+		for _, workers := range []float64{200, 800, 1600, 3000, 5500} {
 			b.Add(figureIdle, axisWorkers, "% of a core", k, workers, 0.1)
 			b.Add(figureChange, axisWorkers, "ms", k, workers, workers/5500)
 			b.Add(figureReweigh, axisWorkers, "ms", k, workers, 2*workers/5500)
@@ -31,7 +31,7 @@
 			b.Add(figureLoadBytes, axisWorkers, "kB", k, workers, 1)
 		}
 	}
-	for _, teams := range []float64{6, 120, 490} {
+	for _, teams := range []float64{6, 50, 120, 250, 490} {
 		b.Add(figureReload, axisTeams, "ms", fromReal, teams, 1)
 		b.Add(figureReloadBytes, axisTeams, "B", fromReal, teams, 100)
 	}
@@ -140,7 +140,9 @@
 	d.Add("f", "x", "ms", fromReal, 2, 2)
 	_, err := d.At("f", "x", fromReal, 3)
 	require.ErrorContains(t, err, "has no fit")
-	d.Add("f", "x", "ms", fromReal, 4, 4)
+	for _, x := range []float64{4, 5, 6} {
+		d.Add("f", "x", "ms", fromReal, x, x)
+	}
 	require.NoError(t, d.Fit())
 	at, err := d.At("f", "x", fromReal, 1)
 	require.NoError(t, err)
--- a/internal/lab/scale/fit.go
+++ b/internal/lab/scale/fit.go
@@ -54,7 +54,7 @@
 
 const (
 	confidence  = 0.95
-	leastPlaces = 3 // below which no curve can be told from a line
+	leastPlaces = 5 // below which no curve can be told from a line
 	// none is in the place of rejected models where none is.
 	none = "none"
 	// decisive is the difference of two models' -2 log likelihood, with which the less likely one counts as rejected:
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -77,17 +77,17 @@
 
 // Exact data gives the exact line; and what cannot be fitted is an error.
 func TestRegress(t *testing.T) {
-	f, err := Regress([]Point{{1, 3}, {2, 5}, {3, 7}, {10, 21}})
+	f, err := Regress([]Point{{1, 3}, {2, 5}, {3, 7}, {10, 21}, {12, 25}})
 	require.NoError(t, err)
 	require.Equal(t, Linear, f.Model)
 	require.InDelta(t, 2, f.Slope, 1e-9)
 	require.InDelta(t, 1, f.Intercept, 1e-9)
 	require.InDelta(t, 41, f.At(20), 1e-6)
-	_, err = Regress([]Point{{1, 1}, {1, 2}, {2, 3}, {2, 4}})
+	_, err = Regress([]Point{{1, 1}, {1, 2}, {2, 3}, {3, 3}, {4, 4}})
 	require.ErrorIs(t, err, errFew)
-	_, err = Regress([]Point{{1, 1}, {2, math.NaN()}, {3, 4}})
+	_, err = Regress([]Point{{1, 1}, {2, math.NaN()}, {3, 4}, {4, 4}, {5, 5}})
 	require.ErrorContains(t, err, "no number")
-	f, err = Regress([]Point{{1, 0}, {2, 0}, {3, 0}})
+	f, err = Regress([]Point{{1, 0}, {2, 0}, {3, 0}, {4, 0}, {5, 0}})
 	require.NoError(t, err)
 	require.True(t, f.Flat())
 }
--- a/internal/lab/scale/losses.go
+++ b/internal/lab/scale/losses.go
@@ -155,7 +155,7 @@
 		return nil, err
 	}
 	for i := range servingWorkers {
-		h, err := host.Start(host.Options{Name: fmt.Sprintf("serving-%02d", i), Work: workTime}, s.in.callBack,
+		h, err := host.Start(host.Options{Name: fmt.Sprintf("serving-%02d", i), Work: workTime}, s.backOf(i),
 			"127.0.0.1:0")
 		if err != nil {
 			s.close()
