--- a/cmd/topazlab/scale.go
+++ b/cmd/topazlab/scale.go
@@ -13,6 +13,7 @@
 func scaleCommand() *cobra.Command {
 	var o scale.Options
 	var file string
+	var from []string
 	c := &cobra.Command{
 		Use:   "scale",
 		Short: "Measures how costs grow with the size of an installation, and what is met at that of two years",
@@ -22,6 +23,13 @@
 			"code is 1 if one is missed.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			if len(from) > 0 {
+				r, err := scale.Rework(from, o.Charts)
+				if err != nil {
+					return err
+				}
+				return r.Finish(c.OutOrStdout(), file)
+			}
 			if err := beside(&o.Dispatcher, "topazfall"); err != nil {
 				return err
 			}
@@ -42,6 +50,7 @@
 	}
 	c.Flags().StringVar(&file, "json", "", "keep the figures in this file as well")
 	c.Flags().StringVar(&o.Charts, "charts", "", "draw the slopes as SVG files in this folder")
+	c.Flags().StringArrayVar(&from, "from", nil, "measure nothing, and work out anew what these files of earlier runs hold")
 	c.Flags().StringVar(&o.Only, "only", "", "make only the measurements whose names contain this")
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "of what is drawn by chance")
 	c.Flags().BoolVar(&o.Quick, "quick", false, "fewer and shorter measurements: under 3 minutes")
--- a/internal/lab/scale/bench.go
+++ b/internal/lab/scale/bench.go
@@ -27,11 +27,12 @@
 type Bench struct {
 	Options
 	Data
-	Pace  *Pace
-	Bars  []Bar
-	Notes []string // what was left out, and why
-	log   io.Writer
-	began time.Time
+	Pace   *Pace
+	Bars   []Bar
+	Notes  []string // what was left out, and why
+	worked []worked // figures that follow from others
+	log    io.Writer
+	began  time.Time
 }
 
 // Bar is a figure that must not lie above a bound.
@@ -63,9 +64,21 @@
 		}
 	}
 	b.Pace.Time(paceLoops)
+	b.keepPace()
 	return b.Fit()
 }
 
+// The fixed loop as a series, for who works a run out anew.
+const (
+	figureLoop  = "the fixed loop"
+	axisTimings = "timings"
+	fromRun     = "run"
+)
+
+func (b *Bench) keepPace() {
+	b.Add(figureLoop, axisTimings, "us", fromRun, 1, b.Pace.Loop().Seconds()*1e6)
+}
+
 // Progress tells what the run does.
 func (b *Bench) Progress(format string, values ...any) {
 	fmt.Fprintf(b.log, "%6.1f s  %s\n", time.Since(b.began).Seconds(), fmt.Sprintf(format, values...))
--- a/internal/lab/scale/capacity.go
+++ b/internal/lab/scale/capacity.go
@@ -119,6 +119,9 @@
 		return err
 	}
 	b.Check(Bar{What: "resident memory of a dispatcher", Value: memory, Most: mostMemory, Unit: "MB"})
+	if err := b.Sensitivity(); err != nil {
+		return err
+	}
 	return b.compareKinds()
 }
 
--- a/internal/lab/scale/capacity_test.go
+++ b/internal/lab/scale/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -16,7 +17,8 @@
 // cheap is a bench whose every figure was measured and keeps the operators' figures; times are in ms.
 func cheap() *Bench {
 	b := NewBench(Options{Seed: 7}, &strings.Builder{})
-	b.Pace.Time(20)
+	b.Pace = &Pace{spent: []time.Duration{time.Millisecond}, wall: []time.Duration{time.Millisecond}}
+	b.keepPace()
 	for _, k := range []string{fromReal, fromHollow} {
 		for _, workers := range []float64{200, 800, 1600, 3000, 5500} {
 			b.Add(figureIdle, axisWorkers, "% of a core", k, workers, 0.1)
@@ -128,7 +130,9 @@
 // A figure that was not measured is an error, and no zero.
 func TestUnmeasured(t *testing.T) {
 	b := cheap()
-	b.Series = b.Series[1:]
+	b.Series = slices.DeleteFunc(b.Series, func(s *Series) bool {
+		return s.Figure == figureIdle && s.Source == fromReal
+	})
 	require.NoError(t, b.Fit())
 	require.ErrorContains(t, b.Judge(), figureIdle+" over workers (real) is not measured")
 }
@@ -175,3 +179,44 @@
 	require.NoError(t, err)
 	require.Positive(t, room)
 }
+
+// What earlier runs kept is worked out anew to the same bars; bars that follow from no slope stay, and so do their
+// misses.
+func TestRework(t *testing.T) {
+	b := cheap()
+	require.NoError(t, b.Fit())
+	require.NoError(t, b.Judge())
+	b.Check(Bar{What: "lost", Value: 1})
+	whole, part := filepath.Join(t.TempDir(), "whole.json"), filepath.Join(t.TempDir(), "part.json")
+	require.Error(t, b.Report().Finish(&strings.Builder{}, whole))
+	again, err := Rework([]string{whole}, "")
+	require.NoError(t, err)
+	require.ElementsMatch(t, b.Report().Bars, again.Bars)
+	require.Equal(t, b.Report().Rows, again.Rows)
+
+	later := NewBench(Options{Seed: 7}, &strings.Builder{})
+	later.Add(figureIdle, axisWorkers, "% of a core", fromReal, 5500, 100)
+	require.NoError(t, later.Report().Finish(&strings.Builder{}, part))
+	again, err = Rework([]string{whole, part}, "")
+	require.NoError(t, err)
+	require.ErrorContains(t, again.Finish(&strings.Builder{}, ""), "processor time for control, ordinary day")
+	_, err = Rework([]string{whole + "x"}, "")
+	require.Error(t, err)
+}
+
+// Each assumption that is wrong by 3 times shows in what an ordinary day takes.
+func TestSensitivity(t *testing.T) {
+	b := cheap()
+	require.NoError(t, b.Fit())
+	day, err := b.Bytes(ordinary())
+	require.NoError(t, err)
+	require.NoError(t, b.Sensitivity())
+	shown := 0
+	for _, w := range b.worked {
+		if strings.HasPrefix(w.what, workedBytes) {
+			require.Greater(t, w.value, day, w.what)
+			shown++
+		}
+	}
+	require.Equal(t, len(assumptions), shown)
+}
--- a/internal/lab/scale/fleetaxis.go
+++ b/internal/lab/scale/fleetaxis.go
@@ -101,7 +101,8 @@
 	return nil
 }
 
-// reloads returns what makes the real dispatchers read their configuration. It moves discovery's address if move is set.
+// reloads returns what makes the real dispatchers read their configuration. It moves discovery's address if move is
+// set.
 func (in *Installation) reloads(move bool) func() error {
 	times := 0
 	return func() error {
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -65,6 +65,9 @@
 			f.High,
 			f.Spread, at, is, b.loops(s.Unit, is))
 	}
+	for _, w := range b.worked {
+		r.Add(w.what, "", "", "", "", w.unit, "", "", "", "", "", "", "", "", w.value, "")
+	}
 	for _, bar := range b.Bars {
 		kept := report.Bar{What: bar.What, Value: bar.Value, Most: bar.Most, Unit: bar.Unit}
 		if bar.Timed && b.Pace.Busy() {
@@ -80,7 +83,7 @@
 // loops is a time as a ratio to the fixed loop's, where the unit is one of time.
 func (b *Bench) loops(unit string, value float64) any {
 	seconds, ok := map[string]float64{"us": 1e-6, "ms": 1e-3, "s": 1}[unit]
-	if !ok {
+	if !ok || b.Pace.Loop() == 0 {
 		return ""
 	}
 	return value * seconds / b.Pace.Loop().Seconds()
