--- a/internal/lab/scale/configuration.go
+++ b/internal/lab/scale/configuration.go
@@ -236,34 +236,3 @@
 	}
 	s.agents, s.list = nil, nil
 }
-
-// reloaded tells a process to take its configuration, and returns when it has.
-func reloaded(ctx context.Context, p *program.Process) (time.Duration, error) {
-	taken := func() (float64, error) {
-		f, err := p.Figures()
-		return f["app_sighup_applied_total"], err
-	}
-	before, err := taken()
-	if err != nil {
-		return 0, err
-	}
-	began := time.Now()
-	if err := p.Reload(); err != nil {
-		return 0, err
-	}
-	for {
-		now, err := taken()
-		if err != nil {
-			return 0, err
-		}
-		if now > before {
-			return time.Since(began), nil
-		}
-		if time.Since(began) > loading {
-			return 0, errors.New("the configuration is not taken")
-		}
-		if err := sleep(ctx, time.Millisecond); err != nil {
-			return 0, err
-		}
-	}
-}
--- /dev/null
+++ b/internal/lab/scale/dispatchers.go
@@ -0,0 +1,90 @@
+package scale
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	smallFleet = 200  // workers, where hundreds of dispatchers run
+	someFleet  = 1600 // workers, where both kinds run for other axes
+)
+
+// Dispatchers measures hollow dispatchers, with real ones among them, over their number.
+type Dispatchers struct{}
+
+// Name implements Measurement.
+func (Dispatchers) Name() string { return "dispatchers over their number" }
+
+// Measure implements Measurement.
+func (Dispatchers) Measure(ctx context.Context, b *Bench) error {
+	for _, n := range pick(b, []int{10, 50, 100, 200, sizeDispatchers}, []int{10, 50, 100, 200, sizeDispatchers, 600}) {
+		if err := measureDispatchers(ctx, b, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureDispatchers(ctx context.Context, b *Bench, n int) error {
+	in, err := b.start(ctx, Setup{Workers: smallFleet, Dispatchers: n, Real: realCount, Hollow: n - realCount,
+		PerProcess: 5, Teams: sizeTeams, LiveWeights: true})
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	length := pick(b, 1500*time.Millisecond, 6*time.Second)
+	quiet, err := in.Watch(ctx, length, 0, nil)
+	if err != nil {
+		return err
+	}
+	b.addQuiet(quiet, axisDispatchers, float64(n))
+	restarts, err := in.Watch(ctx, length, changeRate, func() error { in.Restart(); return nil })
+	if err != nil {
+		return err
+	}
+	b.addEvents(figureChange, figureChangeBytes, axisDispatchers, float64(n), quiet, restarts)
+	b.Add("bytes that discovery sends all dispatchers, at 10 changes a second", axisDispatchers, "kB/s", "all",
+		float64(n),
+		(restarts.Traffic[realKind].FromDiscovery*float64(len(in.real))+
+			restarts.Traffic[hollowKind].FromDiscovery*float64(in.setup.Hollow))/1e3)
+	return nil
+}
+
+// Changes measures dispatchers over the rate at which workers change.
+type Changes struct{}
+
+const (
+	figureChangesCPU   = "processor time while workers change"
+	figureChangesBytes = "bytes while workers change"
+)
+
+// Name implements Measurement.
+func (Changes) Name() string { return "dispatchers over changes a second" }
+
+// Measure implements Measurement.
+func (Changes) Measure(ctx context.Context, b *Bench) error {
+	in, err := b.start(ctx, Setup{Workers: someFleet, Dispatchers: sizeDispatchers, Real: realCount,
+		Hollow:     pick(b, 12, 40),
+		PerProcess: pick(b, 6, 10), Teams: sizeTeams, LiveWeights: true})
+	if err != nil {
+		return err
+	}
+	defer in.Close()
+	for _, rate := range []float64{0, 2, 5, 10, 20, 40} {
+		w, err := in.Watch(ctx, pick(b, 1500*time.Millisecond, 6*time.Second), rate,
+			func() error { in.Restart(); return nil })
+		if err != nil {
+			return err
+		}
+		x := float64(w.Events) / w.Length.Seconds()
+		for _, u := range w.Usages {
+			b.Add(figureChangesCPU, axisChanges, "% of a core", string(u.Kind), x,
+				u.CPU.Seconds()/w.Length.Seconds()*100)
+		}
+		for _, k := range []kind{realKind, hollowKind} {
+			b.Add(figureChangesBytes, axisChanges, "B/s", string(k), x, w.Traffic[k].Sum())
+		}
+	}
+	return nil
+}
