Let a change reach all before the next, and lose what a cut holds

After a cut of 12 s the stand-in answered every call that had waited in it, 2.3 MB for each region, to callers that had gone: what is under way in a cut is lost now.

--- a/internal/lab/discovery/entrance.go
+++ b/internal/lab/discovery/entrance.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -44,19 +45,28 @@
 	e.healed = make(chan struct{})
 }
 
-// Heal ends a cut: what was kept back arrives.
+// Heal ends a cut. What was under way during it is lost, with the connections that it was on.
 func (e *Entrance) Heal() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	close(e.healed)
 }
 
-// wait returns when there is no cut.
-func (e *Entrance) wait() {
+// errCut is what those find whose bytes a cut has lost.
+var errCut = errors.New("lost in a cut")
+
+// pass returns at once where there is no cut, and with an error when one has ended.
+func (e *Entrance) pass() error {
 	e.mu.Lock()
 	healed := e.healed
 	e.mu.Unlock()
-	<-healed
+	select {
+	case <-healed:
+		return nil
+	default:
+		<-healed
+		return errCut
+	}
 }
 
 // Accept waits for a caller.
@@ -76,13 +86,17 @@
 
 func (c *counted) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.of.wait()
+	if lost := c.of.pass(); lost != nil {
+		return 0, lost
+	}
 	c.of.in.Add(int64(n))
 	return n, err
 }
 
 func (c *counted) Write(p []byte) (int, error) {
-	c.of.wait()
+	if lost := c.of.pass(); lost != nil {
+		return 0, lost
+	}
 	n, err := c.Conn.Write(p)
 	c.of.out.Add(int64(n))
 	return n, err
--- a/internal/lab/scale/window.go
+++ b/internal/lab/scale/window.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"topazfall/internal/lab/discovery"
@@ -60,6 +61,35 @@
 	return w, nil
 }
 
+// Least bytes of an answer of discovery, by which it is known that a change has gone to everybody.
+const (
+	leastHead  = 110
+	leastEntry = 130
+	goneLimit  = 20 * time.Second
+)
+
+// Sent makes a change of so many entries, and waits until discovery has sent it to all dispatchers of these kinds:
+// further ones before that would reach them together with it, as one.
+func (in *Installation) Sent(ctx context.Context, change func() error, entries int, kinds ...kind) error {
+	before := in.traffic()
+	if err := change(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(goneLimit); time.Now().Before(end); {
+		now, all := in.traffic(), true
+		for _, k := range kinds {
+			all = all && now[k].Out-before[k].Out >= int64(in.count(k)*(leastHead+entries*leastEntry))
+		}
+		if all {
+			return nil
+		}
+		if err := sleep(ctx, polling); err != nil {
+			return err
+		}
+	}
+	return fmt.Errorf("a change of %d entries has not gone to all dispatchers after %s", entries, goneLimit)
+}
+
 // drive calls do at a rate, and returns how often. What is late is made up for, so that the number holds on a busy
 // machine; the last part of the window is left for the dispatchers to take what came.
 func drive(ctx context.Context, length time.Duration, rate float64, do func() error) (calls int, err error) {
