--- a/internal/lab/discovery/entrance.go
+++ b/internal/lab/discovery/entrance.go
@@ -87,6 +87,7 @@
 func (c *counted) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if lost := c.of.pass(); lost != nil {
+		c.Conn.Close()
 		return 0, lost
 	}
 	c.of.in.Add(int64(n))
@@ -95,6 +96,7 @@
 
 func (c *counted) Write(p []byte) (int, error) {
 	if lost := c.of.pass(); lost != nil {
+		c.Conn.Close()
 		return 0, lost
 	}
 	n, err := c.Conn.Write(p)
