--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -10,6 +10,7 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"topazfall/internal/lab/report"
 )
@@ -20,9 +21,17 @@
 		Configuration{Carriers: []Carrier{&SerialApply{}}}}
 }
 
+// Bounds in time of a run, beyond which it ends with an error: a few times what it takes on a busy machine.
+const (
+	mostQuick = 10 * time.Minute
+	mostWhole = 40 * time.Minute
+)
+
 // Run measures everything, and tells its progress to w.
 func Run(ctx context.Context, o Options, w io.Writer) (*report.Report, error) {
 	b := NewBench(o, w)
+	ctx, cancel := context.WithTimeout(ctx, pick(b, mostQuick, mostWhole))
+	defer cancel()
 	all := slices.DeleteFunc(Measurements(), func(m Measurement) bool { return !strings.Contains(m.Name(), o.Only) })
 	if len(all) == 0 {
 		return nil, fmt.Errorf("no measurement has %q in its name", o.Only)
