Let the tests of fits and of a busy machine fail for what they are about

Taken out by hand, n log n was missed by no test, as the test went over the program's own list, and a count that was missed on a busy machine could be called not judged. Both fail now.

--- a/internal/lab/scale/capacity_test.go
+++ b/internal/lab/scale/capacity_test.go
@@ -104,7 +104,8 @@
 		require.ErrorContains(t, err, c.want)
 		b.Check(Bar{What: "lost", Value: 1})
 		_, err = finish(t, b)
-		require.ErrorContains(t, err, "lost")
+		require.ErrorContains(t, err, "were missed: ")
+		require.Contains(t, strings.Split(strings.Split(err.Error(), ": ")[1], "(machine")[0], "lost")
 	}
 }
 
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -24,7 +24,7 @@
 // Lines, n log n curves and parabolas are told apart, with the slope that was planted within the interval: of so many
 // fits about one in twenty may miss.
 func TestModelsAreToldApart(t *testing.T) {
-	for _, model := range models {
+	for _, model := range []Model{Linear, NLogN, Square} {
 		const fits = 100
 		found, alone, within := 0, 0, 0
 		for seed := range uint64(fits) {
@@ -32,7 +32,7 @@
 			require.NoError(t, err)
 			if f.Model == model {
 				found++
-				if len(strings.Split(f.Rejected, ", ")) == len(models)-1 {
+				if len(strings.Split(f.Rejected, ", ")) == 2 {
 					alone++
 				}
 				if f.Low <= 0.04 && 0.04 <= f.High {
