--- /dev/null
+++ b/internal/lab/discovery/entrance.go
@@ -0,0 +1,105 @@
+package discovery
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// Entrance is a further address of the stand-in, for a group of callers whose traffic is counted apart, and which can
+// be cut off from it as by a network that loses everything.
+type Entrance struct {
+	net.Listener
+
+	in, out atomic.Int64
+	mu      sync.Mutex
+	healed  chan struct{} // closed where it is not cut
+}
+
+// Traffic is what went through an entrance, in bytes of the connections' contents.
+type Traffic struct{ In, Out int64 }
+
+// Entrance opens a further address, on a free port of 127.0.0.1.
+func (s *Server) Entrance() (*Entrance, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &Entrance{Listener: ln, healed: make(chan struct{})}
+	close(e.healed)
+	go s.server.Serve(e)
+	return e, nil
+}
+
+// Address is where it listens.
+func (e *Entrance) Address() string { return e.Addr().String() }
+
+// Traffic is what went through it so far.
+func (e *Entrance) Traffic() Traffic { return Traffic{In: e.in.Load(), Out: e.out.Load()} }
+
+// Cut keeps everything back, in both directions, until Heal: connections stay, and nothing arrives on them.
+func (e *Entrance) Cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.healed = make(chan struct{})
+}
+
+// Heal ends a cut. What was under way during it is lost, with the connections that it was on.
+func (e *Entrance) Heal() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	close(e.healed)
+}
+
+// errCut is what those find whose bytes a cut has lost.
+var errCut = errors.New("lost in a cut")
+
+// pass returns at once where there is no cut, and with an error when one has ended.
+func (e *Entrance) pass() error {
+	e.mu.Lock()
+	healed := e.healed
+	e.mu.Unlock()
+	select {
+	case <-healed:
+		return nil
+	default:
+		<-healed
+		return errCut
+	}
+}
+
+// Accept waits for a caller.
+func (e *Entrance) Accept() (net.Conn, error) {
+	conn, err := e.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &counted{conn, e}, nil
+}
+
+// counted is a connection through an entrance.
+type counted struct {
+	net.Conn
+	of *Entrance
+}
+
+func (c *counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if lost := c.of.pass(); lost != nil {
+		c.Conn.Close()
+		return 0, lost
+	}
+	c.of.in.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(p []byte) (int, error) {
+	if lost := c.of.pass(); lost != nil {
+		c.Conn.Close()
+		return 0, lost
+	}
+	n, err := c.Conn.Write(p)
+	c.of.out.Add(int64(n))
+	return n, err
+}
