--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -108,7 +108,7 @@
 		o.Name = "n0"
 	}
 	p := &Process{o: o, listen: o.Listen, log: &buffer{}, done: make(chan struct{})}
-	free, err := ports(2)
+	free, err := FreeAddresses(2)
 	if err != nil {
 		return nil, err
 	}
@@ -161,8 +161,8 @@
 // somebody else's when the process has come so far.
 var started atomic.Uint32
 
-// ports finds free ports of an address that no other process of ours has.
-func ports(n int) (found []string, err error) {
+// FreeAddresses finds n free TCP ports of a loopback address that no other process of ours has. Its error is that of listening.
+func FreeAddresses(n int) (found []string, err error) {
 	k := started.Add(1)
 	ip := fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, k/250%250, k%250+1)
 	for range n {
@@ -224,6 +224,19 @@
 // Term tells it to end.
 func (p *Process) Term() error { return p.cmd.Process.Signal(syscall.SIGTERM) }
 
+// Signal sends it a signal; its error says that the process has ended.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Ended tells whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits for its end, for so long at the most.
 func (p *Process) Wait(limit time.Duration) error {
 	select {
