--- /dev/null
+++ b/internal/decide/configlog/codec_test.go
@@ -0,0 +1,156 @@
+package configlog
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	testEpoch    = Epoch{7, "origin-1"}
+	testRevision = Revision{testEpoch, 300, Sum{1 << 63, 5}}
+	testChange   = Change{{Key: "a", Value: []byte("one")}, {Key: "b", Delete: true, Value: []byte{}}}
+	testDelta    = Delta{testRevision, testChange}
+	testProposal = Proposal{Epoch{8, "origin-2"}, testDelta}
+	testBeat     = Beat{testEpoch, 1 << 40}
+)
+
+// bodies are one of each kind, and those with nothing in them.
+var bodies = []Body{
+	Canvass{testEpoch}, Willing{testEpoch}, Prepare{testEpoch}, Promise{testEpoch, testRevision, testProposal},
+	Promise{testEpoch, Revision{}, Proposal{}}, Accept{testProposal}, Accepted{testEpoch, testRevision},
+	Reject{testEpoch, Epoch{9, "x"}, testRevision}, Heartbeat{testBeat, testRevision}, HeartbeatAck{testBeat}, Recover{1 << 60},
+	Recovered{1, Vote{true, testEpoch, testProposal}, testRevision}, Digest{testBeat, testRevision}, Digest{}, Push{testDelta},
+	Pull{testRevision, true, testRevision, 1 << 31}, Deltas{[]Delta{testDelta, testDelta}, testRevision}, Deltas{},
+	Chunk{testRevision, 9, 4, []byte("abcd")}, Overloaded{}, Apply{3, testRevision, testChange},
+	Applied{Result{3, Stale, testRevision, "origin-1"}},
+}
+
+func TestBodiesSurviveTheWire(t *testing.T) {
+	for _, body := range bodies {
+		text := AppendBody(nil, body)
+		got, err := ParseBody(text)
+		require.NoError(t, err)
+		require.Equal(t, body, got)
+		for cut := range text {
+			_, err := ParseBody(text[:cut])
+			require.True(t, errors.Is(err, ErrForm) || errors.Is(err, ErrLimit), "%T cut at %d: %v", body, cut, err)
+		}
+		_, err = ParseBody(append(text, 0))
+		require.ErrorIs(t, err, ErrForm)
+		text[0]++
+		_, err = ParseBody(text)
+		require.ErrorIs(t, err, ErrForm)
+	}
+}
+
+// What is beyond a bound, or has a key twice, is turned down as a whole.
+func TestBodiesBeyondBounds(t *testing.T) {
+	entries := func(n int) (c Change) {
+		for i := range n {
+			c = append(c, Entry{Key: string(rune('A' + i)), Value: []byte{}})
+		}
+		return c
+	}
+	for name, body := range map[string]Body{
+		"an entry twice":  Push{Delta{testRevision, Change{{Key: "a"}, {Key: "a"}}}},
+		"out of order":    Push{Delta{testRevision, Change{{Key: "b"}, {Key: "a"}}}},
+		"no entry":        Push{Delta{testRevision, nil}},
+		"50,000 entries":  Push{Delta{testRevision, entries(50_000)}},
+		"a long key":      Push{Delta{testRevision, Change{{Key: string(make([]byte, MaxKey+1))}}}},
+		"a long value":    Push{Delta{testRevision, Change{{Key: "a", Value: make([]byte, MaxValue+1)}}}},
+		"a long change":   Push{Delta{testRevision, Change{{Key: "a", Value: make([]byte, MaxValue)}, {Key: "b", Value: make([]byte, MaxValue)}}}},
+		"a long chunk":    Chunk{testRevision, 1 << 20, 0, make([]byte, ChunkBytes+1)},
+		"a long name":     Canvass{Epoch{1, NodeID(make([]byte, MaxNodeID+1))}},
+		"a deleted value": Push{Delta{testRevision, Change{{Key: "a", Delete: true, Value: []byte("x")}}}},
+	} {
+		_, err := ParseBody(AppendBody(nil, body))
+		require.True(t, errors.Is(err, ErrForm) || errors.Is(err, ErrLimit), "%s: %v", name, err)
+	}
+	_, err := ParseBody(make([]byte, MaxMessage+1))
+	require.ErrorIs(t, err, ErrLimit)
+}
+
+func TestVoteAndDocumentAreSavedWhole(t *testing.T) {
+	vote := Vote{true, testEpoch, testProposal}
+	text := AppendVote(nil, vote)
+	got, err := ParseVote(text)
+	require.NoError(t, err)
+	require.Equal(t, vote, got)
+	for cut := range text {
+		_, err := ParseVote(text[:cut])
+		require.Error(t, err, cut)
+	}
+	d := NewDocument()
+	first, err := d.next(testEpoch, Change{{Key: "a", Value: []byte("one")}, {Key: "b", Value: []byte("two")}})
+	require.NoError(t, err)
+	require.NoError(t, d.Take(first))
+	text = AppendDocument(nil, d)
+	read, err := ParseDocument(text)
+	require.NoError(t, err)
+	require.Equal(t, d, read)
+	for cut := range text {
+		_, err := ParseDocument(text[:cut])
+		require.Error(t, err, cut)
+	}
+	text[len(text)-1] ^= 1
+	_, err = ParseDocument(text)
+	require.ErrorIs(t, err, ErrChecksum)
+}
+
+// A document is the same whichever way it came about, and a change is taken whole or not at all.
+func TestDocument(t *testing.T) {
+	d := NewDocument()
+	take := func(c Change) {
+		delta, err := d.next(testEpoch, c)
+		require.NoError(t, err)
+		require.NoError(t, d.Take(delta))
+	}
+	take(Change{{Key: "a", Value: []byte("one")}, {Key: "b", Value: []byte("two")}})
+	take(Change{{Key: "a", Value: []byte("three")}, {Key: "b", Delete: true}, {Key: "c", Value: []byte("four")}})
+	other, err := ParseSnapshot(d.Revision(), d.Snapshot())
+	require.NoError(t, err)
+	require.Equal(t, d, other)
+
+	want := d.Clone()
+	delta, err := d.next(testEpoch, Change{{Key: "a", Value: []byte("five")}, {Key: "d", Value: []byte("six")}})
+	require.NoError(t, err)
+	delta.Change[1].Value = []byte("seven")
+	require.ErrorIs(t, d.Take(delta), ErrChecksum)
+	require.Equal(t, want, d)
+	delta.Revision.Number++
+	require.ErrorIs(t, d.Take(delta), ErrForm)
+	require.Equal(t, want, d)
+
+	change := d.ChangeTo(map[string][]byte{"a": []byte("three"), "x": []byte("new")})
+	require.Equal(t, Change{{Key: "c", Delete: true}, {Key: "x", Value: []byte("new")}}, change)
+}
+
+func FuzzParseBody(f *testing.F) {
+	for _, body := range bodies {
+		f.Add(AppendBody(nil, body))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		body, err := ParseBody(text)
+		if err != nil {
+			return
+		}
+		again, err := ParseBody(AppendBody(nil, body))
+		require.NoError(t, err)
+		require.Equal(t, body, again)
+	})
+}
+
+func FuzzParseDocument(f *testing.F) {
+	f.Add(AppendDocument(nil, NewDocument()))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		d, err := ParseDocument(text)
+		if err != nil {
+			return
+		}
+		again, err := ParseDocument(AppendDocument(nil, d))
+		require.NoError(t, err)
+		require.Equal(t, d, again)
+	})
+}
