Carry the configuration log's messages between instances, and keep what must not be forgotten

internal/configsync is the I/O round internal/decide/configlog: one directed connection to each instance that there is something to say to, length-prefixed protobuf frames with a version, bounded and checked whole, a bounded queue for each that drops rather than grows, back-off with jitter, a deadline on every read and write. One goroutine owns the log; document and vote are saved before anything is shown. What is not as it should be is dropped, counted by reason, and named in the log once a minute at most.

--- /dev/null
+++ b/internal/configsync/configsync.go
@@ -0,0 +1,328 @@
+// Package configsync keeps the settings of all instances of an installation the same: it is the I/O round
+// internal/decide/configlog. It carries the log's messages between the instances on a roster, keeps what an instance must
+// not forget, and brings each committed revision into force.
+//
+// For each instance that this one has something to say to there is one connection, which is made when it is needed and
+// carries messages one way. Frames are bounded and checked whole; what is not as it should be is dropped and counted.
+// Nothing is encrypted or signed: connections stay on the machine or in a network that the roster calls trusted.
+package configsync
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"topazfall/internal/configsync/syncpb"
+	"topazfall/internal/decide/configlog"
+)
+
+const (
+	tickPeriod  = configlog.TickPeriod * time.Microsecond / 2
+	eventsMost  = 1024            // that wait for the goroutine that owns the log
+	againTime   = 5 * time.Second // after a fault of the disk or the address
+	applySlack  = time.Second     // beyond the log's own limit for an Apply
+	spareLinks  = 16              // for status requests and substitutes
+	statusAsked = 16              // instances that are asked at a time
+)
+
+// Target is where committed revisions come into force. Take is called in their order, each newer than the one before, from
+// one goroutine; after a restart the one held is told again. It returns since when the revision is in force here, or why it
+// cannot be brought into force.
+type Target interface {
+	Take(revision configlog.Revision, entries map[string][]byte) (since time.Time, err error)
+}
+
+// Options say what an instance is started with.
+type Options struct {
+	Name   string // on the roster
+	Roster *Roster
+	State  string // folder that no other process uses
+	// Bootstrap says that the installation is new: an origin whose folder is empty has forgotten nothing.
+	Bootstrap bool
+	Target    Target
+	Timing    configlog.Timing // zero for the default
+	FanOut    configlog.FanOut // zero for the default
+}
+
+// Sync is one instance's part in it.
+type Sync struct {
+	options Options
+	me      Member
+	members map[string]Member
+	storage storage
+	counts  *counts
+	began   time.Time
+	events  chan func(*session)
+	context context.Context
+	stop    context.CancelFunc
+	wait    sync.WaitGroup
+	lastID  atomic.Uint64
+
+	mu    sync.Mutex
+	fault string // why nothing is followed, or the revision held is not in force
+}
+
+// ErrEnded says that the instance ends.
+var ErrEnded = errors.New("the instance ends")
+
+// ErrNotOrigin says that revisions are not made here.
+var ErrNotOrigin = errors.New("this instance follows")
+
+// New checks what it is told; its errors wrap ErrRoster.
+func New(o Options) (*Sync, error) {
+	me, ok := o.Roster.Member(o.Name)
+	if !ok {
+		return nil, fmt.Errorf("%w: %.64q is not on it", ErrRoster, o.Name)
+	}
+	s := &Sync{options: o, me: me, members: map[string]Member{}, storage: storage{o.State}, counts: newCounts(), began: time.Now(),
+		events: make(chan func(*session), eventsMost)}
+	for _, m := range o.Roster.Members {
+		s.members[m.Name] = m
+	}
+	s.lastID.Store(rand.Uint64() >> 1) // ids of an earlier start must not be taken for this one's
+	s.counts.silent.Store(-1)
+	s.context, s.stop = context.WithCancel(context.Background())
+	return s, nil
+}
+
+// Start begins to follow, or to take part in making revisions.
+func (s *Sync) Start() { s.wait.Go(s.run) }
+
+// Close ends it and returns when nothing of it runs any more.
+func (s *Sync) Close() {
+	s.stop()
+	s.wait.Wait()
+}
+
+// Origin tells whether revisions are made here.
+func (s *Sync) Origin() bool { return roles[s.me.Role] == configlog.Origin }
+
+// WriteMetrics writes the figures in the text exposition format.
+func (s *Sync) WriteMetrics(w io.Writer) { s.counts.write(w) }
+
+// run runs sessions: one lasts until the end, or until its disk fails.
+func (s *Sync) run() {
+	for s.context.Err() == nil {
+		err := s.session()
+		if s.context.Err() != nil {
+			return
+		}
+		slog.Error("configsync", "state", "stopped", "again_in", againTime, "error", err)
+		s.setFault(err.Error())
+		select {
+		case <-s.context.Done():
+		case <-time.After(againTime):
+		}
+	}
+}
+
+func (s *Sync) setFault(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = text
+}
+
+func (s *Sync) nowFault() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
+// session goes on from what is saved.
+func (s *Sync) session() error {
+	saved, fault, err := s.storage.load()
+	if err != nil {
+		return err
+	}
+	if fault != nil {
+		slog.Error("configsync", "state", "forgotten", "error", fault)
+	}
+	first := s.options.Bootstrap && fault == nil && saved.Document == nil && !saved.Vote.Settled
+	if first && s.Origin() {
+		slog.Warn("configsync", "state", "bootstrap", "name", s.me.Name)
+	}
+	node, err := configlog.New(configlog.Options{Node: configlog.NodeID(s.me.Name), Roster: s.options.Roster.members(),
+		Timing: s.options.Timing, FanOut: s.options.FanOut, Seed: rand.Uint64(), Life: uint64(time.Now().UnixNano()), First: first,
+		Counted: s.counts.dropLog}, saved)
+	if err != nil {
+		return err
+	}
+	listener, err := listen(s.me.Address)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(s.context)
+	run := &session{Sync: s, context: ctx, node: node, outgoing: map[configlog.NodeID]*outgoing{},
+		applies: map[uint64]chan configlog.Result{}}
+	in := &incoming{me: s.me, roster: s.options.Roster, members: s.members, counts: s.counts, listener: listener,
+		most: s.Connections(), handle: run.handle, status: s.Status, open: map[net.Conn]bool{}, from: map[string]net.Conn{}}
+	s.wait.Go(func() { in.run(ctx) })
+	slog.Info("configsync", "state", "started", "name", s.me.Name, "listen", s.me.Address, "role", s.role(),
+		"revision", node.Document().Revision().Number)
+	s.setFault("")
+	err = run.loop()
+	stop()
+	listener.Close()
+	run.wait.Wait()
+	return err
+}
+
+func (s *Sync) role() string {
+	if s.me.Role == "" {
+		return "follower"
+	}
+	return s.me.Role
+}
+
+// Connections is how many connections other instances may have here at a time, and as many at most lead to them.
+func (s *Sync) Connections() int {
+	t, err := configlog.NewTopology(s.options.Roster.members(), s.fanOut())
+	if err != nil {
+		return spareLinks
+	}
+	return len(t.Neighbors(configlog.NodeID(s.me.Name))) + s.fanOut().Adopted + spareLinks
+}
+
+func (s *Sync) fanOut() configlog.FanOut {
+	if s.options.FanOut == (configlog.FanOut{}) {
+		return configlog.DefaultFanOut()
+	}
+	return s.options.FanOut
+}
+
+// now is the log's time in microseconds; it is never 0.
+func (s *Sync) now() int64 { return time.Since(s.began).Microseconds() + 1 }
+
+// do has the goroutine that owns the log do something. Its errors are those of the context, and ErrEnded.
+func (s *Sync) do(ctx context.Context, what func(*session)) error {
+	select {
+	case s.events <- what:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-s.context.Done():
+		return ErrEnded
+	}
+}
+
+// ask has that goroutine work something out, and returns it.
+func ask[T any](ctx context.Context, s *Sync, what func(*session) T) (v T, err error) {
+	answer := make(chan T, 1)
+	if err := s.do(ctx, func(r *session) { answer <- what(r) }); err != nil {
+		return v, err
+	}
+	select {
+	case v = <-answer:
+		return v, nil
+	case <-ctx.Done():
+		return v, ctx.Err()
+	case <-s.context.Done():
+		return v, ErrEnded
+	}
+}
+
+// Apply makes a revision of the one in force here, with just these entries, if that has the number base and is the one in
+// force at the origins. It answers when the outcome is known. Besides the log's outcomes there are ErrNotOrigin, ErrEnded
+// and the context's errors.
+func (s *Sync) Apply(ctx context.Context, base uint64, entries map[string][]byte) (configlog.Result, error) {
+	if !s.Origin() {
+		return configlog.Result{}, ErrNotOrigin
+	}
+	answer := make(chan configlog.Result, 1)
+	id := s.lastID.Add(1)
+	err := s.do(ctx, func(r *session) {
+		held := r.node.Document().Revision()
+		if held.Number != base {
+			answer <- configlog.Result{ID: id, Outcome: configlog.Stale, Revision: held}
+			return
+		}
+		r.applies[id] = answer
+		r.carryOut(r.node.Apply(s.now(), id, held, r.node.Document().ChangeTo(entries)))
+	})
+	if err != nil {
+		return configlog.Result{}, err
+	}
+	defer s.do(context.WithoutCancel(ctx), func(r *session) { delete(r.applies, id) })
+	limit := time.NewTimer(time.Duration(s.timing().ApplyLimit)*time.Microsecond + applySlack)
+	defer limit.Stop()
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-limit.C:
+		return configlog.Result{ID: id, Outcome: configlog.Unknown}, nil
+	case <-ctx.Done():
+		return configlog.Result{}, ctx.Err()
+	case <-s.context.Done():
+		return configlog.Result{}, ErrEnded
+	}
+}
+
+func (s *Sync) timing() configlog.Timing {
+	if s.options.Timing == (configlog.Timing{}) {
+		return configlog.DefaultTiming()
+	}
+	return s.options.Timing
+}
+
+// Status is what this instance says of itself.
+func (s *Sync) Status() *syncpb.StatusReply {
+	ctx, cancel := context.WithTimeout(s.context, writeTime)
+	defer cancel()
+	reply, err := ask(ctx, s, (*session).status)
+	if err != nil {
+		reply = &syncpb.StatusReply{Name: s.me.Name, Revision: s.counts.revision.Load(), SinceUs: s.counts.since.Load(), SilentUs: -1}
+		reply.Fault = err.Error()
+	}
+	if fault := s.nowFault(); fault != "" {
+		reply.Fault = fault
+	}
+	return reply
+}
+
+// Answer is what an instance has said of itself, or why it has said nothing.
+type Answer struct {
+	Member Member
+	Status *syncpb.StatusReply // nil where Err is not
+	Err    error
+}
+
+// StatusAll asks every instance on the roster, some at a time, and returns the answers in the roster's order.
+func (s *Sync) StatusAll(ctx context.Context) []Answer {
+	answers := make([]Answer, len(s.options.Roster.Members))
+	places := make(chan struct{}, statusAsked)
+	var wait sync.WaitGroup
+	for i, m := range s.options.Roster.Members {
+		answers[i].Member = m
+		if m.Name == s.me.Name {
+			answers[i].Status = s.Status()
+			continue
+		}
+		places <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-places }()
+			answers[i].Status, answers[i].Err = s.askOne(ctx, m)
+		})
+	}
+	wait.Wait()
+	return answers
+}
+
+func (s *Sync) askOne(ctx context.Context, m Member) (*syncpb.StatusReply, error) {
+	hello, err := s.hello(m.Name)
+	if err != nil {
+		return nil, err
+	}
+	return askStatus(ctx, m, hello)
+}
+
+func (s *Sync) hello(to string) ([]byte, error) {
+	return encodeFrame(&syncpb.Frame{Content: &syncpb.Frame_Hello{Hello: &syncpb.Hello{
+		Installation: s.options.Roster.Installation, From: s.me.Name, To: to, Region: s.me.Region}}})
+}
--- /dev/null
+++ b/internal/configsync/session.go
@@ -0,0 +1,175 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"topazfall/internal/configsync/syncpb"
+	"topazfall/internal/decide/configlog"
+)
+
+// session is the time between two starts from what is saved. All its fields are of the goroutine that runs loop.
+type session struct {
+	*Sync
+	context  context.Context
+	node     *configlog.Node
+	outgoing map[configlog.NodeID]*outgoing
+	applies  map[uint64]chan configlog.Result
+	wait     sync.WaitGroup // of the connections
+	fault    error          // of the disk: nothing may leave any more
+}
+
+// loop owns the log until the end, or a fault of the disk, which it returns.
+func (r *session) loop() error {
+	defer r.abandon()
+	if r.node.Document().Revision().Number > 0 {
+		r.bringIntoForce()
+	}
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for r.fault == nil {
+		select {
+		case <-r.context.Done():
+			return nil
+		case event := <-r.events:
+			event(r)
+		case <-ticker.C:
+			r.carryOut(r.node.Tick(r.now()))
+			r.note()
+		}
+	}
+	return r.fault
+}
+
+// abandon answers whoever waits: what was begun may be saved somewhere, or not.
+func (r *session) abandon() {
+	for id, answer := range r.applies {
+		delete(r.applies, id)
+		answer <- configlog.Result{ID: id, Outcome: configlog.Unknown}
+	}
+}
+
+// handle gives a message of another instance to the log, or drops it where too many wait.
+func (r *session) handle(m configlog.Message) {
+	select {
+	case r.events <- func(now *session) { now.carryOut(now.node.Handle(now.now(), m)) }:
+	default:
+		r.counts.drop(ReasonBusy, 1, "from", m.From)
+	}
+}
+
+// carryOut does what the log asks for, in this order: save, bring into force, send, report. After a fault of the disk
+// nothing that is not saved may be seen by anybody.
+func (r *session) carryOut(e configlog.Effects) {
+	if r.fault != nil {
+		return
+	}
+	changed := e.Replaced || len(e.Taken) > 0
+	if changed {
+		r.fault = r.storage.saveDocument(r.node.Document())
+	}
+	if e.SaveVote && r.fault == nil {
+		r.fault = r.storage.saveVote(r.node.Vote())
+	}
+	if r.fault != nil {
+		return
+	}
+	if changed {
+		r.bringIntoForce()
+	}
+	for _, m := range e.Messages {
+		r.send(m)
+	}
+	for _, result := range e.Results {
+		if answer, ok := r.applies[result.ID]; ok {
+			delete(r.applies, result.ID)
+			answer <- result
+		}
+	}
+}
+
+// bringIntoForce tells the target the document that is held. One that this program cannot use is held and passed on all
+// the same: others may be able to.
+func (r *session) bringIntoForce() {
+	d := r.node.Document()
+	entries := make(map[string][]byte, d.Len())
+	for _, key := range d.Keys() {
+		entries[key], _ = d.Get(key)
+	}
+	revision := d.Revision()
+	since, err := r.options.Target.Take(revision, entries)
+	if err != nil {
+		r.counts.drop(ReasonSettings, 1, "revision", revision.Number, "error", err)
+		r.setFault(fmt.Sprintf("revision %d is held and not in force: %v", revision.Number, err))
+		return
+	}
+	r.setFault("")
+	r.counts.revision.Store(revision.Number)
+	r.counts.since.Store(since.UnixMicro())
+}
+
+func (r *session) send(m configlog.Message) {
+	to, ok := r.outgoing[m.To]
+	if !ok {
+		var err error
+		if to, err = r.open(m.To); err != nil {
+			slog.Error("configsync", "to", m.To, "error", err)
+			return
+		}
+	}
+	frame, err := encodeFrame(&syncpb.Frame{Content: &syncpb.Frame_Log{Log: configlog.AppendBody(nil, m.Body)}})
+	if err != nil {
+		r.counts.drop(ReasonSize, 1, "to", m.To, "error", err)
+		return
+	}
+	to.send(frame)
+}
+
+// open makes the queue for an instance; a connection follows when there is something in it.
+func (r *session) open(name configlog.NodeID) (*outgoing, error) {
+	m, ok := r.members[string(name)]
+	if !ok {
+		return nil, fmt.Errorf("%w: %.64q is not on it", ErrRoster, name)
+	}
+	hello, err := r.hello(m.Name)
+	if err != nil {
+		return nil, err
+	}
+	o := newOutgoing(m, hello, r.counts)
+	r.outgoing[name] = o
+	r.wait.Go(func() { o.run(r.context) })
+	return o, nil
+}
+
+// note brings the figures up to date.
+func (r *session) note() {
+	now := r.now()
+	s := r.node.Status(now)
+	r.counts.newest.Store(s.Newest.Number)
+	r.counts.silent.Store(silence(now, s))
+}
+
+// silence is how long ago the leader was last heard of, in microseconds; negative for never.
+func silence(now int64, s configlog.Status) int64 {
+	if s.Fresh == 0 {
+		return -1
+	}
+	return max(now-s.Fresh, 0)
+}
+
+func (r *session) status() *syncpb.StatusReply {
+	now := r.now()
+	s := r.node.Status(now)
+	reply := &syncpb.StatusReply{Name: r.me.Name, Revision: s.Revision.Number, SinceUs: r.counts.since.Load(),
+		Newest: s.Newest.Number, SilentUs: silence(now, s), Leader: string(s.Leader)}
+	if s.Revision.Number > 0 {
+		reply.Epoch = s.Revision.Epoch.String()
+	}
+	for _, source := range s.Sources {
+		reply.Sources = append(reply.Sources, string(source))
+	}
+	return reply
+}
