--- a/cmd/topazctl/main.go
+++ b/cmd/topazctl/main.go
@@ -20,10 +20,14 @@
 )
 
 const (
-	notDone  = 1
-	wrongUse = 2
+	notDone    = 1
+	wrongUse   = 2
+	doneInPart = 3
 )
 
+// partial is an error of what was done at some instances and not at others, which it names.
+type partial struct{ error }
+
 // failure is an error of what was to be done; all others are of how it was asked for.
 type failure struct{ error }
 
@@ -32,8 +36,12 @@
 	defer stop()
 	err := command().ExecuteContext(ctx)
 	var f failure
+	var p partial
 	switch {
 	case err == nil:
+	case errors.As(err, &p):
+		fmt.Fprintln(os.Stderr, "topazctl:", err)
+		os.Exit(doneInPart)
 	case errors.As(err, &f):
 		fmt.Fprintln(os.Stderr, "topazctl:", err)
 		os.Exit(notDone)
@@ -74,6 +82,8 @@
 			return failure{fmt.Errorf("turned down: %s", e.Message())}
 		case connect.CodeUnavailable:
 			return failure{fmt.Errorf("not now: %s", e.Message())}
+		case connect.CodeFailedPrecondition:
+			return failure{fmt.Errorf("not here: %s", e.Message())}
 		}
 	}
 	return failure{err}
--- a/cmd/topazctl/main_test.go
+++ b/cmd/topazctl/main_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"topazfall"
 	"topazfall/internal/control"
+	pb "topazfall/internal/control/controlpb"
 	"topazfall/internal/decide/sources"
 	"topazfall/internal/settings"
 )
@@ -26,9 +30,12 @@
 // code is the exit code that an error stands for.
 func code(err error) int {
 	var f failure
+	var p partial
 	switch {
 	case err == nil:
 		return 0
+	case errors.As(err, &p):
+		return doneInPart
 	case errors.As(err, &f):
 		return notDone
 	}
@@ -43,7 +50,7 @@
 	address := "unix:" + filepath.Join(dir, "s")
 	ln, err := control.Listen(address)
 	require.NoError(t, err)
-	defer control.Serve(ln, store, hosts{}).Close()
+	defer control.Serve(ln, control.Options{Store: store, Hosts: hosts{}}).Close()
 	file := func(text string) string {
 		path := filepath.Join(t.TempDir(), "doc.json")
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
@@ -71,6 +78,7 @@
 		{[]string{"hosts", "-o", "xml"}, 2, ""},
 		{[]string{"hosts"}, 0, "srv:x: 1 hosts, timeout"},
 		{[]string{"hosts", "-o", "json"}, 0, `"w1.example"`},
+		{[]string{"settings", "status"}, 1, ""},
 		{[]string{"hosts", "--control", "unix:/nowhere/s"}, 1, ""},
 		{[]string{"hosts", "--control", "127.0.0.1:1"}, 2, ""},
 	} {
@@ -84,3 +92,54 @@
 		require.Contains(t, out.String(), c.out, "%v", c.args)
 	}
 }
+
+// shared is an installation of four instances: one is behind, one is stopped and one does not answer.
+type shared struct{ instances []*pb.Instance }
+
+func (shared) Apply(context.Context, *pb.Settings, uint64) (*pb.Revision, error) {
+	return nil, control.ElsewhereError{Origins: []string{"o1", "o2"}}
+}
+
+func (s shared) Instances(context.Context) *pb.InstancesResponse {
+	return &pb.InstancesResponse{Newest: 7, NewestSince: timestamppb.Now(), Instances: s.instances}
+}
+
+func TestInstallation(t *testing.T) {
+	dir := t.TempDir()
+	store, _, err := settings.Open(dir)
+	require.NoError(t, err)
+	defer store.Close()
+	well := &pb.Instance{Name: "o1", Role: "origin", Answered: true, Revision: 7, Since: timestamppb.Now()}
+	for i, c := range []struct {
+		args      []string
+		instances []*pb.Instance
+		code      int
+		out       string
+		err       string
+	}{
+		{[]string{"settings", "status"}, []*pb.Instance{well}, 0, "o1", ""},
+		{[]string{"settings", "status", "-o", "json"}, []*pb.Instance{well}, 0, `"newest"`, ""},
+		{[]string{"settings", "status"}, []*pb.Instance{well, {Name: "f1", Answered: true, Revision: 5, Behind: 2}}, 3, "f1", "f1: 2 revisions behind"},
+		{[]string{"settings", "status"}, []*pb.Instance{well, {Name: "f2", Fault: "connection refused"}}, 3, "f2", "f2: connection refused"},
+		{[]string{"settings", "status"}, []*pb.Instance{well, {Name: "f3", Answered: true, Revision: 7, Fault: "disk"}}, 3, "disk", "f3: disk"},
+		{[]string{"settings", "apply", "-", "--from", "0"}, nil, 1, "", "not here: this instance follows; apply at one of o1, o2"},
+	} {
+		address := fmt.Sprintf("unix:%s/%d", dir, i)
+		ln, err := control.Listen(address)
+		require.NoError(t, err)
+		server := control.Serve(ln, control.Options{Store: store, Hosts: hosts{}, Installation: shared{c.instances}})
+		var out bytes.Buffer
+		root := command()
+		root.SetIn(bytes.NewBufferString("{}"))
+		root.SetOut(&out)
+		root.SetErr(&bytes.Buffer{})
+		root.SetArgs(append([]string{"--control", address}, c.args...))
+		err = root.ExecuteContext(t.Context())
+		require.Equal(t, c.code, code(err), "%v: %v", c.args, err)
+		require.Contains(t, out.String(), c.out, "%v", c.args)
+		if c.err != "" {
+			require.ErrorContains(t, err, c.err)
+		}
+		server.Close()
+	}
+}
--- a/cmd/topazctl/settings.go
+++ b/cmd/topazctl/settings.go
@@ -26,7 +26,7 @@
 
 func settingsCommand(t *tool) *cobra.Command {
 	c := &cobra.Command{Use: "settings", Short: "The settings of an instance"}
-	c.AddCommand(getCommand(t), checkCommand(t), diffCommand(t), applyCommand(t), watchCommand(t))
+	c.AddCommand(getCommand(t), checkCommand(t), diffCommand(t), applyCommand(t), watchCommand(t), statusCommand(t))
 	return c
 }
 
--- /dev/null
+++ b/cmd/topazctl/status.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"github.com/spf13/cobra"
+
+	pb "topazfall/internal/control/controlpb"
+	"topazfall/internal/control/controlpb/controlpbconnect"
+)
+
+func statusCommand(t *tool) *cobra.Command {
+	return &cobra.Command{Use: "status", Short: "Show which revision each instance of the installation holds", Args: cobra.NoArgs,
+		Long: "status asks every instance on the roster, by way of the one that --control names. It ends with 3, and names\n" +
+			"them, where some have not answered, are behind the newest revision or say that something is wrong.",
+		RunE: t.with(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, _ []string) error {
+			r, err := api.Instances(ctx, connect.NewRequest(&pb.InstancesRequest{}))
+			if err != nil {
+				return failed(err)
+			}
+			if t.output == "json" {
+				if err := show(c.OutOrStdout(), r.Msg); err != nil {
+					return err
+				}
+			} else {
+				showInstances(c.OutOrStdout(), r.Msg)
+			}
+			return notInForce(r.Msg)
+		})}
+}
+
+func showInstances(w io.Writer, r *pb.InstancesResponse) {
+	out := table.NewWriter()
+	out.SetOutputMirror(w)
+	out.SetStyle(table.StyleLight)
+	out.AppendHeader(table.Row{"instance", "role", "region", "zone", "revision", "since", "behind", "leader", "heard of it", "fed by", "fault"})
+	for _, i := range r.Instances {
+		if !i.Answered {
+			out.AppendRow(table.Row{i.Name, i.Role, i.Region, i.Zone, "?", "", "", "", "", "", i.Fault})
+			continue
+		}
+		out.AppendRow(table.Row{i.Name, i.Role, i.Region, i.Zone, i.Revision, since(i), behind(i), i.Leader, silent(i),
+			strings.Join(i.Sources, "\n"), i.Fault})
+	}
+	out.Render()
+	fmt.Fprintf(w, "newest revision: %d\n", r.Newest)
+}
+
+func since(i *pb.Instance) string {
+	if i.Since == nil {
+		return ""
+	}
+	return i.Since.AsTime().Local().Format("2006-01-02 15:04:05.000")
+}
+
+func behind(i *pb.Instance) string {
+	if i.Behind == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d (%s)", i.Behind, i.BehindFor.AsDuration().Round(10*time.Millisecond))
+}
+
+func silent(i *pb.Instance) string {
+	if i.Silent == nil {
+		return "never"
+	}
+	return i.Silent.AsDuration().Round(10*time.Millisecond).String() + " ago"
+}
+
+// notInForce names the instances where the newest revision is not in force, or nobody knows.
+func notInForce(r *pb.InstancesResponse) error {
+	var faults []string
+	for _, i := range r.Instances {
+		switch {
+		case i.Fault != "":
+			faults = append(faults, i.Name+": "+i.Fault)
+		case i.Behind > 0:
+			faults = append(faults, fmt.Sprintf("%s: %d revisions behind", i.Name, i.Behind))
+		}
+	}
+	switch len(faults) {
+	case 0:
+		return nil
+	case len(r.Instances):
+		return failure{errors.New(strings.Join(faults, "; "))}
+	}
+	return partial{errors.New(strings.Join(faults, "; "))}
+}
--- /dev/null
+++ b/cmd/topazfall-agent/installation_test.go
@@ -0,0 +1,370 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"topazfall/internal/configsync"
+	"topazfall/internal/control/client"
+	pb "topazfall/internal/control/controlpb"
+	"topazfall/internal/control/controlpb/controlpbconnect"
+	"topazfall/internal/lab/discovery"
+	"topazfall/internal/lab/link"
+	"topazfall/internal/lab/program"
+	"topazfall/internal/lab/rig"
+)
+
+// inForce is within what a revision must be in force at every instance that can be reached.
+const inForce = 4 * time.Second
+
+// shared is an installation of several agents, each a process of its own.
+type shared struct {
+	*testing.T
+	*rig.Rig
+	origins, followers []string
+
+	mu      sync.Mutex
+	clients map[int]controlpbconnect.ControlClient // by process id
+	started map[string]bool                        // by name: no bootstrap again
+	highest map[string]uint64                      // by name: the highest revision seen, which must never fall
+	times   []time.Duration                        // from the answer of an Apply until all that were waited for had it
+}
+
+func join(t *testing.T, origins, followers int) *shared {
+	t.Parallel()
+	s := &shared{T: t, clients: map[int]controlpbconnect.ControlClient{}, started: map[string]bool{}, highest: map[string]uint64{}}
+	for i := range origins {
+		s.origins = append(s.origins, fmt.Sprint("o", i))
+	}
+	for i := range followers {
+		s.followers = append(s.followers, fmt.Sprint("f", i))
+	}
+	list, err := discovery.Start()
+	require.NoError(t, err)
+	t.Cleanup(list.Close)
+	list.Set(discovery.Entry{Host: "h", Dial: "127.0.0.1:9", Site: "hall-a", Class: "small", Share: 1})
+	dir, err := os.MkdirTemp("", "rig") // a name that is short enough for a socket
+	require.NoError(t, err)
+	t.Cleanup(func() { os.RemoveAll(dir) })
+	s.Rig, err = rig.Start(rig.Options{Dir: dir, Names: s.all(), Split: configsync.SplitFrames, Seed: 11, Args: s.arguments,
+		Program: program.Options{Path: os.Args[0], Env: []string{"TOPAZFALL_PLAYED=1"}, Discovery: list.Address()}})
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		s.Rig.Close()
+		t.Logf("in force everywhere after %v", s.times)
+		if t.Failed() {
+			for _, name := range s.all() {
+				t.Logf("%s:\n%s", name, s.Log(name))
+			}
+		}
+	})
+	return s
+}
+
+func (s *shared) all() []string { return append(slices.Clone(s.origins), s.followers...) }
+
+// arguments writes a member's roster, on which the others are where its links to them are.
+func (s *shared) arguments(m rig.Member) ([]string, error) {
+	roster := configsync.Roster{Installation: s.Name()}
+	for i, name := range s.all() {
+		one := configsync.Member{Name: name, Address: m.Peers[name], Region: "north", Zone: fmt.Sprint("z", i%3)}
+		if name == m.Name {
+			one.Address = m.Listen
+		}
+		if slices.Contains(s.origins, name) {
+			one.Role = "origin"
+		}
+		roster.Members = append(roster.Members, one)
+	}
+	text, err := json.Marshal(roster)
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(filepath.Dir(m.State), "roster.json")
+	args := []string{"--state", m.State, "--roster", path}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.started[m.Name] {
+		args = append(args, "--bootstrap")
+	}
+	s.started[m.Name] = true
+	return args, os.WriteFile(path, text, 0o600)
+}
+
+func (s *shared) api(name string) controlpbconnect.ControlClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pid := s.Process(name).PID()
+	if api, ok := s.clients[pid]; ok { // each one keeps a connection, of which an instance takes no more than some
+		return api
+	}
+	api, err := client.New("unix:" + filepath.Join(s.Member(name).State, "control.sock"))
+	require.NoError(s, err)
+	s.clients[pid] = api
+	return api
+}
+
+// holds returns the revision in force at an instance, and checks that it never goes back and is never half of one.
+func (s *shared) holds(name string) (number uint64, ok bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	r, err := s.api(name).Get(ctx, connect.NewRequest(&pb.GetRequest{}))
+	if err != nil {
+		return 0, false
+	}
+	doc := r.Msg.Revision
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if doc.GetNumber() < s.highest[name] {
+		s.Errorf("%s went back from %d to %d", name, s.highest[name], doc.GetNumber())
+	}
+	s.highest[name] = doc.GetNumber()
+	if hold, calm := doc.GetSettings().GetSources().GetHold().AsDuration(), doc.GetSettings().GetAddresses().GetCalm().AsDuration(); hold != calm {
+		s.Errorf("%s has a mixture: %v and %v", name, hold, calm)
+	}
+	return doc.GetNumber(), true
+}
+
+// document is one whose two parts must agree.
+func document(value int) *pb.Settings {
+	d := durationpb.New(time.Duration(value) * time.Millisecond)
+	return &pb.Settings{Sources: &pb.Sources{Hold: d}, Addresses: &pb.Addresses{Calm: d}}
+}
+
+func (s *shared) tryApply(origin string, from uint64, value int) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := s.api(origin).Apply(ctx, connect.NewRequest(&pb.ApplyRequest{Settings: document(value), From: from}))
+	if err != nil {
+		return 0, err
+	}
+	return r.Msg.Revision.Number, nil
+}
+
+// apply makes a revision at an origin as soon as it can be made, and returns its number and when the answer came.
+func (s *shared) apply(origin string, value int) (number uint64, at time.Time) {
+	var last error
+	require.Eventually(s, func() bool {
+		from, ok := s.holds(origin)
+		if !ok {
+			return false
+		}
+		number, last = s.tryApply(origin, from, value)
+		at = time.Now()
+		return last == nil
+	}, patience, 50*time.Millisecond, "apply at %s: %v", origin, last)
+	return number, at
+}
+
+// reach waits until instances hold a revision, and checks how long that took since.
+func (s *shared) reach(number uint64, since time.Time, names ...string) {
+	require.Eventually(s, func() bool {
+		for _, name := range names {
+			if held, ok := s.holds(name); !ok || held < number {
+				return false
+			}
+		}
+		return true
+	}, patience, 10*time.Millisecond, "revision %d at %v", number, names)
+	took := time.Since(since)
+	s.times = append(s.times, took)
+	require.Less(s, took, inForce)
+}
+
+func without(names []string, others ...string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return slices.Contains(others, n) })
+}
+
+// Revisions made at any origin are in force everywhere; instances that follow say where to apply; status tells of all.
+func TestInstallation(t *testing.T) {
+	s := join(t, 3, 5)
+	for i := range 6 {
+		number, at := s.apply(s.origins[i%3], i+1)
+		require.EqualValues(t, i+1, number)
+		s.reach(number, at, s.all()...)
+	}
+	_, err := s.tryApply("f0", 6, 1)
+	require.Equal(t, connect.CodeFailedPrecondition, connect.CodeOf(err))
+	require.ErrorContains(t, err, "o0, o1, o2")
+	_, err = s.tryApply("o0", 5, 1)
+	require.Equal(t, connect.CodeAborted, connect.CodeOf(err))
+
+	s.Kill("f4")
+	r, err := s.api("f0").Instances(t.Context(), connect.NewRequest(&pb.InstancesRequest{}))
+	require.NoError(t, err)
+	require.EqualValues(t, 6, r.Msg.Newest)
+	require.Len(t, r.Msg.Instances, 8)
+	for _, i := range r.Msg.Instances {
+		require.Equal(t, i.Name != "f4", i.Answered, i.Name)
+		if i.Answered {
+			require.EqualValues(t, 6, i.Revision)
+			require.Empty(t, i.Fault)
+			require.NotNil(t, i.Since)
+		}
+	}
+	figures, err := s.Process("f1").Figures()
+	require.NoError(t, err)
+	require.EqualValues(t, 6, figures["app_config_revision"])
+	require.Positive(t, figures["app_config_in_force_seconds"])
+}
+
+// Of two changes of the same base one wins, at whichever origins they are made.
+func TestTwoAppliesOfOneBase(t *testing.T) {
+	s := join(t, 3, 2)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	for i := range 5 {
+		var wait sync.WaitGroup
+		results := make([]uint64, 3)
+		for k, origin := range s.origins {
+			wait.Go(func() { results[k], _ = s.tryApply(origin, number, 10*i+k) })
+		}
+		wait.Wait()
+		won := slices.DeleteFunc(slices.Clone(results), func(n uint64) bool { return n == 0 })
+		require.Equal(t, []uint64{number + 1}, won)
+		number++
+		s.reach(number, time.Now(), s.all()...)
+	}
+}
+
+// An instance that was frozen, for longer than anybody waits for it, has what it missed soon after it wakes; a frozen
+// origin holds nobody up, and does not bring back what was before.
+func TestFrozenAndWoken(t *testing.T) {
+	s := join(t, 3, 4)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	for _, name := range []string{"f0", "o0"} {
+		require.NoError(t, s.Freeze(name))
+		rest := without(s.all(), name)
+		for i := range 3 {
+			number, at = s.apply("o1", 10+i)
+			s.reach(number, at, rest...)
+		}
+		require.NoError(t, s.Wake(name))
+		s.reach(number, time.Now(), s.all()...)
+	}
+}
+
+// Cut off both ways an instance keeps what it has, and has the rest soon after the heal; an origin that is alone takes
+// nothing.
+func TestCutBothWays(t *testing.T) {
+	s := join(t, 3, 4)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	s.Cut("o0", "f0")
+	rest := without(s.all(), "o0", "f0")
+	_, err := s.tryApply("o0", number, 99)
+	require.Error(t, err, "no majority")
+	for i := range 3 {
+		number, at = s.apply("o1", 10+i)
+		s.reach(number, at, rest...)
+	}
+	held, ok := s.holds("f0")
+	require.True(t, ok)
+	require.EqualValues(t, 1, held)
+	s.Heal()
+	s.reach(number, time.Now(), s.all()...)
+	number, at = s.apply("o0", 20)
+	s.reach(number, at, s.all()...)
+}
+
+// An instance that hears the others and is not heard, and one that is heard and does not hear.
+func TestCutOneWay(t *testing.T) {
+	s := join(t, 3, 4)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	for i, name := range []string{"f1", "o2", "o0"} {
+		s.CutFrom(name)
+		number, at = s.apply("o1", 10+i)
+		s.reach(number, at, without(s.all(), name)...)
+		s.Heal()
+		s.reach(number, time.Now(), s.all()...)
+	}
+	for _, from := range without(s.all(), "f2") {
+		s.Link(from, "f2").Cut(link.Forward)
+	}
+	number, at = s.apply("o1", 30)
+	s.reach(number, at, without(s.all(), "f2")...)
+	s.Heal()
+	s.reach(number, time.Now(), s.all()...)
+}
+
+// Whoever comes back from nothing gets all of it; an origin among them votes only on what it was told again.
+func TestRestartFromNothing(t *testing.T) {
+	s := join(t, 3, 3)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	for _, name := range []string{"f0", "o1"} {
+		s.Kill(name)
+		require.NoError(t, s.Wipe(name))
+		s.mu.Lock()
+		s.highest[name] = 0 // it has forgotten
+		s.mu.Unlock()
+		number, at = s.apply("o0", 10)
+		s.reach(number, at, without(s.all(), name)...)
+		require.NoError(t, s.Restart(name))
+		s.reach(number, time.Now(), s.all()...)
+	}
+	s.Kill("o0") // the one that came back is needed now
+	number, at = s.apply("o1", 20)
+	s.reach(number, at, without(s.all(), "o0")...)
+}
+
+// Frames that come twice, out of order and once more much later change nothing but the count of what was dropped.
+func TestDoubledReorderedAndOld(t *testing.T) {
+	s := join(t, 3, 4)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	s.Disturb(link.FrameFaults{Double: 0.3, Reorder: 0.3, Replay: 0.3})
+	for i := range 10 {
+		number, at = s.apply(s.origins[i%3], 10+i)
+		s.reach(number, at, s.all()...)
+	}
+	s.Heal()
+	number, at = s.apply("o0", 50)
+	s.reach(number, at, s.all()...)
+}
+
+// A change that comes while a process is being replaced is in force at both, and an instance goes on under its name.
+func TestChangeDuringReplacement(t *testing.T) {
+	s := join(t, 1, 3)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	for i, name := range []string{"f0", "o0"} {
+		old, err := s.Replace(name) // from now on the control API answers for the second one
+		require.NoError(t, err)
+		if name != "o0" { // the first process of the origin makes the revisions, and its API is gone
+			number, at = s.apply("o0", 10+i)
+			s.reach(number, at, s.all()...)
+		}
+		require.NoError(t, s.End(old))
+		number, at = s.apply("o0", 20+i)
+		s.reach(number, at, s.all()...)
+	}
+}
+
+// Several processes of a zone are killed at once, an origin among them: the rest goes on, and they catch up.
+func TestZoneKilled(t *testing.T) {
+	s := join(t, 3, 5)
+	number, at := s.apply("o0", 1)
+	s.reach(number, at, s.all()...)
+	zone := []string{"o0", "f0", "f3"}
+	s.Kill(zone...)
+	for i := range 3 {
+		number, at = s.apply("o1", 10+i)
+		s.reach(number, at, without(s.all(), zone...)...)
+	}
+	require.NoError(t, s.Restart(zone...))
+	s.reach(number, time.Now(), s.all()...)
+}
--- a/cmd/topazfall-agent/main.go
+++ b/cmd/topazfall-agent/main.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"topazfall/internal/agent"
+	"topazfall/internal/configsync"
 	"topazfall/internal/instance"
 	"topazfall/internal/logs"
 	"topazfall/internal/version"
@@ -25,6 +26,7 @@
 
 func command() *cobra.Command {
 	var o agent.Options
+	var roster string
 	c := &cobra.Command{
 		Use:   "topazfall agent",
 		Short: "One dispatcher with the control API and DNS SRV as a source of hosts",
@@ -43,11 +45,18 @@
 			if o.State = state; o.Control == "" {
 				o.Control = "unix:" + filepath.Join(state, "control.sock")
 			}
+			if roster != "" {
+				if o.Roster, err = configsync.LoadRoster(roster); err != nil {
+					return err
+				}
+			}
 			return instance.Run(agent.New(o))
 		},
 	}
 	c.Flags().StringVar(&o.State, "state", "", "folder of the snapshots")
 	c.Flags().StringVar(&o.Control, "control", "", "address of the control API (default: unix:STATE/control.sock)")
+	c.Flags().StringVar(&roster, "roster", "", "file that names the instances that share the settings (default: none)")
+	c.Flags().BoolVar(&o.Bootstrap, "bootstrap", false, "the installation is new: an origin whose state is empty may vote. Only for its first start")
 	c.MarkFlagRequired("state")
 	return c
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -15,6 +15,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"topazfall"
+	"topazfall/internal/configsync"
 	"topazfall/internal/control"
 	pb "topazfall/internal/control/controlpb"
 	"topazfall/internal/decide/addresses"
@@ -36,6 +37,10 @@
 type Options struct {
 	Control string // unix:/absolute/path
 	State   string // folder of the snapshots
+	// Roster is who shares the settings; nil for an instance that has them for itself. Its name is the dispatcher's.
+	Roster *configsync.Roster
+	// Bootstrap says that the installation is new, so that an origin with an empty folder has forgotten nothing.
+	Bootstrap bool
 }
 
 // Agent is an extension of a dispatcher.
@@ -46,6 +51,7 @@
 	source *srv.Source
 	store  *settings.Store
 	server *control.Server
+	shared *installation // nil without a roster
 	stop   context.CancelFunc
 	asked  *pb.Sources // as last configured; that goroutine's own
 	wait   sync.WaitGroup
@@ -69,6 +75,10 @@
 		slog.Error("settings", "state", "older", "error", fault)
 	}
 	a.store = store
+	if err := a.join(); err != nil {
+		store.Close()
+		return err
+	}
 	a.list = hostlist.New(p.Core)
 	a.source = srv.New(a.list)
 	now, readOnly := store.Now()
@@ -83,15 +93,61 @@
 		a.source.Close()
 		return err
 	}
-	a.server = control.Serve(ln, store, a.list)
+	served := control.Options{Store: store, Hosts: a.list}
+	if a.shared != nil {
+		served.Installation = a.shared
+	}
+	a.server = control.Serve(ln, served)
 	slog.Info("control", "listen", a.o.Control, "revision", now.Number)
 	ctx, stop := context.WithCancel(context.Background())
 	a.stop = stop
 	a.wait.Go(func() { a.follow(ctx, now.Number) })
 	a.wait.Go(func() { a.keep(ctx) })
+	if a.shared != nil {
+		a.wait.Go(func() { a.share(ctx) })
+	}
 	return nil
 }
 
+// join makes this instance one of those on the roster, if there is one.
+func (a *Agent) join() error {
+	if a.o.Roster == nil {
+		return nil
+	}
+	i := &installation{roster: a.o.Roster, store: a.store}
+	var err error
+	i.sync, err = configsync.New(configsync.Options{Name: a.parts.Config.Name, Roster: a.o.Roster, State: a.o.State,
+		Bootstrap: a.o.Bootstrap, Target: i})
+	if err != nil {
+		return err
+	}
+	a.store.Manage()
+	a.shared = i
+	a.parts.Figures.Extend(i.sync.WriteMetrics)
+	return nil
+}
+
+// share takes part in the installation once no other process of this instance does, until the end. A process that is about
+// to replace another follows what that one saves.
+func (a *Agent) share(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-a.store.Owned():
+	}
+	a.shared.sync.Start()
+	<-ctx.Done()
+	a.shared.sync.Close()
+}
+
+// Descriptors are those that the connections to other instances need.
+func (a *Agent) Descriptors(name string) int {
+	if a.o.Roster == nil {
+		return 0
+	}
+	return configsync.Descriptors(a.o.Roster, name)
+}
+
 // List takes the inventory's news.
 func (a *Agent) List(kind topazfall.EventKind, entries []dispatch.Entry) { a.list.List(kind, entries) }
 
@@ -132,6 +188,7 @@
 	a.mu.Lock()
 	a.names = names
 	a.mu.Unlock()
+	a.parts.SetTenants(settings.Teams(e))
 	a.parts.Hosts.SetAddressLimits(settings.AddressLimits(e))
 	if proto.Equal(a.asked, e.Sources) { // to ask anew for what has not changed would cost the resolvers
 		return
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -30,6 +30,8 @@
 	applySlack  = time.Second     // beyond the log's own limit for an Apply
 	spareLinks  = 16              // for status requests and substitutes
 	statusAsked = 16              // instances that are asked at a time
+
+	spareDescriptors = 4 // of the listener, and of a file that is saved, its folder and the one before
 )
 
 // Target is where committed revisions come into force. Take is called in their order, each newer than the one before, from
@@ -82,7 +84,7 @@
 		return nil, fmt.Errorf("%w: %.64q is not on it", ErrRoster, o.Name)
 	}
 	s := &Sync{options: o, me: me, members: map[string]Member{}, storage: storage{o.State}, counts: newCounts(), began: time.Now(),
-		events: make(chan func(*session), eventsMost)}
+		fault: "it has not started yet", events: make(chan func(*session), eventsMost)}
 	for _, m := range o.Roster.Members {
 		s.members[m.Name] = m
 	}
@@ -162,7 +164,7 @@
 	run := &session{Sync: s, context: ctx, node: node, outgoing: map[configlog.NodeID]*outgoing{},
 		applies: map[uint64]chan configlog.Result{}}
 	in := &incoming{me: s.me, roster: s.options.Roster, members: s.members, counts: s.counts, listener: listener,
-		most: s.Connections(), handle: run.handle, status: s.Status, open: map[net.Conn]bool{}, from: map[string]net.Conn{}}
+		most: mostConnections(s.options.Roster, s.me.Name, s.options.FanOut), handle: run.handle, status: s.Status, open: map[net.Conn]bool{}, from: map[string]net.Conn{}}
 	s.wait.Go(func() { in.run(ctx) })
 	slog.Info("configsync", "state", "started", "name", s.me.Name, "listen", s.me.Address, "role", s.role(),
 		"revision", node.Document().Revision().Number)
@@ -181,20 +183,21 @@
 	return s.me.Role
 }
 
-// Connections is how many connections other instances may have here at a time, and as many at most lead to them.
-func (s *Sync) Connections() int {
-	t, err := configlog.NewTopology(s.options.Roster.members(), s.fanOut())
+// mostConnections is how many connections other instances may have here at a time.
+func mostConnections(roster *Roster, name string, fan configlog.FanOut) int {
+	if fan == (configlog.FanOut{}) {
+		fan = configlog.DefaultFanOut()
+	}
+	t, err := configlog.NewTopology(roster.members(), fan)
 	if err != nil {
 		return spareLinks
 	}
-	return len(t.Neighbors(configlog.NodeID(s.me.Name))) + s.fanOut().Adopted + spareLinks
+	return len(t.Neighbors(configlog.NodeID(name))) + fan.Adopted + spareLinks
 }
 
-func (s *Sync) fanOut() configlog.FanOut {
-	if s.options.FanOut == (configlog.FanOut{}) {
-		return configlog.DefaultFanOut()
-	}
-	return s.options.FanOut
+// Descriptors are those that an instance's connections need, both ways, with its listener and files.
+func Descriptors(roster *Roster, name string) int {
+	return 2*mostConnections(roster, name, configlog.FanOut{}) + spareDescriptors
 }
 
 // now is the log's time in microseconds; it is never 0.
--- a/internal/configsync/input_test.go
+++ b/internal/configsync/input_test.go
@@ -159,7 +159,7 @@
 	i.apply("o0", "w")
 	i.reach("w")
 	s := i.syncs["f0"]
-	for range s.Connections() + 5 {
+	for range mostConnections(i.roster, "f0", configlog.FanOut{}) + 5 {
 		dialMember(t, i, "f0")
 	}
 	require.Eventually(t, func() bool { return dropped(s, ReasonConnections) >= 5 }, patience, 5*time.Millisecond)
--- a/internal/configsync/session.go
+++ b/internal/configsync/session.go
@@ -20,6 +20,7 @@
 	applies  map[uint64]chan configlog.Result
 	wait     sync.WaitGroup // of the connections
 	fault    error          // of the disk: nothing may leave any more
+	retry    time.Time      // when what could not be brought into force is tried again; zero if all is
 }
 
 // loop owns the log until the end, or a fault of the disk, which it returns.
@@ -38,6 +39,9 @@
 			event(r)
 		case <-ticker.C:
 			r.carryOut(r.node.Tick(r.now()))
+			if !r.retry.IsZero() && time.Now().After(r.retry) {
+				r.bringIntoForce()
+			}
 			r.note()
 		}
 	}
@@ -102,10 +106,12 @@
 	revision := d.Revision()
 	since, err := r.options.Target.Take(revision, entries)
 	if err != nil {
+		r.retry = time.Now().Add(againTime)
 		r.counts.drop(ReasonSettings, 1, "revision", revision.Number, "error", err)
 		r.setFault(fmt.Sprintf("revision %d is held and not in force: %v", revision.Number, err))
 		return
 	}
+	r.retry = time.Time{}
 	r.setFault("")
 	r.counts.revision.Store(revision.Number)
 	r.counts.since.Store(since.UnixMicro())
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,10 +45,35 @@
 	Now() int64
 }
 
+// Installation is the other instances that this one shares its settings with.
+type Installation interface {
+	// Apply takes a document for all of them, as settings.options.Store.Apply does for one. Its errors are settings.Faults,
+	// settings.StaleError, ElsewhereError, ErrOutcomeUnknown, or why it cannot be done now.
+	Apply(ctx context.Context, doc *pb.Settings, from uint64) (*pb.Revision, error)
+	// Instances asks all of them what they hold.
+	Instances(ctx context.Context) *pb.InstancesResponse
+}
+
+// ElsewhereError turns a document down at an instance that follows.
+type ElsewhereError struct{ Origins []string }
+
+func (e ElsewhereError) Error() string {
+	return "this instance follows; apply at one of " + strings.Join(e.Origins, ", ")
+}
+
+// ErrOutcomeUnknown says that a document may be in force or not.
+var ErrOutcomeUnknown = errors.New("whether it was taken is not known; see which revision is in force")
+
+// Options say what is served.
+type Options struct {
+	Store        *settings.Store
+	Hosts        Hosts
+	Installation Installation // nil for an instance that has its settings for itself
+}
+
 // Server serves the API.
 type Server struct {
-	store    *settings.Store
-	hosts    Hosts
+	options  Options
 	watching atomic.Int64
 	http     *http.Server
 }
@@ -80,8 +105,8 @@
 }
 
 // Serve serves on ln until Close.
-func Serve(ln net.Listener, store *settings.Store, hosts Hosts) *Server {
-	s := &Server{store: store, hosts: hosts}
+func Serve(ln net.Listener, o Options) *Server {
+	s := &Server{options: o}
 	path, handler := controlpbconnect.NewControlHandler(s, connect.WithReadMaxBytes(largest))
 	mux := http.NewServeMux()
 	mux.Handle(path, patient(handler))
@@ -140,7 +165,7 @@
 
 // Get returns the revision in force.
 func (s *Server) Get(context.Context, *connect.Request[pb.GetRequest]) (*connect.Response[pb.GetResponse], error) {
-	r, readOnly := s.store.Now()
+	r, readOnly := s.options.Store.Now()
 	return connect.NewResponse(&pb.GetResponse{Revision: r, Effective: settings.Effective(r.Settings), ReadOnly: readOnly}), nil
 }
 
@@ -154,11 +179,13 @@
 }
 
 // Apply takes a document, whole or not at all. A document with faults is an invalid argument, with each fault as a
-// detail; one that was made from another revision is aborted; what cannot be taken now is unavailable.
-func (s *Server) Apply(_ context.Context, r *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ApplyResponse], error) {
-	taken, err := s.store.Apply(r.Msg.Settings, r.Msg.From, time.Now())
+// detail; one that was made from another revision is aborted; at an instance that follows it is a failed precondition; of
+// what may be in force or not the outcome is unknown; what cannot be taken now is unavailable.
+func (s *Server) Apply(ctx context.Context, r *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ApplyResponse], error) {
+	taken, err := s.apply(ctx, r.Msg)
 	var faults settings.Faults
 	var stale settings.StaleError
+	var elsewhere ElsewhereError
 	switch {
 	case err == nil:
 		slog.Info("settings", "state", "taken", "revision", taken.Number)
@@ -173,11 +200,30 @@
 		return nil, out
 	case errors.As(err, &stale):
 		return nil, connect.NewError(connect.CodeAborted, err)
+	case errors.As(err, &elsewhere):
+		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	case errors.Is(err, ErrOutcomeUnknown):
+		return nil, connect.NewError(connect.CodeUnknown, err)
 	}
 	slog.Error("settings", "state", "kept", "error", err)
 	return nil, connect.NewError(connect.CodeUnavailable, err)
 }
 
+func (s *Server) apply(ctx context.Context, r *pb.ApplyRequest) (*pb.Revision, error) {
+	if s.options.Installation != nil {
+		return s.options.Installation.Apply(ctx, r.Settings, r.From)
+	}
+	return s.options.Store.Apply(r.Settings, r.From, time.Now())
+}
+
+// Instances returns what every instance of the installation holds; without one that is a failed precondition.
+func (s *Server) Instances(ctx context.Context, _ *connect.Request[pb.InstancesRequest]) (*connect.Response[pb.InstancesResponse], error) {
+	if s.options.Installation == nil {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("this instance was started without a roster"))
+	}
+	return connect.NewResponse(s.options.Installation.Instances(ctx)), nil
+}
+
 // Watch tells of every revision, once and in order.
 func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchRequest], out *connect.ServerStream[pb.WatchResponse]) error {
 	if s.watching.Add(1) > watchers {
@@ -189,7 +235,7 @@
 		return err
 	}
 	for last := r.Msg.After; ; {
-		next, err := s.store.After(ctx, last)
+		next, err := s.options.Store.After(ctx, last)
 		switch {
 		case errors.Is(err, settings.ErrGap):
 			return connect.NewError(connect.CodeOutOfRange, err)
@@ -208,8 +254,8 @@
 // Hosts returns the merged list.
 func (s *Server) Hosts(context.Context, *connect.Request[pb.HostsRequest]) (*connect.Response[pb.HostsResponse], error) {
 	out := &pb.HostsResponse{}
-	hosts, faults := s.hosts.Hosts()
-	now := s.hosts.Now()
+	hosts, faults := s.options.Hosts.Hosts()
+	now := s.options.Hosts.Now()
 	count := map[string]uint32{}
 	for _, h := range hosts {
 		one := &pb.Host{Name: h.ID, Sources: h.Sources, State: "up", Why: h.Why, Zone: h.Zone, Kind: h.Kind, Share: h.Weight}
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -38,7 +38,7 @@
 	path := filepath.Join(dir, "control.sock")
 	ln, err := Listen("unix:" + path)
 	require.NoError(t, err)
-	s := Serve(ln, store, hosts{})
+	s := Serve(ln, Options{Store: store, Hosts: hosts{}})
 	t.Cleanup(s.Close)
 	c, err := client.New("unix:" + path)
 	require.NoError(t, err)
--- a/internal/control/controlpb/controlpbconnect/control.connect.go
+++ b/internal/control/controlpb/controlpbconnect/control.connect.go
@@ -44,6 +44,8 @@
 	ControlWatchProcedure = "/topazfall.control.v1.Control/Watch"
 	// ControlHostsProcedure is the fully-qualified name of the Control's Hosts RPC.
 	ControlHostsProcedure = "/topazfall.control.v1.Control/Hosts"
+	// ControlInstancesProcedure is the fully-qualified name of the Control's Instances RPC.
+	ControlInstancesProcedure = "/topazfall.control.v1.Control/Instances"
 )
 
 // ControlClient is a client for the topazfall.control.v1.Control service.
@@ -55,6 +57,8 @@
 	// Watch tells of every revision that is taken, once and in order.
 	Watch(context.Context, *connect.Request[controlpb.WatchRequest]) (*connect.ServerStreamForClient[controlpb.WatchResponse], error)
 	Hosts(context.Context, *connect.Request[controlpb.HostsRequest]) (*connect.Response[controlpb.HostsResponse], error)
+	// Instances asks every instance on the roster what it holds.
+	Instances(context.Context, *connect.Request[controlpb.InstancesRequest]) (*connect.Response[controlpb.InstancesResponse], error)
 }
 
 // NewControlClient constructs a client for the topazfall.control.v1.Control service. By default, it
@@ -98,16 +102,23 @@
 			connect.WithSchema(controlMethods.ByName("Hosts")),
 			connect.WithClientOptions(opts...),
 		),
+		instances: connect.NewClient[controlpb.InstancesRequest, controlpb.InstancesResponse](
+			httpClient,
+			baseURL+ControlInstancesProcedure,
+			connect.WithSchema(controlMethods.ByName("Instances")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // controlClient implements ControlClient.
 type controlClient struct {
-	get   *connect.Client[controlpb.GetRequest, controlpb.GetResponse]
-	check *connect.Client[controlpb.CheckRequest, controlpb.CheckResponse]
-	apply *connect.Client[controlpb.ApplyRequest, controlpb.ApplyResponse]
-	watch *connect.Client[controlpb.WatchRequest, controlpb.WatchResponse]
-	hosts *connect.Client[controlpb.HostsRequest, controlpb.HostsResponse]
+	get       *connect.Client[controlpb.GetRequest, controlpb.GetResponse]
+	check     *connect.Client[controlpb.CheckRequest, controlpb.CheckResponse]
+	apply     *connect.Client[controlpb.ApplyRequest, controlpb.ApplyResponse]
+	watch     *connect.Client[controlpb.WatchRequest, controlpb.WatchResponse]
+	hosts     *connect.Client[controlpb.HostsRequest, controlpb.HostsResponse]
+	instances *connect.Client[controlpb.InstancesRequest, controlpb.InstancesResponse]
 }
 
 // Get calls topazfall.control.v1.Control.Get.
@@ -135,6 +146,11 @@
 	return c.hosts.CallUnary(ctx, req)
 }
 
+// Instances calls topazfall.control.v1.Control.Instances.
+func (c *controlClient) Instances(ctx context.Context, req *connect.Request[controlpb.InstancesRequest]) (*connect.Response[controlpb.InstancesResponse], error) {
+	return c.instances.CallUnary(ctx, req)
+}
+
 // ControlHandler is an implementation of the topazfall.control.v1.Control service.
 type ControlHandler interface {
 	Get(context.Context, *connect.Request[controlpb.GetRequest]) (*connect.Response[controlpb.GetResponse], error)
@@ -144,6 +160,8 @@
 	// Watch tells of every revision that is taken, once and in order.
 	Watch(context.Context, *connect.Request[controlpb.WatchRequest], *connect.ServerStream[controlpb.WatchResponse]) error
 	Hosts(context.Context, *connect.Request[controlpb.HostsRequest]) (*connect.Response[controlpb.HostsResponse], error)
+	// Instances asks every instance on the roster what it holds.
+	Instances(context.Context, *connect.Request[controlpb.InstancesRequest]) (*connect.Response[controlpb.InstancesResponse], error)
 }
 
 // NewControlHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -183,6 +201,12 @@
 		connect.WithSchema(controlMethods.ByName("Hosts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	controlInstancesHandler := connect.NewUnaryHandler(
+		ControlInstancesProcedure,
+		svc.Instances,
+		connect.WithSchema(controlMethods.ByName("Instances")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/topazfall.control.v1.Control/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case ControlGetProcedure:
@@ -195,6 +219,8 @@
 			controlWatchHandler.ServeHTTP(w, r)
 		case ControlHostsProcedure:
 			controlHostsHandler.ServeHTTP(w, r)
+		case ControlInstancesProcedure:
+			controlInstancesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -223,3 +249,7 @@
 func (UnimplementedControlHandler) Hosts(context.Context, *connect.Request[controlpb.HostsRequest]) (*connect.Response[controlpb.HostsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("topazfall.control.v1.Control.Hosts is not implemented"))
 }
+
+func (UnimplementedControlHandler) Instances(context.Context, *connect.Request[controlpb.InstancesRequest]) (*connect.Response[controlpb.InstancesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("topazfall.control.v1.Control.Instances is not implemented"))
+}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -35,7 +35,8 @@
 	Several                                 atomic.Bool
 	Opened, Unopened, Moved, Resets, Trials atomic.Int64
 
-	mu      sync.Mutex // of those who add classes
+	mu      sync.Mutex // of those who add classes or parts
+	parts   []func(io.Writer)
 	classes atomic.Pointer[[]*class]
 }
 
@@ -61,6 +62,13 @@
 	f.classes.Store(&all)
 }
 
+// Extend has another part of the program write its figures behind these.
+func (f *Figures) Extend(write func(io.Writer)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.parts = append(f.parts, write)
+}
+
 // End counts a job of the class at that place.
 func (f *Figures) End(class int, e Ending) {
 	if all := f.classes.Load(); all != nil && class >= 0 && class < len(*all) {
@@ -94,6 +102,16 @@
 		figure{"peer_words_total", "counter", &f.Words}.write(w)
 		figure{"peer_words_dropped_total", "counter", &f.Unheeded}.write(w)
 	}
+	f.writeAddresses(w)
+	f.mu.Lock()
+	parts := f.parts
+	f.mu.Unlock()
+	for _, write := range parts {
+		write(w)
+	}
+}
+
+func (f *Figures) writeAddresses(w io.Writer) {
 	if !f.Several.Load() {
 		return
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -10,10 +10,12 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"topazfall"
 	"topazfall/internal/config"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/figures"
@@ -37,11 +39,17 @@
 
 // Parts are what an extension works with.
 type Parts struct {
-	Config *config.Config
-	Core   *dispatch.Core
-	Hosts  *south.Side
+	Config  *config.Config
+	Core    *dispatch.Core
+	Hosts   *south.Side
+	Figures *figures.Figures
+	// SetTenants brings tenants into force beside those of the configuration; one that is in both is as it is here.
+	SetTenants func([]topazfall.Tenant)
 }
 
+// Reserver is an Extension that needs descriptors of its own, of those that the limits allow.
+type Reserver interface{ Descriptors(name string) int }
+
 // Extension is what other installations add to a dispatcher. It is started before the first list comes, and takes the
 // inventory's news in the core's place; its end is asked for when the dispatcher has left.
 type Extension interface {
@@ -65,6 +73,9 @@
 	if c.Cores > 0 {
 		runtime.GOMAXPROCS(max(int(math.Ceil(c.Cores)), 1))
 	}
+	if r, ok := x.(Reserver); ok {
+		c.Sockets = max(c.Sockets-r.Descriptors(c.Name), 0)
+	}
 	within(&c, 1)
 	counts := &figures.Figures{}
 	core, err := dispatch.New(c.Settings, counts)
@@ -89,7 +100,7 @@
 		news = x
 	}
 	list := inventory.New(c.Discovery, news, inventory.TermsOf(&c.Settings))
-	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list}
+	place := &succession{c: &c, path: path, ln: ln, core: core, hosts: hosts, clients: clients, list: list, configured: c.Settings}
 	place.holds(&c.Settings)
 	clients.Others(place.tell)
 	if c.PeerListen != "" && c.Settings.Allowed.PeerMessages {
@@ -104,7 +115,7 @@
 	}
 	go core.Run(hosts, list)
 	if x != nil {
-		if err := x.Start(Parts{&c, core, hosts}); err != nil {
+		if err := x.Start(Parts{&c, core, hosts, counts, place.setTenants}); err != nil {
 			return err
 		}
 		defer x.Close()
@@ -184,7 +195,7 @@
 		}
 		now = &c
 		s.holds(&c.Settings)
-		s.clients.Renew(&c.Settings, s.core.Renew(c.Settings)) // the core first: no class may come that it does not know
+		s.renewConfigured(c.Settings)
 		s.hosts.SetTimes(times(now))
 		s.list.Renew(inventory.TermsOf(&c.Settings))
 		s.list.Move(c.Discovery)
@@ -193,6 +204,38 @@
 	}
 }
 
+// renewConfigured brings the settings of the configuration into force, with the tenants that an extension has set.
+func (s *succession) renewConfigured(configured topazfall.Settings) {
+	s.renewing.Lock()
+	defer s.renewing.Unlock()
+	s.configured = configured
+	s.renew()
+}
+
+func (s *succession) setTenants(tenants []topazfall.Tenant) {
+	s.renewing.Lock()
+	defer s.renewing.Unlock()
+	if slices.Equal(s.tenants, tenants) {
+		return
+	}
+	s.tenants = tenants
+	s.renew()
+}
+
+// renew brings the settings into force; s.renewing is held.
+func (s *succession) renew() {
+	now := s.configured
+	now.Tenants = slices.Clone(now.Tenants)
+	for _, t := range s.tenants {
+		if i := slices.IndexFunc(now.Tenants, func(o topazfall.Tenant) bool { return o.Name == t.Name }); i >= 0 {
+			now.Tenants[i] = t
+		} else {
+			now.Tenants = append(now.Tenants, t)
+		}
+	}
+	s.clients.Renew(&now, s.core.Renew(now)) // the core first: no class may come that it does not know
+}
+
 // serveOperators serves the second address. That it cannot be had now is no reason to serve no clients.
 func serveOperators(addr string, ready func() bool, counts *figures.Figures) {
 	ln, err := net.Listen("tcp", addr)
--- a/internal/instance/replace.go
+++ b/internal/instance/replace.go
@@ -150,6 +150,10 @@
 	clients *north.Side
 	list    *inventory.Watch
 
+	renewing   sync.Mutex
+	configured topazfall.Settings // by the configuration
+	tenants    []topazfall.Tenant // of an extension
+
 	mu      sync.Mutex
 	old     *takeover.Link // nil where there is none, or no more
 	has     held           // of the old one's
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"topazfall"
 	pb "topazfall/internal/control/controlpb"
 	"topazfall/internal/decide/addresses"
 	"topazfall/internal/decide/sources"
@@ -23,6 +24,9 @@
 	mostPlaces    = 256
 	mostResolvers = 8
 	mostBytes     = 1 << 20
+	mostTeams     = 1024
+	mostTeamName  = 128
+	mostQuota     = 1e6 // jobs a second: far beyond what one dispatcher serves
 )
 
 // Fault is one thing that is wrong with a document.
@@ -189,6 +193,7 @@
 	if s.Flaps > 16 {
 		bad("sources.flaps", "%d is not within 1 to 16", s.Flaps)
 	}
+	checkTeams(d.Teams, bad)
 	seen := map[string]bool{}
 	for i, n := range s.Srv {
 		path := fmt.Sprintf("sources.srv[%d].", i)
@@ -220,6 +225,39 @@
 	return faults
 }
 
+func checkTeams(teams []*pb.Team, bad func(path, format string, args ...any)) {
+	if len(teams) > mostTeams {
+		bad("teams", "%d are more than %d", len(teams), mostTeams)
+		return
+	}
+	seen := map[string]bool{}
+	for i, team := range teams {
+		path := fmt.Sprintf("teams[%d].", i)
+		if team.Name == "" || len(team.Name) > mostTeamName {
+			bad(path+"name", "must have 1 to %d bytes", mostTeamName)
+		}
+		if seen[team.Name] {
+			bad(path+"name", "%.64q is listed twice", team.Name)
+		}
+		seen[team.Name] = true
+		if !(team.Share >= 0 && team.Share <= 1) {
+			bad(path+"share", "%v is not within 0 to 1", team.Share)
+		}
+		if !(team.Quota >= 0 && team.Quota <= mostQuota) {
+			bad(path+"quota", "%v is not within 0 to %v", team.Quota, mostQuota)
+		}
+	}
+}
+
+// Teams are the teams as the decision module knows them.
+func Teams(doc *pb.Settings) []topazfall.Tenant {
+	teams := make([]topazfall.Tenant, len(doc.GetTeams()))
+	for i, team := range doc.GetTeams() {
+		teams[i] = topazfall.Tenant{Name: team.Name, Share: team.Share, Quota: team.Quota}
+	}
+	return teams
+}
+
 // Canonical is a name in the form in which names are compared.
 func Canonical(name string) string { return strings.ToLower(strings.TrimSuffix(name, ".")) }
 
--- a/internal/settings/store.go
+++ b/internal/settings/store.go
@@ -38,6 +38,18 @@
 	readOnly string         // why nothing can be taken
 	lock     io.Closer
 	closed   bool
+	managed  bool          // revisions are made by the installation's origins, and come by Take
+	owned    chan struct{} // closed when this process has the folder
+	read     fileState     // of the snapshot that was read last
+}
+
+// fileState tells whether a file is the one that was read before.
+type fileState struct {
+	info os.FileInfo // nil for none
+}
+
+func (f fileState) same(o os.FileInfo) bool {
+	return f.info != nil && o != nil && os.SameFile(f.info, o) && f.info.ModTime().Equal(o.ModTime()) && f.info.Size() == o.Size()
 }
 
 // StaleError turns a document down that was made from another revision than the one in force.
@@ -47,6 +59,12 @@
 	return fmt.Sprintf("it was made from revision %d, and %d is in force", e.From, e.InForce)
 }
 
+// ErrManaged turns a document down where revisions are made by the installation's origins.
+var ErrManaged = errors.New("revisions are made by the installation's origins")
+
+// ErrOlder turns a revision down that is older than the one in force.
+var ErrOlder = errors.New("it is older than the revision in force")
+
 // ErrReadOnly is wrapped by what says why no revision can be taken now.
 var ErrReadOnly = errors.New("no revision can be taken")
 
@@ -59,12 +77,12 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, err
 	}
-	s = &Store{path: filepath.Join(dir, "settings.snapshot"), done: make(chan struct{}), news: make(chan struct{})}
+	s = &Store{path: filepath.Join(dir, "settings.snapshot"), done: make(chan struct{}), news: make(chan struct{}), owned: make(chan struct{})}
 	s.lock, err = snapshot.Lock(dir)
 	if err != nil {
 		s.readOnly = err.Error()
 	}
-	r, fault, err := s.read()
+	r, fault, err := s.load()
 	if err != nil {
 		if s.lock != nil {
 			s.lock.Close()
@@ -74,12 +92,38 @@
 	s.log = []*pb.Revision{r}
 	if s.lock == nil {
 		go s.takeOver(dir)
+	} else {
+		close(s.owned)
 	}
 	return s, fault, nil
 }
 
-func (s *Store) read() (r *pb.Revision, fault, err error) {
+// Manage says that revisions are made by the installation's origins and come by Take. What was taken at this instance
+// alone stays in force as revision 0 until the first of theirs comes.
+func (s *Store) Manage() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.managed = true
+	s.log = []*pb.Revision{s.adopt(s.last())}
+}
+
+// adopt returns a revision as it counts here; s.mu is held.
+func (s *Store) adopt(r *pb.Revision) *pb.Revision {
+	if s.managed && r.Epoch == "" && r.Number != 0 {
+		r = proto.CloneOf(r)
+		r.Number = 0
+	}
+	return r
+}
+
+// Owned is closed when this process has the folder, and no other.
+func (s *Store) Owned() <-chan struct{} { return s.owned }
+
+func (s *Store) load() (r *pb.Revision, fault, err error) {
 	r = &pb.Revision{Settings: &pb.Settings{}}
+	if info, err := os.Stat(s.path); err == nil {
+		s.read = fileState{info}
+	}
 	body, fault, err := snapshot.Read(s.path, kind)
 	if err != nil || body == nil {
 		return r, fault, err
@@ -97,7 +141,8 @@
 	return r, fault, nil
 }
 
-// takeOver waits for the process that has the folder to go.
+// takeOver waits for the process that has the folder to go, and brings into force meanwhile what that takes: clients may
+// be served by this one already.
 func (s *Store) takeOver(dir string) {
 	for {
 		select {
@@ -107,24 +152,49 @@
 		}
 		lock, err := snapshot.Lock(dir)
 		if err != nil {
+			s.follow()
 			continue
 		}
-		r, _, err := s.read() // what that one has taken meanwhile
+		r, _, err := s.load() // what that one has taken meanwhile
 		s.mu.Lock()
+		defer s.mu.Unlock()
 		if s.closed {
-			s.mu.Unlock()
 			lock.Close()
 			return
 		}
 		s.lock, s.readOnly = lock, ""
+		close(s.owned)
 		if err != nil {
 			s.readOnly = err.Error()
-		} else if r.Number > s.last().Number {
-			s.add(r)
+			return
 		}
-		s.mu.Unlock()
+		s.addNewer(r)
+		return
+	}
+}
+
+// follow brings into force what the process that has the folder has saved.
+func (s *Store) follow() {
+	info, err := os.Stat(s.path)
+	if err != nil || s.read.same(info) {
 		return
 	}
+	r, fault, err := s.load()
+	if err != nil || fault != nil { // that process will say it
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.closed {
+		s.addNewer(r)
+	}
+}
+
+// addNewer makes a revision the one in force if it is newer; s.mu is held.
+func (s *Store) addNewer(r *pb.Revision) {
+	if r = s.adopt(r); r.Number > s.last().Number {
+		s.add(r)
+	}
 }
 
 func (s *Store) last() *pb.Revision { return s.log[len(s.log)-1] }
@@ -162,23 +232,59 @@
 	defer s.applying.Unlock()
 	last, readOnly := s.Now()
 	switch {
+	case s.isManaged():
+		return nil, ErrManaged
 	case readOnly != "":
 		return nil, fmt.Errorf("%w: %s", ErrReadOnly, readOnly)
 	case last.Number != from:
 		return nil, StaleError{from, last.Number}
 	}
 	r := &pb.Revision{Number: from + 1, Settings: proto.CloneOf(doc), Taken: timestamppb.New(now)}
+	if err := s.save(r); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// save makes a revision the one in force once it is saved; s.applying is held.
+func (s *Store) save(r *pb.Revision) error {
 	body, err := protojson.Marshal(r)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := snapshot.Write(s.path, kind, body); err != nil {
-		return nil, fmt.Errorf("it could not be saved: %w", err)
+		return fmt.Errorf("it could not be saved: %w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.add(r)
-	return r, nil
+	return nil
+}
+
+func (s *Store) isManaged() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.managed
+}
+
+// Take brings a sound revision of the installation's origins into force, once it is saved, and returns since when it is:
+// one that is in force already is left as it is. Its errors are ErrOlder, ErrReadOnly, or that of saving.
+func (s *Store) Take(r *pb.Revision) (since time.Time, err error) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	last, readOnly := s.Now()
+	switch {
+	case readOnly != "":
+		return since, fmt.Errorf("%w: %s", ErrReadOnly, readOnly)
+	case r.Number < last.Number || r.Number == last.Number && r.Epoch != last.Epoch:
+		return since, fmt.Errorf("revision %d: %w, %d", r.Number, ErrOlder, last.Number)
+	case r.Number == last.Number:
+		return last.Taken.AsTime(), nil
+	}
+	if err := s.save(r); err != nil {
+		return since, err
+	}
+	return r.Taken.AsTime(), nil
 }
 
 // After returns the revision that follows the one of that number, and waits for it if need be. So a watcher sees each
