--- a/internal/agent/installation.go
+++ b/internal/agent/installation.go
@@ -142,6 +142,7 @@
 	}
 	s := a.Status
 	one.Answered, one.Revision, one.Leader, one.Sources, one.Fault = true, s.Revision, s.Leader, s.Sources, s.Fault
+	one.Voting = s.Voting
 	if s.SinceUs > 0 {
 		one.Since = timestamppb.New(time.UnixMicro(s.SinceUs))
 	}
--- a/internal/configsync/session.go
+++ b/internal/configsync/session.go
@@ -20,6 +20,7 @@
 	applies  map[uint64]chan configlog.Result
 	wait     sync.WaitGroup // of the connections
 	fault    error          // of the disk: nothing may leave any more
+	voting   bool           // as last said
 	retry    time.Time      // when what could not be brought into force is tried again; zero if all is
 }
 
@@ -156,6 +157,10 @@
 	s := r.node.Status(now)
 	r.counts.newest.Store(s.Newest.Number)
 	r.counts.silent.Store(silence(now, s))
+	if s.Voting != r.voting {
+		r.voting = s.Voting
+		slog.Info("configsync", "state", "voting", "name", r.me.Name)
+	}
 }
 
 // silence is how long ago the leader was last heard of, in microseconds; negative for never.
@@ -169,11 +174,14 @@
 func (r *session) status() *syncpb.StatusReply {
 	now := r.now()
 	s := r.node.Status(now)
-	reply := &syncpb.StatusReply{Name: r.me.Name, Revision: s.Revision.Number, SinceUs: r.counts.since.Load(),
+	reply := &syncpb.StatusReply{Name: r.me.Name, Voting: s.Voting, Revision: s.Revision.Number, SinceUs: r.counts.since.Load(),
 		Newest: s.Newest.Number, SilentUs: silence(now, s), Leader: string(s.Leader)}
 	if s.Revision.Number > 0 {
 		reply.Epoch = s.Revision.Epoch.String()
 	}
+	if r.Origin() && !s.Voting {
+		reply.Fault = "it does not vote: it has restarted from nothing, and not all other origins have told it what they know"
+	}
 	for _, source := range s.Sources {
 		reply.Sources = append(reply.Sources, string(source))
 	}
