Model the configuration log of a whole installation in virtual time

It showed a member whose two parents hear nothing any more, and still send: they were taken for live for as long as the member knew of nothing newer. A member that hears no heartbeat of a leader for long now tries one source more, in turn.

--- a/internal/decide/configlog/node.go
+++ b/internal/decide/configlog/node.go
@@ -15,6 +15,9 @@
 	Life    uint64 // another one with each start: a time, or a number that was drawn
 	First   bool   // of an origin with an empty disk: the installation is new, there is nothing that it may have forgotten
 	Counted func(Drop)
+
+	// Topology of the roster and fan-out, where several members of one process share it; nil to work it out.
+	Topology *Topology
 }
 
 // Drop says why something that came in was dropped.
@@ -51,9 +54,12 @@
 	if o.FanOut == (FanOut{}) {
 		o.FanOut = DefaultFanOut()
 	}
-	topology, err := NewTopology(o.Roster, o.FanOut)
-	if err != nil {
-		return nil, err
+	topology := o.Topology
+	if topology == nil {
+		var err error
+		if topology, err = NewTopology(o.Roster, o.FanOut); err != nil {
+			return nil, err
+		}
 	}
 	m, ok := topology.Member(o.Node)
 	if !ok {
--- a/internal/decide/configlog/replica.go
+++ b/internal/decide/configlog/replica.go
@@ -27,14 +27,15 @@
 	log      deltaLog
 	newest   Revision // that was heard of
 
-	beat      Beat
-	fresh     int64 // when beat last advanced
-	digested  int64 // when the last digest was sent down
-	sources   []source
-	adopted   []child
-	seekAt    int64 // when a further substitute may be asked
-	seekWait  int64 // 0 unless the last one asked has not answered
-	candidate int   // index of the next substitute
+	beat       Beat
+	fresh      int64 // when beat last advanced
+	digested   int64 // when the last digest was sent down
+	sources    []source
+	adopted    []child
+	isolatedAt int64 // when this member holds itself to be cut off, unless beat advances
+	seekAt     int64 // when a further substitute may be asked
+	seekWait   int64 // 0 unless the last one asked has not answered
+	candidate  int   // index of the next substitute
 
 	pull     pull
 	fetch    fetch
@@ -135,6 +136,7 @@
 func (n *Node) hearBeat(now int64, b Beat) {
 	if r := &n.replica; b.Compare(r.beat) > 0 {
 		r.beat, r.fresh = b, now
+		r.isolatedAt = now + 3*n.timing.Digest + n.random.Int64N(2*n.timing.Digest)
 		n.digest(now)
 	}
 }
@@ -148,8 +150,8 @@
 	s.held = d.Held
 	if r.isFresh(d.Beat) {
 		s.heard = now
-		if !s.parent {
-			r.seekWait = 0 // it has taken this member on
+		if !s.parent && d.Beat.Compare(r.beat) >= 0 && now <= r.isolatedAt {
+			r.seekWait = 0 // it has taken this member on, and is joined to a leader
 		}
 	}
 	n.hearBeat(now, d.Beat)
--- a/internal/decide/configlog/sources.go
+++ b/internal/decide/configlog/sources.go
@@ -59,36 +59,66 @@
 	}
 }
 
-// seek keeps two live sources: it drops substitutes as soon as there are enough without them, renews those that are
-// needed, and asks for another where one is missing. The waits between two questions grow, with jitter, as long as
-// nobody answers. An origin needs no more than its fellows.
+// seek keeps two live sources: it renews the substitutes that are needed, drops those that are not, and asks another
+// where one is missing. One more is tried, and changed for another again and again, where no source has brought a
+// heartbeat of a leader for long: all of them may be cut off alike. The waits grow, with jitter, as long as that does
+// no good. Origins have their fellows.
 func (n *Node) seek(now int64) {
 	r := &n.replica
 	if n.origin != nil {
 		return
 	}
-	want, have := len(n.topology.Parents(n.me)), 0
-	for _, s := range r.sources {
+	isolated := r.fresh > 0 && now > r.isolatedAt
+	want := len(n.topology.Parents(n.me))
+	if isolated {
+		want++
+	}
+	missing := want - n.keepSubstitutes(now, want)
+	if now < r.seekAt || missing <= 0 && !isolated {
+		return
+	}
+	if missing <= 0 {
+		n.forgetOldest()
+	}
+	n.seekAnother(now)
+}
+
+// keepSubstitutes renews as many substitutes as are wanted beside the live parents, and forgets all others. It
+// returns how many sources are live or may yet answer.
+func (n *Node) keepSubstitutes(now int64, want int) (have int) {
+	for _, s := range n.replica.sources {
 		if s.parent && n.live(now, s) {
 			have++
 		}
 	}
-	isolated := r.fresh > 0 && now-r.fresh > 3*n.timing.Digest
-	for _, s := range slices.Clone(r.sources) {
+	for _, s := range slices.Clone(n.replica.sources) {
 		switch {
 		case s.parent:
-		case have >= want && !isolated, !n.live(now, s):
+		case have >= want, !n.live(now, s):
 			n.forget(s.node)
 		default:
 			have++
 			n.renew(now, s.node)
 		}
 	}
-	if have >= want && !isolated || now < r.seekAt || len(r.sources) > 2*want {
-		return
+	return have
+}
+
+// forgetOldest drops the substitute that has been one for longest.
+func (n *Node) forgetOldest() {
+	for _, s := range n.replica.sources {
+		if !s.parent {
+			n.forget(s.node)
+			return
+		}
 	}
-	candidates := n.topology.Substitutes(n.me)
-	candidates = slices.DeleteFunc(candidates, func(c NodeID) bool { return n.source(c) != nil })
+}
+
+// seekAnother asks the next substitute in turn. It counts as live until PullTimeout, so that it is given time to
+// answer.
+func (n *Node) seekAnother(now int64) {
+	r := &n.replica
+	candidates := slices.DeleteFunc(n.topology.Substitutes(n.me), func(c NodeID) bool { return n.source(c) != nil })
 	if len(candidates) == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/lab/configmodel/scenario.go
@@ -0,0 +1,239 @@
+package configmodel
+
+import (
+	"math"
+	"slices"
+
+	"topazfall/internal/decide/configlog"
+)
+
+// Scenario is what goes wrong in a run.
+type Scenario struct {
+	Name    string
+	Seconds int64   // how long changes are asked for
+	Rate    float64 // changes a second
+	Network func(*Network)
+	Faults  func(m *Model, seconds int64) // lets faults happen; nil for none
+}
+
+// Result is what a run has measured. Times are microseconds.
+type Result struct {
+	Scenario            string
+	Followers           int
+	Changes             int     // committed
+	Samples             int     // of a change and a dispatcher that could be reached
+	P50, P99, P999, Max int64   // until in force there, from the asking that was taken
+	Within4s            float64 // share of the samples
+	TakenP99            int64   // until an operator's change is committed, from the first asking, with all that were repeated
+	MessagesPerChange   float64 // pushes, pulls and their answers, for each member and change
+	RelayBytes          float64 // mean bytes a second sent and received by the busiest relay or origin
+	FeederBytes         float64 // and by the busiest dispatcher
+	MeanBytes           float64 // and by all dispatchers on average
+	CatchUp             int64   // from a heal until all have what the others had at the heal; 0 where nothing was healed
+	CatchUpBytes        float64 // received in that time for each member that was cut off, heartbeats among them
+	Drops               map[configlog.Drop]int64
+}
+
+// warmUp is how long members run before anything is asked or measured.
+const warmUp = 10 * second
+
+// fill brings a first document of all keys into force everywhere, so that what follows are changes.
+func (m *Model) fill() error {
+	for key := 0; key < keys; key += keys / 10 {
+		m.askFor(func(id uint64) (c configlog.Change) {
+			for k := key; k < key+keys/10; k++ {
+				c = append(c, configlog.Entry{Key: teamKey(k), Value: m.value(id)})
+			}
+			return c
+		})
+		if err := m.Run(2 * second); err != nil {
+			return err
+		}
+	}
+	return m.Run(warmUp)
+}
+
+// Play runs a scenario among so many dispatchers. An invariant that was broken is an error: two documents under one
+// number, a member that goes back, or one that does not hold the newest revision in the end.
+func Play(s Scenario, followers int, seed uint64) (Result, error) {
+	network := OrdinaryNetwork()
+	if s.Network != nil {
+		s.Network(&network)
+	}
+	m, err := NewModel(Roster(followers), network, seed)
+	if err != nil {
+		return Result{}, err
+	}
+	if err := m.Run(warmUp); err != nil {
+		return Result{}, err
+	}
+	if err := m.fill(); err != nil {
+		return Result{}, err
+	}
+	m.samples = samples{}
+	committed := m.newest
+	before, counted := m.dissemination(), m.now
+	for _, i := range m.members {
+		i.sent, i.got = 0, 0
+	}
+	if s.Faults != nil {
+		s.Faults(m, s.Seconds)
+	}
+	m.askAtRate(s.Rate, s.Seconds)
+	if err := m.Run(s.Seconds * second); err != nil {
+		return Result{}, err
+	}
+	r := m.result1(s, followers, float64(m.now-counted)/1e6)
+	if n := m.newest - committed; n > 0 {
+		r.MessagesPerChange = float64(m.dissemination()-before) / float64(n) / float64(len(m.members))
+	}
+	if err := m.Run(givenUp + 90*second); err != nil {
+		return r, err
+	}
+	m.finish(&r, int(m.newest-committed))
+	return r, m.converged()
+}
+
+// dissemination is how many messages have carried revisions, or asked for them.
+func (m *Model) dissemination() int64 {
+	return m.messages["Push"] + m.messages["Pull"] + m.messages["Deltas"] + m.messages["Chunk"]
+}
+
+// askAtRate lets operators ask at a mean rate, at times that are drawn.
+func (m *Model) askAtRate(rate float64, seconds int64) {
+	at := int64(0)
+	for {
+		at += int64(m.random.ExpFloat64() / rate * float64(second))
+		if at >= seconds*second {
+			return
+		}
+		m.after(at, m.ask)
+	}
+}
+
+// result1 is the part of a result that is measured while changes are asked for.
+func (m *Model) result1(s Scenario, followers int, seconds float64) Result {
+	r := Result{Scenario: s.Name, Followers: followers}
+	for _, i := range m.members {
+		rate := float64(i.sent+i.got) / seconds
+		if i.Role == configlog.Follower {
+			r.FeederBytes = max(r.FeederBytes, rate)
+			r.MeanBytes += rate / float64(followers)
+		} else {
+			r.RelayBytes = max(r.RelayBytes, rate)
+		}
+	}
+	return r
+}
+
+// finish adds what is known in the end.
+func (m *Model) finish(r *Result, changes int) {
+	in := m.samples.inForce
+	r.Changes, r.Samples, r.Drops = changes, len(in), m.drops
+	r.P50, r.P99, r.P999, r.Max = quantile(in, 0.5), quantile(in, 0.99), quantile(in, 0.999), quantile(in, 1)
+	r.Within4s = within(in, 4*second)
+	r.TakenP99 = quantile(m.samples.taken, 0.99)
+	r.CatchUp, r.CatchUpBytes = m.catchUp, m.catchUpBytes
+}
+
+// converged returns an error if a member that is up does not hold the newest revision.
+func (m *Model) converged() error {
+	for _, i := range m.members {
+		if !i.down && !i.frozen && i.held != m.newest {
+			m.broken("%s holds revision %d in the end, and the newest is %d", i.Node, i.held, m.newest)
+		}
+	}
+	return m.fault
+}
+
+// measureCatchUp measures from a heal until all who were cut off have what the others had then.
+func (m *Model) measureCatchUp(cut []*member) {
+	target, healed := m.newest, m.now
+	before := int64(0)
+	for _, i := range cut {
+		before += i.got
+	}
+	var look func()
+	look = func() {
+		if slices.ContainsFunc(cut, func(i *member) bool { return !i.down && !i.frozen && i.held < target }) {
+			m.after(10*millisecond, look)
+			return
+		}
+		m.catchUp = m.now - healed
+		got := -before
+		for _, i := range cut {
+			got += i.got
+		}
+		m.catchUpBytes = float64(got) / float64(len(cut))
+	}
+	look()
+}
+
+// perDay lets something happen at drawn times, so often in the time of the run.
+func (m *Model) perDay(times float64, seconds int64, do func()) {
+	for range int(math.Round(times)) {
+		m.after(m.random.Int64N(seconds*second), do)
+	}
+}
+
+// Scenarios are the runs of the table. A day's failures of 5,500 machines, 64 lost and 790 restarted, are scaled to
+// the members and happen in 864 s, a hundredth of a day: so is a hundred times the ordinary trouble and, at one a
+// second, 17 times the changes.
+func Scenarios() []Scenario {
+	day := func(m *Model, seconds int64) {
+		part := float64(len(m.members)) / 5500
+		anyOne := func() *member { return m.members[m.random.IntN(len(m.members))] }
+		m.perDay(64*part, seconds, func() { m.stop(anyOne(), 60*second, true) })
+		m.perDay(790*part, seconds, func() { m.stop(anyOne(), 3*second, true) })
+	}
+	some := []configlog.Role{configlog.Follower, configlog.Relay}
+	return []Scenario{
+		{Name: "quiet, 5,200 a day", Seconds: 1000, Rate: 5200.0 / 86400},
+		{Name: "a day in 864 s", Seconds: 864, Rate: 1, Faults: day},
+		{Name: "a zone killed", Seconds: 120, Rate: 1, Faults: func(m *Model, _ int64) {
+			m.after(20*second, func() {
+				for _, i := range m.members {
+					if i.Zone == "zone-1-0" { // an origin, a relay and a twelfth of the dispatchers
+						m.stop(i, 60*second, true)
+					}
+				}
+			})
+		}},
+		{Name: "one-way cuts", Seconds: 240, Rate: 1, Faults: func(m *Model, seconds int64) {
+			for at := int64(0); at < seconds; at += 20 {
+				m.after(at*second, func() {
+					for _, i := range m.some(0.05, some...) {
+						m.cutOneWay(i, 15*second, m.random.IntN(2) == 0)
+					}
+				})
+			}
+		}},
+		{Name: "frozen and woken", Seconds: 240, Rate: 1, Faults: func(m *Model, seconds int64) {
+			for at := int64(0); at < seconds; at += 20 {
+				m.after(at*second, func() {
+					for _, i := range m.some(0.05, configlog.Follower, configlog.Relay, configlog.Origin) {
+						m.freeze(i, 10*second)
+					}
+				})
+			}
+		}},
+		{Name: "lost, doubled, old", Seconds: 240, Rate: 1, Network: func(n *Network) {
+			n.Lost, n.Doubled, n.Replayed, n.Jitter = 0.05, 0.05, 0.02, 3
+		}},
+		{Name: "region cut for an hour", Seconds: 3660, Rate: 5200.0 / 86400, Faults: func(m *Model, _ int64) {
+			region := "region-0"
+			m.after(10*second, func() {
+				for _, i := range m.members {
+					if i.node.Status(m.now).Leading {
+						region = i.Region
+					}
+				}
+				m.cutRegion(region, true)
+			})
+			m.after(3610*second, func() {
+				m.cutRegion(region, false)
+				m.measureCatchUp(slices.DeleteFunc(slices.Clone(m.members), func(i *member) bool { return i.Region != region }))
+			})
+		}},
+	}
+}
