--- a/internal/decide/configlog/configlog.go
+++ b/internal/decide/configlog/configlog.go
@@ -117,12 +117,12 @@
 	Leader   NodeID
 }
 
-// Effects are what the caller must do, in this order: save, bring into force, send and report. If saving fails, the
-// instance must stop: what it holds in memory may not be shown to anybody.
+// Effects are what the caller must do, in this order: save and sync, bring into force, send and report. If saving
+// fails, the instance must stop: what it holds in memory may not be shown to anybody.
 type Effects struct {
 	Taken    []Delta // revisions that have come into force, in order; to be saved
 	Replaced bool    // a snapshot has come into force instead, before Taken: the whole Document is to be saved
-	SaveVote bool    // Vote is to be saved, after the document
+	SaveVote bool    // Vote is to be saved, when the document is on the disk
 	Messages []Message
 	Results  []Result
 }
--- a/internal/decide/configlog/node.go
+++ b/internal/decide/configlog/node.go
@@ -1,6 +1,7 @@
 package configlog
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 )
@@ -63,7 +64,7 @@
 	}
 	m, ok := topology.Member(o.Node)
 	if !ok {
-		return nil, ErrRoster
+		return nil, fmt.Errorf("%w: %q is not on it", ErrRoster, o.Node)
 	}
 	n := &Node{me: o.Node, topology: topology, timing: o.Timing, fan: o.FanOut, counted: o.Counted,
 		random: rand.New(rand.NewPCG(o.Seed, weight(o.Node, "")))}
--- a/internal/decide/configlog/replica.go
+++ b/internal/decide/configlog/replica.go
@@ -136,7 +136,7 @@
 func (n *Node) hearBeat(now int64, b Beat) {
 	if r := &n.replica; b.Compare(r.beat) > 0 {
 		r.beat, r.fresh = b, now
-		r.isolatedAt = now + 3*n.timing.Digest + n.random.Int64N(2*n.timing.Digest)
+		r.isolatedAt = now + n.timing.SilentAfter + n.random.Int64N(n.timing.Digest/2+1)
 		n.digest(now)
 	}
 }
--- a/internal/decide/configlog/sources.go
+++ b/internal/decide/configlog/sources.go
@@ -91,6 +91,9 @@
 			have++
 		}
 	}
+	if len(n.replica.sources) == len(n.topology.Parents(n.me)) {
+		return have
+	}
 	for _, s := range slices.Clone(n.replica.sources) {
 		switch {
 		case s.parent:
