Check the bars of the configuration log in the model, and find a lost leader sooner

A leader sends a heartbeat each 250 ms instead of 500, and is given up after 1 to 2 s instead of 1.5 to 3: its loss with a change under way is bounded by 2.93 s and counts among the bounds.

--- a/internal/decide/configlog/leader.go
+++ b/internal/decide/configlog/leader.go
@@ -186,17 +186,17 @@
 		o.campaigns = now + n.jitter(n.timing.Campaign)
 		return
 	}
-	if o.beatAt > 0 && now-o.beatAt < n.timing.Digest/2 {
+	if o.beatAt > 0 && now-o.beatAt < n.timing.Heartbeat {
 		return
 	}
 	o.beatAt = now
-	o.tick++
+	if o.tick == 0 || now-o.tickAt >= n.timing.Digest {
+		o.tick, o.tickAt = o.tick+1, now
+	}
 	o.leaderAt = now
 	beat := Beat{o.epoch, o.tick}
 	n.sendAll(o.others, Heartbeat{beat, n.held()})
-	if o.tick%2 == 1 { // followers need half as many as the origins
-		n.hearBeat(now, beat)
-	}
+	n.hearBeat(now, beat)
 }
 
 func (n *Node) handleHeartbeat(now int64, from NodeID, h Heartbeat) {
@@ -223,9 +223,7 @@
 	n.send(from, HeartbeatAck{h.Beat})
 	n.hearOf(h.Held)
 	n.pullFrom(now, from, h.Held)
-	if h.Beat.Tick%2 == 1 {
-		n.hearBeat(now, h.Beat)
-	}
+	n.hearBeat(now, h.Beat)
 }
 
 func (n *Node) handleHeartbeatAck(now int64, from NodeID, h HeartbeatAck) {
--- a/internal/decide/configlog/limits.go
+++ b/internal/decide/configlog/limits.go
@@ -23,6 +23,7 @@
 	SilentAfter int64 // a source that was not heard from for so long is replaced by another
 	PullTimeout int64 // until a pull that brought nothing is repeated elsewhere; doubled each time, with jitter
 	PullMax     int64 // the longest of these
+	Heartbeat   int64 // between two heartbeats of a leader to the other origins
 	Campaign    int64 // an origin that has not heard from a leader for so long campaigns; with jitter, up to twice that
 	Retry       int64 // between two sendings of what an origin has not answered
 	ApplyLimit  int64 // an Apply whose outcome is open for so long is reported as Unknown
@@ -33,7 +34,7 @@
 func DefaultTiming() Timing {
 	const ms = 1000
 	return Timing{Digest: 1000 * ms, SilentAfter: 2500 * ms, PullTimeout: 400 * ms, PullMax: 6400 * ms,
-		Campaign: 1500 * ms, Retry: 250 * ms, ApplyLimit: 3000 * ms}
+		Heartbeat: 250 * ms, Campaign: 1000 * ms, Retry: 250 * ms, ApplyLimit: 3000 * ms}
 }
 
 // FanOut bounds how many members one feeds.
--- a/internal/decide/configlog/origin.go
+++ b/internal/decide/configlog/origin.go
@@ -54,7 +54,8 @@
 	accepted  map[NodeID]bool
 	request   request
 	answered  map[NodeID]int64 // when each other origin last answered this leader
-	tick      uint64
+	tick      uint64           // of the heartbeats that go down with digests: one in each digest period
+	tickAt    int64
 	beatAt    int64 // when the last heartbeat was sent
 	retryAt   int64
 	leaderAt  int64 // when a leader was last heard
--- a/internal/decide/configlog/replica.go
+++ b/internal/decide/configlog/replica.go
@@ -62,7 +62,7 @@
 }
 
 // margin is by how many ticks of the leader a source may be behind the best one and still be as good as it.
-const margin = 2
+const margin = 1
 
 // isFresh tells whether a beat is about as new as the best known.
 func (r *replica) isFresh(b Beat) bool {
--- a/internal/lab/configmodel/operator.go
+++ b/internal/lab/configmodel/operator.go
@@ -29,8 +29,9 @@
 
 // samples are how long changes took.
 type samples struct {
-	inForce []int64 // from the asking that was taken until in force, for each change and reachable dispatcher
-	taken   []int64 // from the first asking of an operator until committed
+	inForce   []int64 // from the asking that was taken until in force, for each change and reachable dispatcher
+	committed []int64 // the same from when it was committed
+	taken     []int64 // from the first asking of an operator until committed
 }
 
 // value begins with the number of the try, so that it is known again wherever it is in force.
@@ -124,6 +125,7 @@
 	for n := first; n <= revision.Number; n++ {
 		if c := m.changes[n]; c != nil && i.Role == configlog.Follower && i.reachable(c.asked) {
 			m.samples.inForce = append(m.samples.inForce, m.now-c.asked)
+			m.samples.committed = append(m.samples.committed, m.now-c.committed)
 		}
 	}
 	i.held = revision.Number
@@ -159,6 +161,7 @@
 	for _, i := range m.members {
 		if i.Role == configlog.Follower && i.held < number && i.reachable(m.changes[number].asked) {
 			m.samples.inForce = append(m.samples.inForce, givenUp)
+			m.samples.committed = append(m.samples.committed, givenUp)
 		}
 	}
 	delete(m.changes, number)
