Greet on each link before messages go over it, and settle a change by the revision that it made

With race and several installations at once a revision took up to 3.6 s to be in force where a link had just been healed or a process started: a listener in front of a process that does not read took the messages and lost them. The one who is dialed greets now; what could not be sent for want of that waits for 2 s at most.

An origin whose answer from the leader was lost learns the outcome from the revision that came into force.

--- a/cmd/topazfall-agent/installation_test.go
+++ b/cmd/topazfall-agent/installation_test.go
@@ -42,6 +42,7 @@
 	clients map[int]controlpbconnect.ControlClient // by process id
 	started map[string]bool                        // by name: no bootstrap again
 	highest map[string]uint64                      // by name: the highest revision seen, which must never fall
+	waits   []time.Duration                        // until an Apply was answered, elections included
 	times   []time.Duration                        // from the answer of an Apply until all that were waited for had it
 }
 
@@ -71,7 +72,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		s.Rig.Close()
-		t.Logf("in force everywhere after %v", s.times)
+		t.Logf("answered after %v, then in force everywhere after %v", s.waits, s.times)
 		if t.Failed() {
 			for _, name := range s.all() {
 				t.Logf("%s:\n%s", name, s.Log(name))
@@ -177,6 +178,8 @@
 // apply makes a revision at an origin as soon as it can be made, and returns its number and when the answer came.
 func (s *shared) apply(origin string, value int) (number uint64, at time.Time) {
 	var last error
+	began := time.Now()
+	defer func() { s.waits = append(s.waits, time.Since(began)) }()
 	require.Eventually(s, func() bool {
 		from, ok := s.holds(origin)
 		if !ok {
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -156,14 +156,18 @@
 	if err != nil {
 		return err
 	}
+	hello, err := s.hello("")
+	if err != nil {
+		return err
+	}
 	listener, err := listen(s.me.Address)
 	if err != nil {
 		return err
 	}
 	ctx, stop := context.WithCancel(s.context)
 	run := &session{Sync: s, context: ctx, node: node, outgoing: map[configlog.NodeID]*outgoing{},
-		applies: map[uint64]chan configlog.Result{}}
-	in := &incoming{me: s.me, roster: s.options.Roster, members: s.members, counts: s.counts, listener: listener,
+		applies: map[uint64]pendingApply{}}
+	in := &incoming{me: s.me, roster: s.options.Roster, members: s.members, counts: s.counts, listener: listener, hello: hello,
 		most: mostConnections(s.options.Roster, s.me.Name, s.options.FanOut), handle: run.handle, status: s.Status, open: map[net.Conn]bool{}, from: map[string]net.Conn{}}
 	s.wait.Go(func() { in.run(ctx) })
 	slog.Info("configsync", "state", "started", "name", s.me.Name, "listen", s.me.Address, "role", s.role(),
@@ -232,7 +236,8 @@
 }
 
 // Apply makes a revision of the one in force here, with just these entries, if that has the number base and is the one in
-// force at the origins. It answers when the outcome is known. Besides the log's outcomes there are ErrNotOrigin, ErrEnded
+// force at the origins. It answers when the outcome is known; no two changes may have the same entries, so that each is
+// known by what it makes. Besides the log's outcomes there are ErrNotOrigin, ErrEnded
 // and the context's errors.
 func (s *Sync) Apply(ctx context.Context, base uint64, entries map[string][]byte) (configlog.Result, error) {
 	if !s.Origin() {
@@ -246,7 +251,7 @@
 			answer <- configlog.Result{ID: id, Outcome: configlog.Stale, Revision: held}
 			return
 		}
-		r.applies[id] = answer
+		r.applies[id] = pendingApply{base, entries, answer}
 		r.carryOut(r.node.Apply(s.now(), id, held, r.node.Document().ChangeTo(entries)))
 	})
 	if err != nil {
--- a/internal/configsync/incoming.go
+++ b/internal/configsync/incoming.go
@@ -27,7 +27,8 @@
 	roster   *Roster
 	members  map[string]Member
 	counts   *counts
-	most     int // connections at a time
+	hello    []byte // with which connections are greeted
+	most     int    // connections at a time
 	listener net.Listener
 	handle   func(configlog.Message) // takes a message, or drops it; does not wait
 	status   func() *syncpb.StatusReply
@@ -130,6 +131,9 @@
 		in.counts.drop(why, 1, "address", c.RemoteAddr(), "name", first.GetHello().GetFrom())
 		return
 	}
+	if !in.write(c, in.hello) {
+		return
+	}
 	for {
 		c.SetReadDeadline(time.Now().Add(readTime))
 		f, err := readFrame(reader)
@@ -199,6 +203,10 @@
 	if err != nil {
 		return false
 	}
+	return in.write(c, frame)
+}
+
+func (in *incoming) write(c net.Conn, frame []byte) bool {
 	c.SetWriteDeadline(time.Now().Add(writeTime))
 	n, err := c.Write(frame)
 	in.counts.sent.Add(int64(n))
--- a/internal/configsync/outgoing.go
+++ b/internal/configsync/outgoing.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,31 +18,39 @@
 // Bounds of a connection to another instance. Those in time follow from the 4 s within which a revision is to be in force
 // everywhere: a connection that is dead is found, and another one made, within that.
 const (
-	dialTime     = time.Second
+	dialTime     = 700 * time.Millisecond
+	greetTime    = 700 * time.Millisecond // for the first frame of the one who was dialed; longer than any round trip
 	writeTime    = 2 * time.Second
 	unackedTime  = 3 * time.Second // data that the other end's kernel has not acknowledged ends the connection
 	idleTime     = 30 * time.Second
 	readTime     = 2 * idleTime // until the next frame: the one who dials closes first
 	backOffFirst = 50 * time.Millisecond
-	backOffMost  = time.Second
+	backOffMost  = 700 * time.Millisecond
 	steadyTime   = 5 * time.Second // a connection that stood for so long was a good one
 	queueFrames  = 512
 	queueBytes   = 512 << 10
+	queueTime    = 2 * time.Second // what waits for longer is dropped: a newer message has said more
 )
 
-// outgoing sends messages to one other instance, over a connection that is made when there is something to send. Nothing
-// comes back on it.
+// outgoing sends messages to one other instance, over a connection that is made when there is something to send. The other
+// one greets on it, so that nothing is sent to a listener behind which nobody reads; else nothing comes back.
 type outgoing struct {
 	to     Member
 	hello  []byte
 	counts *counts
 
 	mu     sync.Mutex
-	frames [][]byte
+	frames []queued
 	bytes  int
 	wake   chan struct{} // has one place
 }
 
+// queued is a frame that waits, and since when.
+type queued struct {
+	frame []byte
+	since time.Time
+}
+
 func newOutgoing(to Member, hello []byte, c *counts) *outgoing {
 	return &outgoing{to: to, hello: hello, counts: c, wake: make(chan struct{}, 1)}
 }
@@ -51,22 +60,44 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if len(o.frames) >= queueFrames || o.bytes+len(frame) > queueBytes {
-		o.clear(ReasonQueue)
+		o.drop(len(o.frames), ReasonQueue)
 	}
-	o.frames, o.bytes = append(o.frames, frame), o.bytes+len(frame)
+	o.frames, o.bytes = append(o.frames, queued{frame, time.Now()}), o.bytes+len(frame)
+	o.awake()
+}
+
+// awake has the goroutine that sends look at the queue.
+func (o *outgoing) awake() {
 	select {
 	case o.wake <- struct{}{}:
 	default:
 	}
 }
 
-// clear drops what waits; o.mu is held.
-func (o *outgoing) clear(why Reason) {
-	o.counts.drop(why, int64(len(o.frames)), "to", o.to.Name)
-	o.frames, o.bytes = nil, 0
+// drop drops the first of what waits; o.mu is held.
+func (o *outgoing) drop(count int, why Reason) {
+	o.counts.drop(why, int64(count), "to", o.to.Name)
+	for _, q := range o.frames[:count] {
+		o.bytes -= len(q.frame)
+	}
+	o.frames = append([]queued(nil), o.frames[count:]...)
 }
 
-func (o *outgoing) take() [][]byte {
+// unreached drops what has waited for long, and has the rest tried again.
+func (o *outgoing) unreached() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	old := slices.IndexFunc(o.frames, func(q queued) bool { return time.Since(q.since) < queueTime })
+	if old < 0 {
+		old = len(o.frames)
+	}
+	o.drop(old, ReasonUnreachable)
+	if len(o.frames) > 0 {
+		o.awake()
+	}
+}
+
+func (o *outgoing) take() []queued {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	list := o.frames
@@ -100,21 +131,20 @@
 func (o *outgoing) connect(ctx context.Context) error {
 	c, err := dial(ctx, o.to.Address)
 	if err != nil {
-		o.mu.Lock()
-		defer o.mu.Unlock()
-		o.clear(ReasonUnreachable)
+		o.unreached()
 		return err
 	}
 	o.counts.links.Add(1)
 	defer o.counts.links.Add(-1)
 	defer c.Close()
-	broken := watch(c)
-	if err := o.write(c, o.hello); err != nil {
+	if err := o.greet(c); err != nil {
+		o.unreached()
 		return err
 	}
+	broken := watch(c)
 	for {
-		for _, frame := range o.take() {
-			if err := o.write(c, frame); err != nil {
+		for _, q := range o.take() {
+			if err := o.write(c, q.frame); err != nil {
 				return err
 			}
 		}
@@ -130,6 +160,30 @@
 	}
 }
 
+// greet says who dials, and waits until the other one has said who it is.
+func (o *outgoing) greet(c net.Conn) error {
+	if err := o.write(c, o.hello); err != nil {
+		return err
+	}
+	return greeted(c, o.to)
+}
+
+// greeted reads the first frame of the one who was dialed.
+func greeted(c net.Conn, to Member) error {
+	c.SetReadDeadline(time.Now().Add(greetTime))
+	defer c.SetReadDeadline(time.Time{})
+	f, err := readFrame(c)
+	switch {
+	case err == io.EOF:
+		return fmt.Errorf("%s has refused the connection", to.Name)
+	case err != nil:
+		return err
+	case f.GetHello().GetFrom() != to.Name:
+		return fmt.Errorf("%w: no hello of %s", ErrFrameForm, to.Name)
+	}
+	return nil
+}
+
 func (o *outgoing) write(c net.Conn, frame []byte) error {
 	c.SetWriteDeadline(time.Now().Add(writeTime))
 	n, err := c.Write(frame)
@@ -190,14 +244,15 @@
 	if err != nil {
 		return nil, err
 	}
-	c.SetDeadline(time.Now().Add(writeTime))
+	c.SetWriteDeadline(time.Now().Add(writeTime))
 	if _, err := c.Write(append(append([]byte(nil), hello...), request...)); err != nil {
 		return nil, err
 	}
-	f, err := readFrame(c)
-	if err == io.EOF {
-		return nil, fmt.Errorf("%s has refused the connection", to.Name)
+	if err := greeted(c, to); err != nil {
+		return nil, err
 	}
+	c.SetReadDeadline(time.Now().Add(writeTime))
+	f, err := readFrame(c)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configsync/session.go
+++ b/internal/configsync/session.go
@@ -11,13 +11,20 @@
 	"topazfall/internal/decide/configlog"
 )
 
+// pendingApply is a change whose outcome is not known yet.
+type pendingApply struct {
+	base    uint64
+	entries map[string][]byte
+	answer  chan configlog.Result // has one place
+}
+
 // session is the time between two starts from what is saved. All its fields are of the goroutine that runs loop.
 type session struct {
 	*Sync
 	context  context.Context
 	node     *configlog.Node
 	outgoing map[configlog.NodeID]*outgoing
-	applies  map[uint64]chan configlog.Result
+	applies  map[uint64]pendingApply
 	wait     sync.WaitGroup // of the connections
 	fault    error          // of the disk: nothing may leave any more
 	voting   bool           // as last said
@@ -51,9 +58,31 @@
 
 // abandon answers whoever waits: what was begun may be saved somewhere, or not.
 func (r *session) abandon() {
-	for id, answer := range r.applies {
-		delete(r.applies, id)
-		answer <- configlog.Result{ID: id, Outcome: configlog.Unknown}
+	for id := range r.applies {
+		r.answer(configlog.Result{ID: id, Outcome: configlog.Unknown})
+	}
+}
+
+func (r *session) answer(result configlog.Result) {
+	if apply, ok := r.applies[result.ID]; ok {
+		delete(r.applies, result.ID)
+		apply.answer <- result
+	}
+}
+
+// settle answers the changes whose outcome shows in the revision that has come into force, also where the answer of the
+// one who led was lost.
+func (r *session) settle() {
+	d := r.node.Document()
+	for id, apply := range r.applies {
+		if d.Revision().Number != apply.base+1 {
+			continue
+		}
+		outcome := configlog.Stale
+		if len(d.ChangeTo(apply.entries)) == 0 {
+			outcome = configlog.Committed
+		}
+		r.answer(configlog.Result{ID: id, Outcome: outcome, Revision: d.Revision()})
 	}
 }
 
@@ -84,15 +113,13 @@
 	}
 	if changed {
 		r.bringIntoForce()
+		r.settle()
 	}
 	for _, m := range e.Messages {
 		r.send(m)
 	}
 	for _, result := range e.Results {
-		if answer, ok := r.applies[result.ID]; ok {
-			delete(r.applies, result.ID)
-			answer <- result
-		}
+		r.answer(result)
 	}
 }
 
