--- a/cmd/topazctl/status.go
+++ b/cmd/topazctl/status.go
@@ -17,9 +17,10 @@
 )
 
 func statusCommand(t *tool) *cobra.Command {
-	return &cobra.Command{Use: "status", Short: "Show which revision each instance of the installation holds", Args: cobra.NoArgs,
-		Long: "status asks every instance on the roster, by way of the one that --control names. It ends with 3, and names\n" +
-			"them, where some have not answered, are behind the newest revision or say that something is wrong.",
+	return &cobra.Command{Use: "status", Args: cobra.NoArgs,
+		Short: "Show which revision each instance of the installation holds",
+		Long: "status asks every instance on the roster, by way of the one that --control names. It ends with\n" +
+			"3, and names them, where some have not answered, are behind the newest revision or have a fault.",
 		RunE: t.with(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, _ []string) error {
 			r, err := api.Instances(ctx, connect.NewRequest(&pb.InstancesRequest{}))
 			if err != nil {
@@ -40,7 +41,8 @@
 	out := table.NewWriter()
 	out.SetOutputMirror(w)
 	out.SetStyle(table.StyleLight)
-	out.AppendHeader(table.Row{"instance", "role", "region", "zone", "revision", "since", "behind", "leader", "heard of it", "fed by", "fault"})
+	out.AppendHeader(table.Row{"instance", "role", "region", "zone", "revision", "since", "behind", "leader",
+		"heard of it", "fed by", "fault"})
 	for _, i := range r.Instances {
 		if !i.Answered {
 			out.AppendRow(table.Row{i.Name, i.Role, i.Region, i.Zone, "?", "", "", "", "", "", i.Fault})
--- a/cmd/topazfall-agent/installation_test.go
+++ b/cmd/topazfall-agent/installation_test.go
@@ -53,7 +53,8 @@
 	t.Parallel()
 	places <- struct{}{}
 	t.Cleanup(func() { <-places })
-	s := &shared{T: t, clients: map[int]controlpbconnect.ControlClient{}, started: map[string]bool{}, highest: map[string]uint64{}}
+	s := &shared{T: t, clients: map[int]controlpbconnect.ControlClient{}, started: map[string]bool{},
+		highest: map[string]uint64{}}
 	for i := range origins {
 		s.origins = append(s.origins, fmt.Sprint("o", i))
 	}
@@ -67,8 +68,9 @@
 	dir, err := os.MkdirTemp("", "rig") // a name that is short enough for a socket
 	require.NoError(t, err)
 	t.Cleanup(func() { os.RemoveAll(dir) })
-	s.Rig, err = rig.Start(rig.Options{Dir: dir, Names: s.all(), Split: configsync.SplitFrames, Seed: 11, Args: s.arguments,
-		Program: program.Options{Path: os.Args[0], Env: []string{"TOPAZFALL_PLAYED=1"}, Discovery: list.Address()}})
+	s.Rig, err = rig.Start(rig.Options{Dir: dir, Names: s.all(), Split: configsync.SplitFrames, Seed: 11,
+		Args: s.arguments, Program: program.Options{Path: os.Args[0], Env: []string{"TOPAZFALL_PLAYED=1"},
+			Discovery: list.Address()}})
 	require.NoError(t, err)
 	t.Cleanup(func() {
 		s.Rig.Close()
@@ -151,7 +153,8 @@
 	d := durationpb.New(time.Duration(value) * time.Millisecond)
 	doc := &pb.Settings{Sources: &pb.Sources{Hold: d}, Addresses: &pb.Addresses{Calm: d}}
 	for i := range teams {
-		doc.Teams = append(doc.Teams, &pb.Team{Name: fmt.Sprintf("team-%03d", i), Share: 1. / teams, Quota: float64(value)})
+		team := &pb.Team{Name: fmt.Sprintf("team-%03d", i), Share: 1. / teams, Quota: float64(value)}
+		doc.Teams = append(doc.Teams, team)
 	}
 	return doc
 }
@@ -162,7 +165,8 @@
 	if doc.GetAddresses().GetCalm().AsDuration() != value || value > 0 && len(doc.GetTeams()) != teams {
 		return true
 	}
-	return slices.ContainsFunc(doc.GetTeams(), func(team *pb.Team) bool { return team.Quota != float64(value/time.Millisecond) })
+	differs := func(team *pb.Team) bool { return team.Quota != float64(value/time.Millisecond) }
+	return slices.ContainsFunc(doc.GetTeams(), differs)
 }
 
 func (s *shared) tryApply(origin string, from uint64, value int) (uint64, error) {
--- a/internal/agent/installation.go
+++ b/internal/agent/installation.go
@@ -38,7 +38,12 @@
 	if err != nil {
 		return since, err
 	}
-	return i.store.Take(&pb.Revision{Number: r.Number, Epoch: r.Epoch.String(), Settings: doc, Taken: timestamppb.Now()})
+	return i.store.Take(revisionOf(r, doc))
+}
+
+// revisionOf is a revision of the log as the store has it.
+func revisionOf(r configlog.Revision, doc *pb.Settings) *pb.Revision {
+	return &pb.Revision{Number: r.Number, Epoch: r.Epoch.String(), Settings: doc, Taken: timestamppb.Now()}
 }
 
 // Apply has the origins make a revision, and answers when it is committed.
@@ -56,7 +61,7 @@
 	}
 	switch result.Outcome {
 	case configlog.Committed:
-		r := &pb.Revision{Number: result.Revision.Number, Epoch: result.Revision.Epoch.String(), Settings: doc, Taken: timestamppb.Now()}
+		r := revisionOf(result.Revision, doc)
 		i.waitFor(ctx, r.Number)
 		return r, nil
 	case configlog.Stale:
@@ -97,8 +102,9 @@
 	var faults settings.Faults
 	for _, key := range slices.Sorted(maps.Keys(entries)) {
 		if len(key) > configlog.MaxKey || len(entries[key]) > configlog.MaxValue {
-			faults = append(faults, settings.Fault{Path: key, Text: fmt.Sprintf(
-				"is too large to be shared: names have at most %d bytes, parts %d", configlog.MaxKey, configlog.MaxValue)})
+			text := fmt.Sprintf("is too large to be shared: names have at most %d bytes, parts %d", configlog.MaxKey,
+				configlog.MaxValue)
+			faults = append(faults, settings.Fault{Path: key, Text: text})
 		}
 	}
 	if len(faults) > 0 {
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -1,6 +1,6 @@
 // Package configsync keeps the settings of all instances of an installation the same: it is the I/O round
-// internal/decide/configlog. It carries the log's messages between the instances on a roster, keeps what an instance must
-// not forget, and brings each committed revision into force.
+// internal/decide/configlog. It carries the log's messages between the instances on a roster, keeps what an
+// instance must not forget, and brings each committed revision into force.
 //
 // For each instance that this one has something to say to there is one connection, which is made when it is needed and
 // carries messages one way. Frames are bounded and checked whole; what is not as it should be is dropped and counted.
@@ -34,9 +34,9 @@
 	spareDescriptors = 4 // of the listener, and of a file that is saved, its folder and the one before
 )
 
-// Target is where committed revisions come into force. Take is called in their order, each newer than the one before, from
-// one goroutine; after a restart the one held is told again. It returns since when the revision is in force here, or why it
-// cannot be brought into force.
+// Target is where committed revisions come into force. Take is called in their order, each newer than the one
+// before, from one goroutine; after a restart the one held is told again. It returns since when the revision is in
+// force here, or why it cannot be brought into force.
 type Target interface {
 	Take(revision configlog.Revision, entries map[string][]byte) (since time.Time, err error)
 }
@@ -83,8 +83,8 @@
 	if !ok {
 		return nil, fmt.Errorf("%w: %.64q is not on it", ErrRoster, o.Name)
 	}
-	s := &Sync{options: o, me: me, members: map[string]Member{}, storage: storage{o.State}, counts: newCounts(), began: time.Now(),
-		fault: "it has not started yet", events: make(chan func(*session), eventsMost)}
+	s := &Sync{options: o, me: me, members: map[string]Member{}, storage: storage{o.State}, counts: newCounts(),
+		began: time.Now(), fault: "it has not started yet", events: make(chan func(*session), eventsMost)}
 	for _, m := range o.Roster.Members {
 		s.members[m.Name] = m
 	}
@@ -151,8 +151,8 @@
 		slog.Warn("configsync", "state", "bootstrap", "name", s.me.Name)
 	}
 	node, err := configlog.New(configlog.Options{Node: configlog.NodeID(s.me.Name), Roster: s.options.Roster.members(),
-		Timing: s.options.Timing, FanOut: s.options.FanOut, Seed: rand.Uint64(), Life: uint64(time.Now().UnixNano()), First: first,
-		Counted: s.counts.dropLog}, saved)
+		Timing: s.options.Timing, FanOut: s.options.FanOut, Seed: rand.Uint64(), Life: uint64(time.Now().UnixNano()),
+		First: first, Counted: s.counts.dropLog}, saved)
 	if err != nil {
 		return err
 	}
@@ -167,8 +167,9 @@
 	ctx, stop := context.WithCancel(s.context)
 	run := &session{Sync: s, context: ctx, node: node, outgoing: map[configlog.NodeID]*outgoing{},
 		applies: map[uint64]pendingApply{}}
-	in := &incoming{me: s.me, roster: s.options.Roster, members: s.members, counts: s.counts, listener: listener, hello: hello,
-		most: mostConnections(s.options.Roster, s.me.Name, s.options.FanOut), handle: run.handle, status: s.Status, open: map[net.Conn]bool{}, from: map[string]net.Conn{}}
+	in := &incoming{me: s.me, roster: s.options.Roster, members: s.members, counts: s.counts,
+		listener: listener, hello: hello, most: mostConnections(s.options.Roster, s.me.Name, s.options.FanOut),
+		handle: run.handle, status: s.Status, open: map[net.Conn]bool{}, from: map[string]net.Conn{}}
 	s.wait.Go(func() { in.run(ctx) })
 	slog.Info("configsync", "state", "started", "name", s.me.Name, "listen", s.me.Address, "role", s.role(),
 		"revision", node.Document().Revision().Number)
@@ -235,10 +236,10 @@
 	}
 }
 
-// Apply makes a revision of the one in force here, with just these entries, if that has the number base and is the one in
-// force at the origins. It answers when the outcome is known; no two changes may have the same entries, so that each is
-// known by what it makes. Besides the log's outcomes there are ErrNotOrigin, ErrEnded
-// and the context's errors.
+// Apply makes a revision of the one in force here, with just these entries, if that has the number base and is the
+// one in force at the origins. It answers when the outcome is known; no two changes may have the same entries, so
+// that each is known by what it makes. Besides the log's outcomes there are ErrNotOrigin, ErrEnded and the
+// context's errors.
 func (s *Sync) Apply(ctx context.Context, base uint64, entries map[string][]byte) (configlog.Result, error) {
 	if !s.Origin() {
 		return configlog.Result{}, ErrNotOrigin
@@ -285,8 +286,8 @@
 	defer cancel()
 	reply, err := ask(ctx, s, (*session).status)
 	if err != nil {
-		reply = &syncpb.StatusReply{Name: s.me.Name, Revision: s.counts.revision.Load(), SinceUs: s.counts.since.Load(), SilentUs: -1}
-		reply.Fault = err.Error()
+		reply = &syncpb.StatusReply{Name: s.me.Name, Revision: s.counts.revision.Load(),
+			SinceUs: s.counts.since.Load(), SilentUs: -1, Fault: err.Error()}
 	}
 	if fault := s.nowFault(); fault != "" {
 		reply.Fault = fault
--- a/internal/configsync/counts.go
+++ b/internal/configsync/counts.go
@@ -27,7 +27,7 @@
 	ReasonCut         Reason = "cut"         // a frame that was cut short
 	ReasonConnections Reason = "connections" // more connections than there may be
 	ReasonBusy        Reason = "busy"        // more messages than could be handled
-	ReasonQueue       Reason = "queue"       // more messages for an instance than may wait; it gets a snapshot or deltas later
+	ReasonQueue       Reason = "queue"       // more messages for an instance than may wait; it pulls what it missed
 	ReasonUnreachable Reason = "unreachable" // messages for an instance that could not be reached
 	ReasonSettings    Reason = "settings"    // a committed revision that this program cannot bring into force
 )
@@ -68,7 +68,8 @@
 	if said, ok := c.said[why]; ok && now.Sub(said) < logEvery {
 		return
 	}
-	slog.Warn("configsync", append([]any{"state", "dropped", "reason", string(why), "count", c.unsaid[why]}, attributes...)...)
+	what := []any{"state", "dropped", "reason", string(why), "count", c.unsaid[why]}
+	slog.Warn("configsync", append(what, attributes...)...)
 	c.said[why], c.unsaid[why] = now, 0
 }
 
--- a/internal/configsync/input_test.go
+++ b/internal/configsync/input_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -115,7 +116,8 @@
 		_, err = io.Copy(io.Discard, conn) // it is read to its end, or refused
 		require.NotErrorIs(t, err, os.ErrDeadlineExceeded, c.name)
 		if c.why != "" {
-			require.Eventually(t, func() bool { return dropped(i.syncs["f0"], c.why) == before+1 }, patience, time.Millisecond, c.name)
+			counted := func() bool { return dropped(i.syncs["f0"], c.why) == before+1 }
+			require.Eventually(t, counted, patience, time.Millisecond, c.name)
 		}
 		r, v := i.targets["f0"].now()
 		require.EqualValues(t, 1, r.Number, c.name)
@@ -125,8 +127,8 @@
 	require.Less(t, i.reach("after"), 4*time.Second)
 }
 
-// The parent of an instance may say what it likes: a revision that does not make its checksum is not taken, and one that
-// is held already, doubled or older, changes nothing.
+// The parent of an instance may say what it likes: a revision that does not make its checksum is not taken, and one
+// that is held already, doubled or older, changes nothing.
 func TestBadInputOfAParent(t *testing.T) {
 	t.Parallel()
 	i := install(t, 1, 1)
@@ -136,10 +138,11 @@
 	held, _ := i.targets["f0"].now()
 	wrong := held
 	wrong.Number++
+	bad := configlog.Change{{Key: "key", Value: []byte("bad")}}
 	for _, body := range []configlog.Body{
-		configlog.Push{Delta: configlog.Delta{Revision: wrong, Change: configlog.Change{{Key: "key", Value: []byte("bad")}}}},
-		configlog.Push{Delta: configlog.Delta{Revision: held, Change: configlog.Change{{Key: "key", Value: []byte("bad")}}}},
-		configlog.Deltas{Latest: wrong, Deltas: []configlog.Delta{{Revision: wrong, Change: configlog.Change{{Key: "a", Value: []byte("x")}}}}},
+		configlog.Push{Delta: configlog.Delta{Revision: wrong, Change: bad}},
+		configlog.Push{Delta: configlog.Delta{Revision: held, Change: bad}},
+		configlog.Deltas{Latest: wrong, Deltas: []configlog.Delta{{Revision: wrong, Change: bad}}},
 		configlog.Chunk{Revision: wrong, Total: 3, Data: []byte("bad")},
 		configlog.Chunk{Revision: configlog.Revision{Number: 1}, Total: 0},
 	} {
@@ -196,20 +199,24 @@
 
 func TestParseRoster(t *testing.T) {
 	t.Parallel()
+	const origin = `{"name":"a","address":"127.0.0.1:1","role":"origin"}`
+	list := func(members string) string { return `{"installation":"i","members":[` + members + `]}` }
+	elsewhere := strings.Replace(origin, "127.0.0.1", "10.0.0.1", 1)
+	trusted := strings.Replace(list(elsewhere), "{", `{"trusted_network":true,`, 1)
 	for text, want := range map[string]string{
-		`{"installation":"i","members":[{"name":"a","address":"127.0.0.1:1","role":"origin"}]}`:                              "",
-		`{"installation":"i","trusted_network":true,"members":[{"name":"a","address":"10.0.0.1:1","role":"origin"}]}`:        "",
-		`{"installation":"i","members":[{"name":"a","address":"10.0.0.1:1","role":"origin"}]}`:                               "trusted",
-		`{"installation":"i","members":[{"name":"a","address":"unix:x","role":"origin"}]}`:                                   "absolute",
-		`{"installation":"i","members":[{"name":"a","address":"x:1","role":"origin"}]}`:                                      "neither",
-		`{"installation":"i","members":[{"name":"a","address":"127.0.0.1:1"}]}`:                                              "0 origins",
-		`{"installation":"i","members":[{"name":"a","address":"127.0.0.1:1","role":"king"}]}`:                                "role",
-		`{"members":[{"name":"a","address":"127.0.0.1:1","role":"origin"}]}`:                                                 "installation",
-		`{"installation":"i","member":[]}`:                                                                                   "unknown field",
-		`{"installation":"i","members":[]} x`:                                                                                "its end",
-		`{`:                                                                                                                  "unexpected EOF",
-		`{"installation":"i","members":[{"name":"a","address":"unix:/x","role":"origin"},{"name":"b","address":"unix:/x"}]}`: "has the address",
-		`{"installation":"i","members":[{"name":"a","address":"unix:/x","role":"origin"},{"name":"a","address":"unix:/y"}]}`: "twice",
+		list(origin):    "",
+		trusted:         "",
+		list(elsewhere): "trusted",
+		list(strings.Replace(origin, "127.0.0.1:1", "unix:x", 1)):   "absolute",
+		list(strings.Replace(origin, "127.0.0.1", "x", 1)):          "neither",
+		list(strings.Replace(origin, "origin", "follower", 1)):      "0 origins",
+		list(strings.Replace(origin, "origin", "king", 1)):          "role",
+		strings.Replace(list(origin), `"installation":"i",`, "", 1): "installation",
+		strings.Replace(list(origin), "members", "member", 1):       "unknown field",
+		list(origin) + " x": "its end",
+		"{":                 "unexpected EOF",
+		list(origin + "," + strings.Replace(origin, `"a"`, `"b"`, 1)): "has the address",
+		list(origin + "," + strings.Replace(origin, `1:1`, `1:2`, 1)): "twice",
 	} {
 		_, err := ParseRoster([]byte(text))
 		if want == "" {
--- a/internal/configsync/outgoing.go
+++ b/internal/configsync/outgoing.go
@@ -15,8 +15,8 @@
 	"topazfall/internal/configsync/syncpb"
 )
 
-// Bounds of a connection to another instance. Those in time follow from the 4 s within which a revision is to be in force
-// everywhere: a connection that is dead is found, and another one made, within that.
+// Bounds of a connection to another instance. Those in time follow from the 4 s within which a revision is to be in
+// force everywhere: a connection that is dead is found, and another one made, within that.
 const (
 	dialTime     = 700 * time.Millisecond
 	greetTime    = 700 * time.Millisecond // for the first frame of the one who was dialed; longer than any round trip
@@ -32,8 +32,9 @@
 	queueTime    = 2 * time.Second // what waits for longer is dropped: a newer message has said more
 )
 
-// outgoing sends messages to one other instance, over a connection that is made when there is something to send. The other
-// one greets on it, so that nothing is sent to a listener behind which nobody reads; else nothing comes back.
+// outgoing sends messages to one other instance, over a connection that is made when there is something to send.
+// The other one greets on it, so that nothing is sent to a listener behind which nobody reads; else nothing comes
+// back.
 type outgoing struct {
 	to     Member
 	hello  []byte
@@ -127,7 +128,8 @@
 	}
 }
 
-// connect makes a connection and sends over it until it breaks, or nothing has been sent for idleTime, which is no error.
+// connect makes a connection and sends over it until it breaks, or nothing has been sent for idleTime, which is no
+// error.
 func (o *outgoing) connect(ctx context.Context) error {
 	c, err := dial(ctx, o.to.Address)
 	if err != nil {
@@ -240,7 +242,8 @@
 		return nil, err
 	}
 	defer c.Close()
-	request, err := encodeFrame(&syncpb.Frame{Content: &syncpb.Frame_StatusRequest{StatusRequest: &syncpb.StatusRequest{}}})
+	what := &syncpb.Frame_StatusRequest{StatusRequest: &syncpb.StatusRequest{}}
+	request, err := encodeFrame(&syncpb.Frame{Content: what})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configsync/roster.go
+++ b/internal/configsync/roster.go
@@ -107,7 +107,7 @@
 	case err != nil || ap.Port() == 0:
 		return fmt.Errorf("address %.64q is neither IP:port nor unix:/absolute/path", address)
 	case !ap.Addr().IsLoopback() && !trusted:
-		return fmt.Errorf("address %.64q is not of this machine, and the roster does not say that its network is trusted", address)
+		return fmt.Errorf("address %.64q is not of this machine, and the roster has no trusted_network", address)
 	}
 	return nil
 }
--- a/internal/configsync/session.go
+++ b/internal/configsync/session.go
@@ -201,13 +201,13 @@
 func (r *session) status() *syncpb.StatusReply {
 	now := r.now()
 	s := r.node.Status(now)
-	reply := &syncpb.StatusReply{Name: r.me.Name, Voting: s.Voting, Revision: s.Revision.Number, SinceUs: r.counts.since.Load(),
-		Newest: s.Newest.Number, SilentUs: silence(now, s), Leader: string(s.Leader)}
+	reply := &syncpb.StatusReply{Name: r.me.Name, Voting: s.Voting, Revision: s.Revision.Number,
+		SinceUs: r.counts.since.Load(), Newest: s.Newest.Number, SilentUs: silence(now, s), Leader: string(s.Leader)}
 	if s.Revision.Number > 0 {
 		reply.Epoch = s.Revision.Epoch.String()
 	}
 	if r.Origin() && !s.Voting {
-		reply.Fault = "it does not vote: it has restarted from nothing, and not all other origins have told it what they know"
+		reply.Fault = "it does not vote: it has forgotten, and not all other origins have told it what they know"
 	}
 	for _, source := range s.Sources {
 		reply.Sources = append(reply.Sources, string(source))
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -59,12 +59,14 @@
 }
 
 func install(t *testing.T, origins, followers int) *installation {
-	i := &installation{T: t, dir: t.TempDir(), roster: &Roster{Installation: "test"}, syncs: map[string]*Sync{}, targets: map[string]*target{}}
+	i := &installation{T: t, dir: t.TempDir(), roster: &Roster{Installation: "test"}, syncs: map[string]*Sync{},
+		targets: map[string]*target{}}
 	add := func(prefix, role string, n int) {
 		for k := range n {
 			name := fmt.Sprintf("%s%d", prefix, k)
-			i.roster.Members = append(i.roster.Members, Member{Name: name, Address: "unix:" + filepath.Join(i.dir, name+".sock"),
-				Region: "r", Zone: fmt.Sprintf("z%d", k%3), Role: role})
+			address := "unix:" + filepath.Join(i.dir, name+".sock")
+			i.roster.Members = append(i.roster.Members, Member{Name: name, Address: address, Region: "r",
+				Zone: fmt.Sprintf("z%d", k%3), Role: role})
 		}
 	}
 	add("o", "origin", origins)
@@ -85,7 +87,8 @@
 	if i.targets[name] == nil {
 		i.targets[name] = &target{}
 	}
-	s, err := New(Options{Name: name, Roster: i.roster, State: filepath.Join(i.dir, name), Bootstrap: bootstrap, Target: i.targets[name]})
+	s, err := New(Options{Name: name, Roster: i.roster, State: filepath.Join(i.dir, name), Bootstrap: bootstrap,
+		Target: i.targets[name]})
 	require.NoError(i, err)
 	s.Start()
 	i.syncs[name] = s
@@ -151,7 +154,8 @@
 		results := make([]configlog.Result, 2)
 		for k := range 2 {
 			wait.Go(func() {
-				r, err := i.syncs[fmt.Sprint("o", k)].Apply(t.Context(), held.Number, map[string][]byte{"key": fmt.Append(nil, n, "-", k)})
+				entries := map[string][]byte{"key": fmt.Append(nil, n, "-", k)}
+				r, err := i.syncs[fmt.Sprint("o", k)].Apply(t.Context(), held.Number, entries)
 				if err != nil {
 					t.Error(err)
 				}
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -1,5 +1,6 @@
-// Package rig runs several real processes of the program as one installation, with a link of its own for each ordered
-// pair of them, so that faults can be put between any two; and stops, wakes, kills, restarts and replaces the processes.
+// Package rig runs several real processes of the program as one installation, with a link of its own for each
+// ordered pair of them, so that faults can be put between any two; and stops, wakes, kills, restarts and replaces
+// the processes.
 package rig
 
 import (
@@ -88,7 +89,8 @@
 			return err
 		}
 		m := &member{clients: free[0], files: filepath.Join(r.options.Dir, name)}
-		m.Member = Member{Name: name, State: filepath.Join(m.files, "state"), Listen: free[1], Peers: map[string]string{}}
+		m.Member = Member{Name: name, State: filepath.Join(m.files, "state"), Listen: free[1],
+			Peers: map[string]string{}}
 		if err := os.MkdirAll(m.State, 0o700); err != nil {
 			return err
 		}
@@ -99,8 +101,8 @@
 			if from == to {
 				continue
 			}
-			l, err := link.Start(link.Options{Listen: "127.0.0.1:0", Target: r.members[to].Listen, Split: r.options.Split,
-				Seed: r.options.Seed + uint64(i*len(r.options.Names)+j)})
+			l, err := link.Start(link.Options{Listen: "127.0.0.1:0", Target: r.members[to].Listen,
+				Split: r.options.Split, Seed: r.options.Seed + uint64(i*len(r.options.Names)+j)})
 			if err != nil {
 				return err
 			}
@@ -222,8 +224,8 @@
 // Restart starts processes of members whose processes have ended, with what those have kept.
 func (r *Rig) Restart(names ...string) error { return r.each(names, r.launch) }
 
-// Replace starts a second process of a member beside the present one, and returns that when the second takes clients. The
-// first is then to be told to end.
+// Replace starts a second process of a member beside the present one, and returns that when the second takes
+// clients. The first is then to be told to end.
 func (r *Rig) Replace(name string) (old *program.Process, err error) {
 	old = r.Process(name)
 	return old, r.launch(name)
--- a/internal/settings/entries.go
+++ b/internal/settings/entries.go
@@ -12,8 +12,8 @@
 	pb "topazfall/internal/control/controlpb"
 )
 
-// The keys of a document's entries. Lists have an entry for each of their members, so that a change of one costs what that
-// one costs. Entries of other keys are of a newer program and passed over.
+// The keys of a document's entries. Lists have an entry for each of their members, so that a change of one costs
+// what that one costs. Entries of other keys are of a newer program and passed over.
 const (
 	sourcesKey   = "sources"
 	addressesKey = "addresses"
