--- a/cmd/topazfall-agent/agent_test.go
+++ b/cmd/topazfall-agent/agent_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -255,3 +256,37 @@
 	require.NoError(t, s.program.Term())
 	require.NoError(t, s.program.Wait(patience))
 }
+
+// A team that a revision names is served from then on, and one that the next names no more is refused again; those of the
+// configuration stay.
+func TestTeams(t *testing.T) {
+	s := enact(t, 1, false)
+	s.publish(1, s.hosts...)
+	s.apply("", jobs)
+	s.eventually("it is listed", func() bool { return len(s.up()) == 1 })
+	status := func(team string) int {
+		return s.client.Do(lab.Message{ID: s.client.NextID(), Class: program.Classes[0], Tenant: team, Wait: 3 * time.Second,
+			Body: []byte("x")}).Status
+	}
+	require.Equal(t, 400, status("new-team"))
+	now, err := s.api.Get(t.Context(), connect.NewRequest(&pb.GetRequest{}))
+	require.NoError(t, err)
+	doc := now.Msg.Revision.Settings
+	doc.Teams = []*pb.Team{{Name: "new-team", Share: 0.1, Quota: 100}}
+	from := now.Msg.Revision.Number
+	_, err = s.api.Apply(t.Context(), connect.NewRequest(&pb.ApplyRequest{Settings: doc, From: from}))
+	require.NoError(t, err)
+	s.eventually("the team is served", func() bool { return status("new-team") == 200 })
+	require.Equal(t, 200, status("delta-mobile"))
+	require.NoError(t, s.program.Signal(syscall.SIGHUP)) // the configuration is read again, and says nothing of the team
+	s.eventually("it was read", func() bool {
+		figures, err := s.program.Figures()
+		return err == nil && figures["app_sighup_applied_total"] == 1
+	})
+	require.Equal(t, 200, status("new-team"))
+	doc.Teams = nil
+	_, err = s.api.Apply(t.Context(), connect.NewRequest(&pb.ApplyRequest{Settings: doc, From: from + 1}))
+	require.NoError(t, err)
+	s.eventually("the team is refused", func() bool { return status("new-team") == 400 })
+	require.Equal(t, 200, status("delta-mobile"))
+}
--- /dev/null
+++ b/internal/settings/shared_test.go
@@ -0,0 +1,152 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+	"pgregory.net/rapid"
+
+	pb "topazfall/internal/control/controlpb"
+)
+
+func made(number uint64, epoch string, hold time.Duration) *pb.Revision {
+	return &pb.Revision{Number: number, Epoch: epoch, Taken: timestamppb.New(time.UnixMilli(int64(number))),
+		Settings: &pb.Settings{Sources: &pb.Sources{Hold: durationpb.New(hold)}}}
+}
+
+// A revision of the origins is in force once it is saved, never an older one after it, and one that is told again stays
+// as it is; nothing is taken at the instance itself.
+func TestTake(t *testing.T) {
+	dir := t.TempDir()
+	s := open(t, dir)
+	_, err := s.Apply(doc(t, sound), 0, time.Now())
+	require.NoError(t, err)
+	s.Manage()
+	now, _ := s.Now()
+	require.Zero(t, now.Number, "it stays in force until the first of theirs comes")
+	require.NotEmpty(t, now.Settings.Sources.Srv)
+	_, err = s.Apply(doc(t, `{}`), 0, time.Now())
+	require.ErrorIs(t, err, ErrManaged)
+
+	for _, number := range []uint64{1, 2, 7} {
+		since, err := s.Take(made(number, "1@a", time.Second))
+		require.NoError(t, err)
+		require.EqualValues(t, number, since.UnixMilli())
+	}
+	again := made(7, "1@a", time.Second)
+	again.Taken = timestamppb.Now()
+	since, err := s.Take(again)
+	require.NoError(t, err)
+	require.EqualValues(t, 7, since.UnixMilli(), "since it came first")
+	for _, r := range []*pb.Revision{made(6, "1@a", 0), made(6, "9@a", 0), made(7, "2@b", 0)} {
+		_, err = s.Take(r)
+		require.ErrorIs(t, err, ErrOlder)
+	}
+	s.Close()
+	s = open(t, dir)
+	s.Manage()
+	now, _ = s.Now()
+	require.True(t, proto.Equal(made(7, "1@a", time.Second), now))
+}
+
+// What the process that has the folder takes is in force also at the one that is about to replace it.
+func TestSecondProcessFollows(t *testing.T) {
+	dir := t.TempDir()
+	old, young := open(t, dir), open(t, dir)
+	old.Manage()
+	young.Manage()
+	select {
+	case <-young.Owned():
+		t.Fatal("two have it")
+	case <-old.Owned():
+	}
+	for number := uint64(1); number < 4; number++ {
+		_, err := old.Take(made(number, "1@a", time.Second))
+		require.NoError(t, err)
+		r, err := young.After(t.Context(), number-1)
+		require.NoError(t, err)
+		require.Equal(t, number, r.Number)
+	}
+	_, err := young.Take(made(4, "1@a", time.Second))
+	require.ErrorIs(t, err, ErrReadOnly)
+	old.Close()
+	<-young.Owned()
+	_, err = young.Take(made(4, "1@a", time.Second))
+	require.NoError(t, err)
+}
+
+// A document is the same after it was split into entries, but for the order of its names and teams, and one team's change
+// is one entry's.
+func TestEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &pb.Settings{}
+		if rapid.Bool().Draw(t, "sources") {
+			d.Sources = &pb.Sources{Hold: durationpb.New(time.Duration(rapid.Int64Range(0, 1e12).Draw(t, "hold"))),
+				Resolvers: []string{"127.0.0.1:53"}}
+			for i := range rapid.IntRange(0, mostNames).Draw(t, "names") {
+				d.Sources.Srv = append(d.Sources.Srv, &pb.Srv{Name: fmt.Sprintf("n%02d.example", i), Zone: "z"})
+			}
+		}
+		if rapid.Bool().Draw(t, "addresses") {
+			d.Addresses = &pb.Addresses{}
+		}
+		for i := range rapid.IntRange(0, 20).Draw(t, "teams") {
+			d.Teams = append(d.Teams, &pb.Team{Name: fmt.Sprintf("t%02d", i), Quota: rapid.Float64Range(0, 9).Draw(t, "quota")})
+		}
+		entries, err := Entries(d)
+		require.NoError(t, err)
+		entries["of a newer program"] = []byte{0xff}
+		back, err := FromEntries(entries)
+		require.NoError(t, err)
+		require.True(t, proto.Equal(d, back), "%v\n%v", d, back)
+	})
+	entries, err := Entries(&pb.Settings{Teams: []*pb.Team{{Name: "a"}, {Name: "b"}}})
+	require.NoError(t, err)
+	require.Len(t, entries, 2)
+	_, err = FromEntries(map[string][]byte{"sources": {0xff}})
+	require.ErrorIs(t, err, ErrEntries)
+	wrong, err := proto.Marshal(&pb.Team{Name: "a", Share: 2})
+	require.NoError(t, err)
+	_, err = FromEntries(map[string][]byte{"team/a": wrong})
+	require.ErrorAs(t, err, &Faults{})
+	_, err = FromEntries(map[string][]byte{"team/a": wrong, "team/b": wrong})
+	require.ErrorContains(t, err, "listed twice")
+}
+
+func FuzzFromEntries(f *testing.F) {
+	f.Add("sources", []byte{}, "team/a", []byte{0x0a, 1, 'a'})
+	f.Add("srv/x", []byte{0x0a, 1, 'x'}, "addresses", []byte{0xff})
+	f.Fuzz(func(t *testing.T, key string, value []byte, other string, second []byte) {
+		d, err := FromEntries(map[string][]byte{key: value, other: second})
+		if err == nil && len(Check(d)) > 0 {
+			t.Fatal("a document with faults")
+		}
+	})
+}
+
+func TestCheckTeams(t *testing.T) {
+	list := func(team *pb.Team, more ...*pb.Team) *pb.Settings { return &pb.Settings{Teams: append(more, team)} }
+	require.Empty(t, Check(list(&pb.Team{Name: "a", Share: 1, Quota: 20})))
+	many := slices.Repeat([]*pb.Team{{Name: "a"}}, mostTeams)
+	for want, d := range map[string]*pb.Settings{
+		"teams[0].name: must have":       list(&pb.Team{}),
+		"teams[0].name":                  list(&pb.Team{Name: strings.Repeat("x", mostTeamName+1)}),
+		"teams[1].name":                  list(&pb.Team{Name: "a"}, &pb.Team{Name: "a"}),
+		"teams[0].share: 1.5":            list(&pb.Team{Name: "a", Share: 1.5}),
+		"teams[0].share: NaN":            list(&pb.Team{Name: "a", Share: math.NaN()}),
+		"teams[0].quota: -1":             list(&pb.Team{Name: "a", Quota: -1}),
+		"teams[0].quota: +Inf":           list(&pb.Team{Name: "a", Quota: math.Inf(1)}),
+		"teams: 1025 are more than 1024": list(&pb.Team{Name: "b"}, many...),
+	} {
+		require.Contains(t, Check(d).Error(), want)
+	}
+	require.Equal(t, 3., Teams(list(&pb.Team{Name: "a", Quota: 3}))[0].Quota)
+}
