Let origins that lost all disks go on by hand, and say how

Origins that start with a document restored from a follower began with epoch 1, which members with a later one took for old. A test loses all three disks: nothing is committed until that is done.

--- a/internal/decide/configlog/network_test.go
+++ b/internal/decide/configlog/network_test.go
@@ -291,6 +291,39 @@
 	}
 }
 
+// Origins that have all lost their disks commit nothing more by themselves. By hand, all begin with the newest document
+// that a follower holds, the others are restarted, and changes go on after it.
+func TestAllOriginsLoseTheirDisks(t *testing.T) {
+	c := newCluster(testRoster(3, 4), rules{}, 0)
+	c.settle(5_000_000)
+	for range 3 {
+		c.apply("f0")
+		c.settle(1_000_000)
+	}
+	require.Len(t, c.committed, 3)
+	for _, o := range []NodeID{"o0", "o1", "o2"} {
+		c.instances[o].saved, c.instances[o].held = Saved{}, 0
+		c.start(o, false)
+	}
+	c.settle(10_000_000)
+	c.apply("f0")
+	c.settle(10_000_000)
+	require.NoError(t, c.err)
+	require.Len(t, c.committed, 3)
+
+	newest := c.instances["f1"].saved.Document
+	require.Equal(t, uint64(3), newest.Revision().Number)
+	for _, m := range c.roster {
+		if m.Role == Origin {
+			c.instances[m.Node].saved = Saved{Document: newest.Clone()}
+			c.instances[m.Node].held = 3
+		}
+		c.start(m.Node, m.Role == Origin)
+	}
+	require.NoError(t, c.check())
+	require.Len(t, c.committed, 4)
+}
+
 // Whatever is lost, doubled, overtaken, restarted with its disk or, one at a time, without: at most one revision of
 // each number comes into force anywhere, none is lost or replaced, nobody goes back, and all come together in the
 // end.
--- a/internal/decide/configlog/origin.go
+++ b/internal/decide/configlog/origin.go
@@ -64,8 +64,12 @@
 
 func newOrigin(o Options, all []NodeID, saved Saved) *origin {
 	others := slices.DeleteFunc(slices.Clone(all), func(n NodeID) bool { return n == o.Node })
-	return &origin{others: others, vote: saved.Vote, first: o.First, life: o.Life, told: map[NodeID]Recovered{},
-		seen: saved.Vote.Promised.Round}
+	seen := saved.Vote.Promised.Round
+	if saved.Document != nil { // what was restored by hand has no vote beside it
+		seen = max(seen, saved.Document.revision.Epoch.Round)
+	}
+	return &origin{others: others, vote: saved.Vote, first: o.First, life: o.Life, seen: seen,
+		told: map[NodeID]Recovered{}}
 }
 
 // isMajority tells whether so many origins, itself among them, are more than half.
