Bound what is kept of large revisions, and leave files alone where a socket is wanted

Now 2 MiB of those that are over are kept; TestKeptBytes fails without. A file that is no socket is not removed from a member's address.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -25,7 +25,7 @@
 
 const (
 	tickPeriod  = configlog.TickPeriod * time.Microsecond / 2
-	eventsMost  = 1024            // that wait for the goroutine that owns the log
+	eventsMost  = 256             // that wait for the goroutine that owns the log: 16 MB of messages at most
 	againTime   = 5 * time.Second // after a fault of the disk or the address
 	applySlack  = time.Second     // beyond the log's own limit for an Apply
 	spareLinks  = 16              // for status requests and substitutes
--- a/internal/configsync/incoming.go
+++ b/internal/configsync/incoming.go
@@ -39,21 +39,39 @@
 	from map[string]net.Conn // by name, those that bring messages: a newer one takes the place of an older one
 }
 
-// listen opens the address of a member. A socket file that a process before has left is removed.
+// listen opens the address of a member.
 func listen(address string) (net.Listener, error) {
 	kind, name := network(address)
-	if kind == "unix" {
-		if c, err := net.Dial(kind, name); err == nil {
-			c.Close()
-		} else if err := os.Remove(name); err != nil && !errors.Is(err, os.ErrNotExist) {
-			return nil, err
-		}
+	if kind != "unix" {
+		return net.Listen(kind, name)
+	}
+	if err := removeStale(name); err != nil {
+		return nil, err
 	}
 	listener, err := net.Listen(kind, name)
-	if err == nil && kind == "unix" {
-		err = os.Chmod(name, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(name, 0o600); err != nil {
+		listener.Close()
+		return nil, err
+	}
+	return listener, nil
+}
+
+// removeStale removes a socket that a process before has left; nothing that is in use, and nothing else than a socket.
+func removeStale(path string) error {
+	info, err := os.Lstat(path)
+	if errors.Is(err, os.ErrNotExist) || err == nil && info.Mode().Type() != os.ModeSocket {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if c, err := net.Dial("unix", path); err == nil {
+		return c.Close()
 	}
-	return listener, err
+	return os.Remove(path)
 }
 
 // run accepts until the listener is closed, and waits for the connections' ends.
--- a/internal/configsync/input_test.go
+++ b/internal/configsync/input_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -170,6 +171,30 @@
 	require.Less(t, i.reach("x"), helloTime+4*time.Second)
 }
 
+// A socket that a process before has left is replaced, and a file that is none is left alone.
+func TestListenAtUsedPath(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "s")
+	first, err := listen("unix:" + path)
+	require.NoError(t, err)
+	first.(*net.UnixListener).SetUnlinkOnClose(false)
+	_, err = listen("unix:" + path)
+	require.Error(t, err, "it is in use")
+	require.NoError(t, first.Close())
+	second, err := listen("unix:" + path)
+	require.NoError(t, err)
+	defer second.Close()
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	require.Equal(t, os.FileMode(0o600), info.Mode().Perm())
+	file := filepath.Join(dir, "f")
+	require.NoError(t, os.WriteFile(file, []byte("x"), 0o600))
+	_, err = listen("unix:" + file)
+	require.Error(t, err)
+	require.FileExists(t, file)
+}
+
 // Of what an instance is not there for, no more waits than may.
 func TestQueueIsBounded(t *testing.T) {
 	t.Parallel()
--- a/internal/settings/shared_test.go
+++ b/internal/settings/shared_test.go
@@ -83,6 +83,29 @@
 	require.NoError(t, err)
 }
 
+// Large documents that were in force are not kept without bound: at 5,200 revisions a day they would fill the memory.
+func TestKeptBytes(t *testing.T) {
+	s := open(t, t.TempDir())
+	d := &pb.Settings{}
+	for i := range mostTeams {
+		d.Teams = append(d.Teams, &pb.Team{Name: fmt.Sprintf("%0100d", i)})
+	}
+	size := proto.Size(d)
+	const revisions = 60
+	require.Greater(t, revisions*size, 3*keptBytes)
+	for i := range revisions {
+		_, err := s.Apply(d, uint64(i), time.Now())
+		require.NoError(t, err)
+		require.LessOrEqual(t, s.logBytes, keptBytes)
+		require.LessOrEqual(t, (len(s.log)-2)*size, keptBytes, "but for the empty one at the start and the one in force")
+	}
+	require.Greater(t, len(s.log), 10)
+	_, err := s.After(t.Context(), revisions-5)
+	require.NoError(t, err)
+	_, err = s.After(t.Context(), 1)
+	require.ErrorIs(t, err, ErrGap)
+}
+
 // A document is the same after it was split into entries, but for the order of its names and teams, and one team's change
 // is one entry's.
 func TestEntries(t *testing.T) {
--- a/internal/settings/store.go
+++ b/internal/settings/store.go
@@ -20,10 +20,13 @@
 
 const (
 	kind = "settings"
-	kept = 1024                   // revisions that watchers may still ask for
+	kept = 1024                   // revisions that watchers may still ask for, within keptBytes
 	wait = 200 * time.Millisecond // between tries for a folder that another process has
 )
 
+// keptBytes bounds what the revisions before the one in force have when they are encoded; in memory it is some times that.
+const keptBytes = 2 << 20
+
 // Store has the revision in force and those before it. What Apply has taken is saved, and is all that a restart needs.
 // Only one process at a time takes revisions of a folder: one that is about to replace another reads what that has saved,
 // and takes over when it has gone.
@@ -34,6 +37,7 @@
 	applying sync.Mutex // held while one is saved
 	mu       sync.Mutex
 	log      []*pb.Revision // the last is in force
+	logBytes int            // of all but the last
 	news     chan struct{}  // closed when there is another
 	readOnly string         // why nothing can be taken
 	lock     io.Closer
@@ -104,7 +108,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.managed = true
-	s.log = []*pb.Revision{s.adopt(s.last())}
+	s.log, s.logBytes = []*pb.Revision{s.adopt(s.last())}, 0
 }
 
 // adopt returns a revision as it counts here; s.mu is held.
@@ -202,11 +206,17 @@
 // add makes a revision the one in force; s.mu is held.
 func (s *Store) add(r *pb.Revision) {
 	if len(s.log) > 0 && r.Number != s.last().Number+1 {
-		s.log = nil // a watcher is told of the gap
+		s.log, s.logBytes = nil, 0 // a watcher is told of the gap
+	}
+	if len(s.log) > 0 {
+		s.logBytes += proto.Size(s.last())
 	}
-	if s.log = append(s.log, r); len(s.log) > kept {
-		s.log = append(s.log[:0:0], s.log[1:]...)
+	s.log = append(s.log, r)
+	drop := 0
+	for ; len(s.log)-drop > kept || s.logBytes > keptBytes; drop++ {
+		s.logBytes -= proto.Size(s.log[drop])
 	}
+	s.log = append(s.log[:0:0], s.log[drop:]...)
 	close(s.news)
 	s.news = make(chan struct{})
 }
