Bring a document into force apart from the goroutine that owns the configuration log

Only what the log itself must not forget is saved there now. The installation's tests run one after the other test of the package, as they loaded the machine while TestDrainAgainstDNS judged 500 ms by the clock: it failed once with race.

--- a/cmd/topazfall-agent/installation_test.go
+++ b/cmd/topazfall-agent/installation_test.go
@@ -38,6 +38,28 @@
 // teams are as many as the operators expect to have.
 const teams = 490
 
+// TestInstallations runs several installations at a time, and no other test of the package beside them: they are many
+// processes, and others judge by the clock.
+func TestInstallations(t *testing.T) {
+	for _, scene := range []struct {
+		name string
+		play func(*testing.T)
+	}{
+		{"EveryRevisionEverywhere", testEveryRevisionEverywhere},
+		{"TwoAppliesOfOneBase", testTwoAppliesOfOneBase},
+		{"FrozenAndWoken", testFrozenAndWoken},
+		{"CutBothWays", testCutBothWays},
+		{"CutOneWay", testCutOneWay},
+		{"RestartFromNothing", testRestartFromNothing},
+		{"DoubledReorderedAndOld", testDoubledReorderedAndOld},
+		{"ChangeDuringReplacement", testChangeDuringReplacement},
+		{"ZoneKilled", testZoneKilled},
+		{"HalfArrived", testHalfArrived},
+	} {
+		t.Run(scene.name, scene.play)
+	}
+}
+
 // shared is an installation of several agents, each a process of its own.
 type shared struct {
 	*testing.T
@@ -290,7 +312,7 @@
 }
 
 // Revisions made at any origin are in force everywhere; instances that follow say where to apply; status tells of all.
-func TestInstallation(t *testing.T) {
+func testEveryRevisionEverywhere(t *testing.T) {
 	s := join(t, 3, 5)
 	var number uint64
 	for i := range 6 {
@@ -326,7 +348,7 @@
 
 // Of several changes of the same base at most one wins, at whichever origins they are made, and all hold just that. An
 // answer may be lost for want of time, but no two say yes.
-func TestTwoAppliesOfOneBase(t *testing.T) {
+func testTwoAppliesOfOneBase(t *testing.T) {
 	s := join(t, 3, 2)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -362,7 +384,7 @@
 
 // An instance that was frozen, for longer than anybody waits for it, has what it missed soon after it wakes; a frozen
 // leader is replaced by another, and does not bring back what was before.
-func TestFrozenAndWoken(t *testing.T) {
+func testFrozenAndWoken(t *testing.T) {
 	s := join(t, 3, 4)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -383,7 +405,7 @@
 
 // Cut off both ways an instance keeps what it has, and has the rest soon after the heal; an origin that is alone takes
 // nothing.
-func TestCutBothWays(t *testing.T) {
+func testCutBothWays(t *testing.T) {
 	s := join(t, 3, 4)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -408,7 +430,7 @@
 }
 
 // An instance that hears the others and is not heard, and one that is heard and does not hear.
-func TestCutOneWay(t *testing.T) {
+func testCutOneWay(t *testing.T) {
 	s := join(t, 3, 4)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -429,7 +451,7 @@
 }
 
 // Whoever comes back from nothing gets all of it; an origin among them votes only on what it was told again.
-func TestRestartFromNothing(t *testing.T) {
+func testRestartFromNothing(t *testing.T) {
 	s := join(t, 3, 3)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -451,7 +473,7 @@
 }
 
 // Frames that come twice, out of order and once more much later change nothing but the count of what was dropped.
-func TestDoubledReorderedAndOld(t *testing.T) {
+func testDoubledReorderedAndOld(t *testing.T) {
 	s := join(t, 3, 4)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -466,7 +488,7 @@
 }
 
 // A change that comes while a process is being replaced is in force at both, and an instance goes on under its name.
-func TestChangeDuringReplacement(t *testing.T) {
+func testChangeDuringReplacement(t *testing.T) {
 	s := join(t, 1, 3)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -484,7 +506,7 @@
 }
 
 // Several processes of a zone are killed at once, an origin among them: the rest goes on, and they catch up.
-func TestZoneKilled(t *testing.T) {
+func testZoneKilled(t *testing.T) {
 	s := join(t, 3, 5)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
@@ -499,7 +521,7 @@
 }
 
 // A snapshot that comes piece by piece over a link that is reset between the pieces is in force whole, or not at all.
-func TestHalfArrived(t *testing.T) {
+func testHalfArrived(t *testing.T) {
 	s := join(t, 1, 2)
 	number, at := s.apply("o0", 1)
 	s.reach(number, at, s.all()...)
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -34,9 +34,9 @@
 	spareDescriptors = 4 // of the listener, and of a file that is saved, its folder and the one before
 )
 
-// Target is where committed revisions come into force. Take is called in their order, each newer than the one
-// before, from one goroutine; after a restart the one held is told again. It returns since when the revision is in
-// force here, or why it cannot be brought into force.
+// Target is where committed revisions come into force. Take is called from one goroutine, each time with a newer one
+// than before: not with all of them where they follow each other faster than it returns, and again with the same after a
+// restart or an error. It returns since when the revision is in force here, or why it cannot be brought into force.
 type Target interface {
 	Take(revision configlog.Revision, entries map[string][]byte) (since time.Time, err error)
 }
@@ -55,20 +55,21 @@
 
 // Sync is one instance's part in it.
 type Sync struct {
-	options Options
-	me      Member
-	members map[string]Member
-	storage storage
-	counts  *counts
-	began   time.Time
-	events  chan func(*session)
-	context context.Context
-	stop    context.CancelFunc
-	wait    sync.WaitGroup
-	lastID  atomic.Uint64
+	options  Options
+	me       Member
+	members  map[string]Member
+	storage  storage
+	enforcer *enforcer
+	counts   *counts
+	began    time.Time
+	events   chan func(*session)
+	context  context.Context
+	stop     context.CancelFunc
+	wait     sync.WaitGroup
+	lastID   atomic.Uint64
 
 	mu    sync.Mutex
-	fault string // why nothing is followed, or the revision held is not in force
+	fault string // why nothing is followed
 }
 
 // ErrEnded says that the instance ends.
@@ -85,6 +86,7 @@
 	}
 	s := &Sync{options: o, me: me, members: map[string]Member{}, storage: storage{o.State}, counts: newCounts(),
 		began: time.Now(), fault: "it has not started yet", events: make(chan func(*session), eventsMost)}
+	s.enforcer = newEnforcer(o.Target, s.counts)
 	for _, m := range o.Roster.Members {
 		s.members[m.Name] = m
 	}
@@ -174,6 +176,7 @@
 	slog.Info("configsync", "state", "started", "name", s.me.Name, "listen", s.me.Address, "role", s.role(),
 		"revision", node.Document().Revision().Number)
 	s.setFault("")
+	run.wait.Go(func() { s.enforcer.run(ctx) })
 	err = run.loop()
 	stop()
 	listener.Close()
--- a/internal/configsync/session.go
+++ b/internal/configsync/session.go
@@ -28,14 +28,13 @@
 	wait     sync.WaitGroup // of the connections
 	fault    error          // of the disk: nothing may leave any more
 	voting   bool           // as last said
-	retry    time.Time      // when what could not be brought into force is tried again; zero if all is
 }
 
 // loop owns the log until the end, or a fault of the disk, which it returns.
 func (r *session) loop() error {
 	defer r.abandon()
 	if r.node.Document().Revision().Number > 0 {
-		r.bringIntoForce()
+		r.enforcer.enforce(r.node.Document())
 	}
 	ticker := time.NewTicker(tickPeriod)
 	defer ticker.Stop()
@@ -47,9 +46,6 @@
 			event(r)
 		case <-ticker.C:
 			r.carryOut(r.node.Tick(r.now()))
-			if !r.retry.IsZero() && time.Now().After(r.retry) {
-				r.bringIntoForce()
-			}
 			r.note()
 		}
 	}
@@ -95,8 +91,8 @@
 	}
 }
 
-// carryOut does what the log asks for, in this order: save, bring into force, send, report. After a fault of the disk
-// nothing that is not saved may be seen by anybody.
+// carryOut does what the log asks for: it saves, and only then has the document brought into force, sends and reports.
+// After a fault of the disk nothing that is not saved may be seen by anybody.
 func (r *session) carryOut(e configlog.Effects) {
 	if r.fault != nil {
 		return
@@ -112,7 +108,7 @@
 		return
 	}
 	if changed {
-		r.bringIntoForce()
+		r.enforcer.enforce(r.node.Document())
 		r.settle()
 	}
 	for _, m := range e.Messages {
@@ -123,28 +119,6 @@
 	}
 }
 
-// bringIntoForce tells the target the document that is held. One that this program cannot use is held and passed on all
-// the same: others may be able to.
-func (r *session) bringIntoForce() {
-	d := r.node.Document()
-	entries := make(map[string][]byte, d.Len())
-	for _, key := range d.Keys() {
-		entries[key], _ = d.Get(key)
-	}
-	revision := d.Revision()
-	since, err := r.options.Target.Take(revision, entries)
-	if err != nil {
-		r.retry = time.Now().Add(againTime)
-		r.counts.drop(ReasonSettings, 1, "revision", revision.Number, "error", err)
-		r.setFault(fmt.Sprintf("revision %d is held and not in force: %v", revision.Number, err))
-		return
-	}
-	r.retry = time.Time{}
-	r.setFault("")
-	r.counts.revision.Store(revision.Number)
-	r.counts.since.Store(since.UnixMicro())
-}
-
 func (r *session) send(m configlog.Message) {
 	to, ok := r.outgoing[m.To]
 	if !ok {
@@ -201,10 +175,11 @@
 func (r *session) status() *syncpb.StatusReply {
 	now := r.now()
 	s := r.node.Status(now)
-	reply := &syncpb.StatusReply{Name: r.me.Name, Voting: s.Voting, Revision: s.Revision.Number,
+	inForce, fault := r.enforcer.state()
+	reply := &syncpb.StatusReply{Name: r.me.Name, Voting: s.Voting, Revision: inForce.Number, Fault: fault,
 		SinceUs: r.counts.since.Load(), Newest: s.Newest.Number, SilentUs: silence(now, s), Leader: string(s.Leader)}
-	if s.Revision.Number > 0 {
-		reply.Epoch = s.Revision.Epoch.String()
+	if inForce.Number > 0 {
+		reply.Epoch = inForce.Epoch.String()
 	}
 	if r.Origin() && !s.Voting {
 		reply.Fault = "it does not vote: it has forgotten, and not all other origins have told it what they know"
