--- a/internal/decide/configlog/replica_test.go
+++ b/internal/decide/configlog/replica_test.go
@@ -307,3 +307,33 @@
 	e = f.tick(2 * f.node.timing.ApplyLimit)
 	require.Equal(t, []Result{{ID: 9, Outcome: Unknown}}, e.Results, "nobody has answered")
 }
+
+// One whose parents still talk, but hear of no leader any more, asks another beside them, and changes it for the next in
+// turn as long as that does not help.
+func TestParentsThatAreCutOff(t *testing.T) {
+	f := newFeeder(t, Saved{})
+	stuck := Digest{Beat{testEpoch, 5}, Revision{}}
+	for _, p := range f.parents {
+		f.handle(p, stuck)
+	}
+	cut, asked, first := f.now, map[NodeID]bool{}, int64(0)
+	for f.now < cut+60_000_000 {
+		for _, p := range f.parents {
+			f.handle(p, stuck)
+		}
+		for _, m := range f.tick(TickPeriod).Messages {
+			p, ok := m.Body.(Pull)
+			if !ok || !p.Adopt {
+				continue
+			}
+			if first == 0 {
+				first = f.now
+			}
+			asked[m.To] = true
+			f.handle(m.To, stuck) // it knows no more
+		}
+		require.LessOrEqual(t, len(f.node.replica.sources), parents+1)
+	}
+	require.LessOrEqual(t, first-cut, f.node.timing.SilentAfter+f.node.timing.Digest/2+TickPeriod)
+	require.Greater(t, len(asked), 3)
+}
