--- a/internal/agent/installation.go
+++ b/internal/agent/installation.go
@@ -25,6 +25,13 @@
 // localTime bounds the wait for a committed revision to come into force at the origin that has answered for it.
 const localTime = 2 * time.Second
 
+// Where nothing was done, as while the origins have no leader, an Apply is tried again at these times: elections take
+// about as long.
+const (
+	againWithin = 3 * time.Second
+	againEvery  = 100 * time.Millisecond
+)
+
 // installation is an instance's place among those that share their settings.
 type installation struct {
 	sync   *configsync.Sync
@@ -55,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	result, err := i.sync.Apply(ctx, from, entries)
+	result, err := i.applyPatiently(ctx, from, entries)
 	if err != nil {
 		return nil, err
 	}
@@ -75,6 +82,27 @@
 	return nil, fmt.Errorf("nothing was done: %s", result.Outcome)
 }
 
+// applyPatiently tries again as long as nothing was done.
+func (i *installation) applyPatiently(ctx context.Context, from uint64,
+	entries map[string][]byte) (configlog.Result, error) {
+	for end := time.Now().Add(againWithin); ; {
+		result, err := i.sync.Apply(ctx, from, entries)
+		if err != nil || time.Now().After(end) {
+			return result, err
+		}
+		switch result.Outcome {
+		case configlog.Unavailable, configlog.NotLeader, configlog.Busy:
+		default:
+			return result, nil
+		}
+		select {
+		case <-ctx.Done():
+			return result, nil
+		case <-time.After(againEvery):
+		}
+	}
+}
+
 // waitFor waits until a revision, or a newer one, is in force here, so that whoever was told of it finds it.
 func (i *installation) waitFor(ctx context.Context, number uint64) {
 	ctx, cancel := context.WithTimeout(ctx, localTime)
