Refuse an Apply at once where the process does not take part, and wait for a vote in a test

An Apply at a process that waits for the one before it was queued, answered as unknown after 4 s, and carried out when that one had gone: it is refused at once now (TestApplyBeforeStart). TestRestart stopped an origin right after another had restarted from nothing, which does not vote before all others have told it what they know: it failed once for that, and waits for the vote now.

--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -34,9 +34,10 @@
 	spareDescriptors = 4 // of the listener, and of a file that is saved, its folder and the one before
 )
 
-// Target is where committed revisions come into force. Take is called from one goroutine, each time with a newer one
-// than before: not with all of them where they follow each other faster than it returns, and again with the same after a
-// restart or an error. It returns since when the revision is in force here, or why it cannot be brought into force.
+// Target is where committed revisions come into force. Take is called from one goroutine, each time with a newer
+// one than before: not with all of them where they follow each other faster than it returns, and again with the
+// same after a restart or an error. It returns since when the revision is in force here, or why it cannot be
+// brought into force.
 type Target interface {
 	Take(revision configlog.Revision, entries map[string][]byte) (since time.Time, err error)
 }
@@ -66,6 +67,7 @@
 	context  context.Context
 	stop     context.CancelFunc
 	wait     sync.WaitGroup
+	running  atomic.Bool // a session takes events
 	lastID   atomic.Uint64
 
 	mu    sync.Mutex
@@ -75,6 +77,10 @@
 // ErrEnded says that the instance ends.
 var ErrEnded = errors.New("the instance ends")
 
+// ErrNotRunning says that the instance does not take part now: another process of it does, or its disk or address
+// cannot be used. Nothing was done.
+var ErrNotRunning = errors.New("this process does not take part now")
+
 // ErrNotOrigin says that revisions are not made here.
 var ErrNotOrigin = errors.New("this instance follows")
 
@@ -85,7 +91,7 @@
 		return nil, fmt.Errorf("%w: %.64q is not on it", ErrRoster, o.Name)
 	}
 	s := &Sync{options: o, me: me, members: map[string]Member{}, storage: storage{o.State}, counts: newCounts(),
-		began: time.Now(), fault: "it has not started yet", events: make(chan func(*session), eventsMost)}
+		began: time.Now(), fault: "it does not take part yet: another process of this instance does", events: make(chan func(*session), eventsMost)}
 	s.enforcer = newEnforcer(o.Target, s.counts)
 	for _, m := range o.Roster.Members {
 		s.members[m.Name] = m
@@ -177,7 +183,9 @@
 		"revision", node.Document().Revision().Number)
 	s.setFault("")
 	run.wait.Go(func() { s.enforcer.run(ctx) })
+	s.running.Store(true)
 	err = run.loop()
+	s.running.Store(false)
 	stop()
 	listener.Close()
 	run.wait.Wait()
@@ -211,8 +219,11 @@
 // now is the log's time in microseconds; it is never 0.
 func (s *Sync) now() int64 { return time.Since(s.began).Microseconds() + 1 }
 
-// do has the goroutine that owns the log do something. Its errors are those of the context, and ErrEnded.
+// do has the goroutine that owns the log do something. Its errors are those of the context, ErrEnded and ErrNotRunning.
 func (s *Sync) do(ctx context.Context, what func(*session)) error {
+	if !s.running.Load() {
+		return ErrNotRunning
+	}
 	select {
 	case s.events <- what:
 		return nil
--- a/internal/configsync/enforce.go
+++ b/internal/configsync/enforce.go
@@ -9,8 +9,9 @@
 	"topazfall/internal/decide/configlog"
 )
 
-// enforcer tells the target of the newest document. It does so apart from the goroutine that owns the log: the target
-// saves too, and a leader that waits for a slow disk is taken for dead. Documents that are over by then are passed over.
+// enforcer tells the target of the newest document. It does so apart from the goroutine that owns the log: the
+// target saves too, and a leader that waits for a slow disk is taken for dead. Documents that are over by then are
+// passed over.
 type enforcer struct {
 	target Target
 	counts *counts
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -198,6 +198,8 @@
 	require.NoError(t, i.wipe("o1"))
 	i.start("o1", false)
 	require.Less(t, i.reach("second"), 4*time.Second)
+	require.Eventually(t, func() bool { return i.syncs["o1"].Status().Voting }, patience, 5*time.Millisecond,
+		"the other two have told it what it may have forgotten")
 	i.stop("o2")
 	i.apply("o1", "third")
 	i.reach("third")
@@ -223,6 +225,20 @@
 	require.Equal(t, configlog.Invalid, r.Outcome)
 }
 
+// A process that waits for another one of its instance takes nothing, and says so at once.
+func TestApplyBeforeStart(t *testing.T) {
+	t.Parallel()
+	i := install(t, 1, 1)
+	waiting, err := New(Options{Name: "o0", Roster: i.roster, State: t.TempDir(), Target: &target{}})
+	require.NoError(t, err)
+	began := time.Now()
+	_, err = waiting.Apply(t.Context(), 0, nil)
+	require.ErrorIs(t, err, ErrNotRunning)
+	require.Contains(t, waiting.Status().Fault, "another process")
+	require.Less(t, time.Since(began), time.Second)
+	waiting.Close()
+}
+
 // A revision that one program cannot use is not in force there, is said, and reaches the others; the next one is.
 func TestRevisionThatCannotBeUsed(t *testing.T) {
 	t.Parallel()
