--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -183,6 +183,7 @@
 		"revision", node.Document().Revision().Number)
 	s.setFault("")
 	run.wait.Go(func() { s.enforcer.run(ctx) })
+	s.options.Bootstrap = false // what is lost from now on was there
 	s.running.Store(true)
 	err = run.loop()
 	s.running.Store(false)
--- a/internal/configsync/sync_test.go
+++ b/internal/configsync/sync_test.go
@@ -292,6 +292,24 @@
 	require.Less(t, i.reach("z"), 4*time.Second)
 }
 
+// --bootstrap holds for the start of the process: an origin that loses its folder while it runs has forgotten.
+func TestBootstrapHoldsOnce(t *testing.T) {
+	t.Parallel()
+	i := install(t, 1, 0)
+	i.apply("o0", "x")
+	folder := filepath.Join(i.dir, "o0")
+	require.NoError(t, makeUnusable(folder))
+	_, err := i.syncs["o0"].Apply(t.Context(), 1, map[string][]byte{"key": []byte("y")})
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(folder))
+	require.Eventually(t, func() bool {
+		s := i.syncs["o0"].Status()
+		return s.Voting || strings.Contains(s.Fault, "does not vote")
+	}, patience, 10*time.Millisecond)
+	votes := func() bool { return i.syncs["o0"].Status().Voting }
+	require.Never(t, votes, 20*tickPeriod, tickPeriod/5, "it would vote at the first tick")
+}
+
 func dialMember(t *testing.T, i *installation, name string) net.Conn {
 	m, _ := i.roster.Member(name)
 	c, err := dial(context.Background(), m.Address)
