--- a/cmd/topazfall-agent/installation_test.go
+++ b/cmd/topazfall-agent/installation_test.go
@@ -31,8 +31,8 @@
 // stand still meanwhile.
 const inForce = 4 * time.Second
 
-// savesInTurn is how many saves follow each other between an Apply's answer and the last instance that has the revision in
-// force: the log's document and the settings, at an origin and at each of the two levels below.
+// savesInTurn is how many saves follow each other between an Apply's answer and the last instance that has the
+// revision in force: the log's document and the settings, at an origin and at each of the two levels below.
 const savesInTurn = 6
 
 // teams are as many as the operators expect to have.
@@ -243,8 +243,8 @@
 	require.Less(s, took, inForce+savesInTurn*slowest, "a save took up to %v meanwhile", slowest)
 }
 
-// pace saves a small file again and again, as the instances do, to tell how long the machine takes for that: others use it
-// too, and it has stood still for seconds.
+// pace saves a small file again and again, as the instances do, to tell how long the machine takes for that: others
+// use it too, and it has stood still for seconds.
 type pace struct {
 	mu    sync.Mutex
 	saves []save
--- a/cmd/topazfall-agent/main.go
+++ b/cmd/topazfall-agent/main.go
@@ -56,7 +56,8 @@
 	c.Flags().StringVar(&o.State, "state", "", "folder of the snapshots")
 	c.Flags().StringVar(&o.Control, "control", "", "address of the control API (default: unix:STATE/control.sock)")
 	c.Flags().StringVar(&roster, "roster", "", "file that names the instances that share the settings (default: none)")
-	c.Flags().BoolVar(&o.Bootstrap, "bootstrap", false, "the installation is new: an origin whose state is empty may vote. Only for its first start")
+	c.Flags().BoolVar(&o.Bootstrap, "bootstrap", false,
+		"the installation is new: an origin whose state is empty may vote. Only for its first start")
 	c.MarkFlagRequired("state")
 	return c
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -127,8 +127,8 @@
 	return nil
 }
 
-// share takes part in the installation once no other process of this instance does, until the end. A process that is about
-// to replace another follows what that one saves.
+// share takes part in the installation once no other process of this instance does, until the end. A process that is
+// about to replace another follows what that one saves.
 func (a *Agent) share(ctx context.Context) {
 	select {
 	case <-ctx.Done():
--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -91,7 +91,8 @@
 		return nil, fmt.Errorf("%w: %.64q is not on it", ErrRoster, o.Name)
 	}
 	s := &Sync{options: o, me: me, members: map[string]Member{}, storage: storage{o.State}, counts: newCounts(),
-		began: time.Now(), fault: "it does not take part yet: another process of this instance does", events: make(chan func(*session), eventsMost)}
+		began: time.Now(), fault: "it does not take part yet: another process of this instance does",
+		events: make(chan func(*session), eventsMost)}
 	s.enforcer = newEnforcer(o.Target, s.counts)
 	for _, m := range o.Roster.Members {
 		s.members[m.Name] = m
