--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -153,7 +153,7 @@
 		o.Name = "n0"
 	}
 	p := &Process{o: o, listen: o.Listen, log: &buffer{}, done: make(chan struct{})}
-	free, err := ports(2)
+	free, err := FreeAddresses(2)
 	if err != nil {
 		return nil, err
 	}
@@ -208,20 +208,20 @@
 }
 
 // Reload tells the process to take its configuration anew.
-func (p *Process) Reload() error { return p.cmd.Process.Signal(syscall.SIGHUP) }
+func (p *Process) Reload() error { return p.Signal(syscall.SIGHUP) }
 
 // Freeze stops the process, as a machine that swaps does, until Thaw.
-func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
 
 // Thaw lets it go on.
-func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
 
 // started counts the processes, each of which has an address of its own: a port that was free a moment ago may be
 // somebody else's when the process has come so far.
 var started atomic.Uint32
 
-// ports finds free ports of an address that no other process of ours has.
-func ports(n int) (found []string, err error) {
+// FreeAddresses finds n free TCP ports of a loopback address that no other process of ours has. Its error is that of listening.
+func FreeAddresses(n int) (found []string, err error) {
 	k := started.Add(1)
 	ip := fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, k/250%250, k%250+1)
 	for range n {
@@ -283,12 +283,22 @@
 // Term tells it to end.
 func (p *Process) Term() error { return p.Signal(syscall.SIGTERM) }
 
-// Signal sends it a signal.
-func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
-
 // ExitCode is that of a process that has ended.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
 
+// Signal sends it a signal; its error says that the process has ended.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Ended tells whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits for its end, for so long at the most.
 func (p *Process) Wait(limit time.Duration) error {
 	select {
