Split functions of more than a screen, and pass fewer arguments in a row

The longest functions of the resolver stand-in, the DNS sources, the measurements and two tests are split; no behaviour and no assertion changed.

--- a/internal/decide/addresses/addresses_test.go
+++ b/internal/decide/addresses/addresses_test.go
@@ -326,113 +326,171 @@
 	addresses := []Address{local, six, four, must("10.0.0.1:1"), must("[fd00::1]:1")}
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSet(rapid.Uint64().Draw(t, "seed"), addresses...)
-		limits := Defaults
-		limits.Probe = rapid.Bool().Draw(t, "probe")
-		s.SetLimits(limits)
-		bad, lost := map[Address]bool{}, map[Address]int{} // has reset, by this test's own books
-		last := map[Address]int64{}
-		now := int64(1)
-		trials := 0
+		p := &properties{T: t, set: s, addresses: addresses, limits: Defaults, now: 1,
+			bad: map[Address]bool{}, lost: map[Address]int{}}
+		p.limits.Probe = rapid.Bool().Draw(t, "probe")
+		s.SetLimits(p.limits)
 		for range rapid.IntRange(1, 40).Draw(t, "messages") {
-			now += rapid.Int64Range(1, 3e6).Draw(t, "pause")
-			if a, how := s.Trial(now); how != NoProof {
-				trials++
-				why := rapid.SampledFrom([]Failure{Fine, Refused, Unheard}).Draw(t, "trial")
-				s.Tried(now+1, a, how, now, why)
-				if why == Fine && how == Probe {
-					delete(bad, a)
-				}
-			}
-			once := rapid.Bool().Draw(t, "once")
-			began, by := now, now+250*ms
-			r := s.Race(now, by, once)
-			opens, used, resting := map[Address]int{}, 0, 0
-			pending := []Address{}
-			for {
-				step := r.Step(now)
-				if step.Move == GiveUp {
-					if len(opens) == 0 {
-						for _, a := range addresses {
-							if !once || !bad[a] {
-								t.Fatalf("nothing was tried though %s may be used", a)
-							}
-						}
-					}
-					break
-				}
-				if step.Move == Open {
-					opens[step.Address]++
-					if opens[step.Address] > 1 && used == 0 {
-						t.Fatalf("%s is opened again", step.Address)
-					}
-					if s.find(step.Address).rest > now {
-						resting++
-					}
-					if resting > 1 {
-						t.Fatalf("a second one that rests: %s", step.Address)
-					}
-					pending = append(pending, step.Address)
-				}
-				if step.Move == Use {
-					used++
-					if once && bad[step.Address] {
-						t.Fatalf("%s has reset a request", step.Address)
-					}
-					switch rapid.IntRange(0, 3).Draw(t, "fate") {
-					case 0: // answered
-						s.Answered(now+1, step.Address, now, once)
-						if !once {
-							delete(bad, step.Address)
-						}
-					case 1:
-						s.Reset(now+1, step.Address, now, once)
-						bad[step.Address] = true
-						if once {
-							lost[step.Address]++
-						}
-						if lost[step.Address] > mostLost {
-							t.Fatalf("%s has reset %d that must not run twice", step.Address, lost[step.Address])
-						}
-					case 2: // called off
-					case 3: // nothing was written
-						r.Failed(now, step.Address, rapid.SampledFrom([]Failure{Refused, Elsewhere}).Draw(t, "unwritten"))
-						continue
-					}
-					r.Settle()
-					if r.Step(now).Move == Use {
-						t.Fatal("used twice")
-					}
-					break
-				}
-				if step.Move == Wait {
-					if step.Until > by || step.Until <= now {
-						t.Fatalf("waits until %d at %d of %d", step.Until, now, by)
-					}
-					now += rapid.Int64Range(1, step.Until-now).Draw(t, "time")
-				}
-				if len(pending) > 0 && rapid.Bool().Draw(t, "event") {
-					a := pending[0]
-					pending = pending[1:]
-					if why := rapid.SampledFrom([]Failure{Fine, Refused, Unheard, Elsewhere}).Draw(t, "connect"); why == Fine {
-						r.Opened(now, a, now-began, false)
-					} else {
-						r.Failed(now, a, why)
-					}
-				}
-			}
-			for _, a := range pending { // what the race left behind comes back all the same
-				r.Failed(by, a, Unheard)
-			}
-			for _, b := range s.list {
-				if b.late != 0 {
-					t.Fatalf("%s stays late", b.Address)
-				}
-				if b.rest > now+limits.RestMost+250*ms {
-					t.Fatalf("%s rests too long", b.Address)
-				}
-				last[b.Address] = b.failed
-			}
-			now = max(now, by)
+			p.now += rapid.Int64Range(1, 3e6).Draw(t, "pause")
+			p.try()
+			p.race()
 		}
 	})
 }
+
+// properties plays messages against a set of addresses, and checks each move.
+type properties struct {
+	*rapid.T
+	set       *Set
+	addresses []Address
+	limits    Limits
+	now       int64
+	bad       map[Address]bool // has reset a request, by this test's own books
+	lost      map[Address]int  // requests that must not run twice and were reset
+}
+
+// try proves an address if the set asks for it.
+func (p *properties) try() {
+	a, how := p.set.Trial(p.now)
+	if how == NoProof {
+		return
+	}
+	why := rapid.SampledFrom([]Failure{Fine, Refused, Unheard}).Draw(p.T, "trial")
+	p.set.Tried(p.now+1, a, how, p.now, why)
+	if why == Fine && how == Probe {
+		delete(p.bad, a)
+	}
+}
+
+// raced is what has happened so far in one race.
+type raced struct {
+	*Race
+	began, by int64
+	once      bool // its request must not run twice
+	opens     map[Address]int
+	used      int
+	resting   int
+	pending   []Address // connections under way
+}
+
+// race sends one request.
+func (p *properties) race() {
+	once := rapid.Bool().Draw(p.T, "once")
+	by := p.now + 250*ms
+	r := &raced{Race: p.set.Race(p.now, by, once), began: p.now, by: by, once: once, opens: map[Address]int{}}
+	for p.move(r) {
+	}
+	for _, a := range r.pending { // what the race left behind comes back all the same
+		r.Failed(by, a, Unheard)
+	}
+	for _, b := range p.set.list {
+		if b.late != 0 {
+			p.Fatalf("%s stays late", b.Address)
+		}
+		if b.rest > p.now+p.limits.RestMost+250*ms {
+			p.Fatalf("%s rests too long", b.Address)
+		}
+	}
+	p.now = max(p.now, by)
+}
+
+// move takes the race's next step, and tells whether the race goes on.
+func (p *properties) move(r *raced) bool {
+	step := r.Step(p.now)
+	switch step.Move {
+	case GiveUp:
+		p.gaveUp(r)
+		return false
+	case Open:
+		p.opened(r, step.Address)
+	case Use:
+		p.used(r, step.Address)
+		if p.unwritten(r, step.Address) {
+			return true
+		}
+		r.Settle()
+		if r.Step(p.now).Move == Use {
+			p.Fatal("used twice")
+		}
+		return false
+	case Wait:
+		if step.Until > r.by || step.Until <= p.now {
+			p.Fatalf("waits until %d at %d of %d", step.Until, p.now, r.by)
+		}
+		p.now += rapid.Int64Range(1, step.Until-p.now).Draw(p.T, "time")
+	}
+	p.connect(r)
+	return true
+}
+
+func (p *properties) gaveUp(r *raced) {
+	if len(r.opens) > 0 {
+		return
+	}
+	for _, a := range p.addresses {
+		if !r.once || !p.bad[a] {
+			p.Fatalf("nothing was tried though %s may be used", a)
+		}
+	}
+}
+
+func (p *properties) opened(r *raced, a Address) {
+	r.opens[a]++
+	if r.opens[a] > 1 && r.used == 0 {
+		p.Fatalf("%s is opened again", a)
+	}
+	if p.set.find(a).rest > p.now {
+		r.resting++
+	}
+	if r.resting > 1 {
+		p.Fatalf("a second one that rests: %s", a)
+	}
+	r.pending = append(r.pending, a)
+}
+
+func (p *properties) used(r *raced, a Address) {
+	r.used++
+	if r.once && p.bad[a] {
+		p.Fatalf("%s has reset a request", a)
+	}
+}
+
+// unwritten draws what becomes of a request on the connection to a, and tells whether nothing of it was written.
+func (p *properties) unwritten(r *raced, a Address) bool {
+	switch rapid.IntRange(0, 3).Draw(p.T, "fate") {
+	case 0: // answered
+		p.set.Answered(p.now+1, a, p.now, r.once)
+		if !r.once {
+			delete(p.bad, a)
+		}
+	case 1:
+		p.set.Reset(p.now+1, a, p.now, r.once)
+		p.bad[a] = true
+		if r.once {
+			p.lost[a]++
+		}
+		if p.lost[a] > mostLost {
+			p.Fatalf("%s has reset %d that must not run twice", a, p.lost[a])
+		}
+	case 2: // called off
+	case 3: // nothing was written
+		r.Failed(p.now, a, rapid.SampledFrom([]Failure{Refused, Elsewhere}).Draw(p.T, "unwritten"))
+		return true
+	}
+	return false
+}
+
+// connect may let the oldest connection under way come up or fail.
+func (p *properties) connect(r *raced) {
+	if len(r.pending) == 0 || !rapid.Bool().Draw(p.T, "event") {
+		return
+	}
+	a := r.pending[0]
+	r.pending = r.pending[1:]
+	why := rapid.SampledFrom([]Failure{Fine, Refused, Unheard, Elsewhere}).Draw(p.T, "connect")
+	if why == Fine {
+		r.Opened(p.now, a, p.now-r.began, false)
+	} else {
+		r.Failed(p.now, a, why)
+	}
+}
--- a/internal/decide/custody/custody_test.go
+++ b/internal/decide/custody/custody_test.go
@@ -270,6 +270,9 @@
 	})
 }
 
+// possible adds a step that does something to a copy of the world.
+type possible func(do func(n *world), name string, about ...any)
+
 // Steps implements explore.State.
 func (w *world) Steps() (steps []explore.Step[*world]) {
 	may := func(do func(n *world), name string, about ...any) {
@@ -278,6 +281,14 @@
 		n.tidy()
 		steps = append(steps, explore.Step[*world]{Name: func() string { return fmt.Sprintf(name, about...) }, To: n})
 	}
+	w.holderSteps(may)
+	w.restartSteps(may)
+	w.messageSteps(may)
+	return steps
+}
+
+// holderSteps are what the holders may do by themselves.
+func (w *world) holderSteps(may possible) {
 	for i, h := range w.holders {
 		// The first takes the message, the second may take it as well, or claim it; where there are more claims the first has some.
 		if h.mode == Idle && w.left.takes > 0 && (i == 0 || w.holders[0].mode != Idle) {
@@ -313,6 +324,10 @@
 			may(func(n *world) { n.verdicts |= 1 << n.answers[i]; n.answers[i] = 0 }, "%s answers %d", h.me, w.answers[i])
 		}
 	}
+}
+
+// restartSteps are keepers that crash and start again with nothing.
+func (w *world) restartSteps(may possible) {
 	for i, k := range w.keepers {
 		if w.left.crashes > 0 && w.holders[0].mode != Idle {
 			may(func(n *world) {
@@ -323,6 +338,10 @@
 			}, "%s starts again with nothing", k.me)
 		}
 	}
+}
+
+// messageSteps are messages on the network that arrive, once or twice.
+func (w *world) messageSteps(may possible) {
 	for at, p := range w.net {
 		m := p.msgs[0]
 		comes := func(heard string, do func(n *world)) {
@@ -351,7 +370,6 @@
 			}
 		}
 	}
-	return steps
 }
 
 // heard gives a holder the answer of a keeper.
--- a/internal/decide/pure_test.go
+++ b/internal/decide/pure_test.go
@@ -51,7 +51,7 @@
 			check(path)
 		}
 	}
-	require.NoError(t, filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+	require.NoError(t, filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
 		if err == nil && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
 			check(path)
 		}
--- a/internal/decide/sources/sources.go
+++ b/internal/decide/sources/sources.go
@@ -369,13 +369,12 @@
 		}
 		out[id] = i
 	}
-	roster, gone := newIndex(m.roster), newIndex(m.gone)
-	own := m.own // of the hosts that DNS alone names
-	clear(own.byName)
-	clear(own.byAddress)
+	known := indexes{roster: newIndex(m.roster), gone: newIndex(m.gone), own: m.own}
+	clear(known.own.byName)
+	clear(known.own.byAddress)
 	for _, of := range slices.Sorted(maps.Keys(m.names)) {
 		n := m.names[of]
-		m.add(now, of, n, roster, gone, own, out)
+		m.add(now, of, n, known, out)
 	}
 	m.forget(now)
 	for id, i := range out { // most are as they were
@@ -422,8 +421,15 @@
 	}
 }
 
+// indexes are those of all hosts that a record may be.
+type indexes struct {
+	roster index // hosts that the roster lists
+	gone   index // hosts that the roster has removed
+	own    index // hosts that DNS alone names
+}
+
 // add adds the hosts of one name.
-func (m *Merge) add(now int64, of string, n *name, roster, gone, own index, out map[string]Info) {
+func (m *Merge) add(now int64, of string, n *name, hosts indexes, out map[string]Info) {
 	all := m.all[:0]
 	alone := []string{"srv:" + of} // of the hosts that no other source names; never appended to in place
 	lowest, positive := -1, false
@@ -431,8 +437,8 @@
 		if !l.here {
 			continue
 		}
-		c := candidate{l: l, known: roster.find(l)}
-		buried := gone.find(l)
+		c := candidate{l: l, known: hosts.roster.find(l)}
+		buried := hosts.gone.find(l)
 		for _, id := range buried {
 			m.buried[id] = now
 		}
@@ -476,7 +482,7 @@
 		if c.why == whyFlapping || c.why == whyAddress {
 			continue
 		}
-		id := n.set.id(l, own)
+		id := n.set.id(l, hosts.own)
 		i, had := out[id]
 		if !had {
 			zone, kind := n.set.place(l.Target)
--- a/internal/hostlist/hostlist_test.go
+++ b/internal/hostlist/hostlist_test.go
@@ -61,7 +61,7 @@
 
 func (o *order) Now() int64 { return 1 }
 func (o *order) Sync()      { o.sync++ }
-func (o *order) List(kind topazfall.EventKind, entries []dispatch.Entry) {
+func (o *order) List(_ topazfall.EventKind, entries []dispatch.Entry) {
 	o.told = append(o.told, entries)
 }
 
--- a/internal/lab/measure/addresses.go
+++ b/internal/lab/measure/addresses.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -113,6 +114,29 @@
 	answer    client.Answer
 }
 
+// verdicts counts how requests ended.
+type verdicts struct {
+	served, failed, refused int
+	none                    int // without a final answer
+	lost                    int // of the failed ones, those that must not run twice
+}
+
+func (v *verdicts) add(x outcome) {
+	switch {
+	case x.answer.Err != nil:
+		v.none++
+	case x.answer.Status == http.StatusOK:
+		v.served++
+	case x.answer.Status == http.StatusServiceUnavailable || x.answer.Status == http.StatusTooManyRequests:
+		v.refused++
+	default:
+		v.failed++
+		if program.Once(x.class) {
+			v.lost++
+		}
+	}
+}
+
 // Addresses measures how the program reaches hosts whose addresses fail. Arrivals are a Poisson process; progress goes
 // to w.
 func Addresses(ctx context.Context, o AddressOptions, w io.Writer) (*report.Report, error) {
@@ -138,22 +162,11 @@
 		if err != nil {
 			return nil, fmt.Errorf("%s: %w", c.name, err)
 		}
-		served, failed, refused, none, most := 0, 0, 0, 0, 0
+		var count verdicts
+		most := 0
 		all, after := hdrhistogram.New(1, 60_000_000, 3), hdrhistogram.New(1, 60_000_000, 3)
 		for _, x := range outcomes {
-			switch {
-			case x.answer.Err != nil:
-				none++
-			case x.answer.Status == 200:
-				served++
-			case x.answer.Status == 503 || x.answer.Status == 429:
-				refused++
-			default:
-				failed++
-				if program.Once(x.class) {
-					lost[c.name]++
-				}
-			}
+			count.add(x)
 			ran := 0
 			var first time.Time
 			for _, h := range s.hosts {
@@ -178,11 +191,12 @@
 				}
 			}
 		}
-		unanswered += none
+		unanswered += count.none
+		lost[c.name] += count.lost
 		runs = max(runs, most)
 		reach[c.name], late[c.name] = all, after
 		ms := func(us int64) float64 { return float64(us) / 1000 }
-		r.Add(c.name, len(outcomes), served, failed, refused, none, most, dials/float64(max(len(outcomes), 1)),
+		r.Add(c.name, len(outcomes), count.served, count.failed, count.refused, count.none, most, dials/float64(max(len(outcomes), 1)),
 			ms(all.ValueAtQuantile(50)), ms(all.ValueAtQuantile(99)), ms(all.Max()), ms(after.ValueAtQuantile(99)))
 	}
 	base := float64(reach[addressCases[0].name].ValueAtQuantile(99)) / 1000
--- a/internal/lab/measure/dns.go
+++ b/internal/lab/measure/dns.go
@@ -75,14 +75,22 @@
 	s.dns.Close()
 }
 
-// setDNS starts an agent that follows a name whose hosts, so many, are all listed.
-func setDNS(ctx context.Context, o DNSOptions, dir, name, roster string, hosts int, ttl uint32) (*dnsScene, error) {
+// agentSetup says how the agent of a scene is started.
+type agentSetup struct {
+	program string // path of the agent's binary
+	dir     string // folder for its state
+	name    string
+	roster  string // address of discovery, or "none"
+}
+
+// setDNS starts an agent that follows a name under which all of so many workers are listed, with a lifetime in seconds.
+func setDNS(ctx context.Context, setup agentSetup, workers int, lifetime uint32) (*dnsScene, error) {
 	dns, err := resolver.Start()
 	if err != nil {
 		return nil, err
 	}
 	s := &dnsScene{dns: dns}
-	for i := range hosts {
+	for i := range workers {
 		h, err := host.Start(host.Options{Name: fmt.Sprintf("w%d.example", i), Work: 5 * time.Millisecond},
 			func(body []byte) error { return s.agent.CallBack(body) }, "127.0.0.1:0")
 		if err != nil {
@@ -91,10 +99,10 @@
 		}
 		s.hosts = append(s.hosts, h)
 	}
-	s.publish(ttl, s.hosts...)
-	if s.agent, err = startAgent(o.Agent, dir, name, roster); err == nil {
+	s.publish(lifetime, s.hosts...)
+	if s.agent, err = startAgent(setup.program, setup.dir, setup.name, setup.roster); err == nil {
 		if err = s.agent.follow(ctx, dns); err == nil {
-			err = s.agent.up(ctx, hosts)
+			err = s.agent.up(ctx, workers)
 		}
 	}
 	if err != nil {
@@ -193,7 +201,7 @@
 
 // measureChange replaces the only host, and waits for the first message at the other.
 func measureChange(ctx context.Context, o DNSOptions, dir string, chance *rand.Rand, r *report.Report) error {
-	s, err := setDNS(ctx, o, dir, "change", "none", 2, 1)
+	s, err := setDNS(ctx, agentSetup{o.Agent, dir, "change", "none"}, 2, 1)
 	if err != nil {
 		return err
 	}
@@ -235,7 +243,7 @@
 
 // measureOutage keeps every resolver silent under load.
 func measureOutage(ctx context.Context, o DNSOptions, dir string, chance *rand.Rand, r *report.Report) error {
-	s, err := setDNS(ctx, o, dir, "outage", "none", 3, 1)
+	s, err := setDNS(ctx, agentSetup{o.Agent, dir, "outage", "none"}, 3, 1)
 	if err != nil {
 		return err
 	}
@@ -263,7 +271,7 @@
 	}
 	defer list.Close()
 	list.Set()
-	s, err := setDNS(ctx, o, dir, "drains", list.Address(), 1, 0)
+	s, err := setDNS(ctx, agentSetup{o.Agent, dir, "drains", list.Address()}, 1, 0)
 	if err != nil {
 		return err
 	}
--- a/internal/lab/resolver/resolver.go
+++ b/internal/lab/resolver/resolver.go
@@ -271,20 +271,7 @@
 			return nil
 		}
 	}
-	limit := dns.MaxMsgSize
-	if !tcp {
-		limit = dns.MinMsgSize
-		if o := q.IsEdns0(); o != nil {
-			limit = int(o.UDPSize())
-		}
-	}
-	m.Compress = true
-	if m.Len() > limit {
-		m.Extra = nil
-		if m.Len() > limit {
-			m.Truncate(limit)
-		}
-	}
+	fit(m, sizeLimit(q, tcp))
 	text, err := m.Pack()
 	if err != nil {
 		m.Answer, m.Extra, m.Rcode = nil, nil, dns.RcodeServerFailure
@@ -301,6 +288,29 @@
 	return [][]byte{text}
 }
 
+// sizeLimit is the largest response in bytes that the sender of query q accepts.
+func sizeLimit(q *dns.Msg, tcp bool) int {
+	if tcp {
+		return dns.MaxMsgSize
+	}
+	if o := q.IsEdns0(); o != nil {
+		return int(o.UDPSize())
+	}
+	return dns.MinMsgSize
+}
+
+// fit compresses m, and drops its additional section and then further records until it has at most limit bytes.
+func fit(m *dns.Msg, limit int) {
+	m.Compress = true
+	if m.Len() <= limit {
+		return
+	}
+	m.Extra = nil
+	if m.Len() > limit {
+		m.Truncate(limit)
+	}
+}
+
 func soa(name string) dns.RR {
 	return &dns.SOA{Hdr: dns.RR_Header{Name: name, Rrtype: dns.TypeSOA, Class: dns.ClassINET, Ttl: 60}, Ns: "ns.example.", Mbox: "m.example.", Minttl: 1}
 }
--- a/internal/south/crossing_test.go
+++ b/internal/south/crossing_test.go
@@ -286,7 +286,7 @@
 	require.False(t, r.Ended())
 	require.EqualValues(t, 1, h.conns.Load())
 	h.host.SetClosed(false)
-	_, end = h.relays("2", true)
+	h.relays("2", true)
 	require.Equal(t, "2", h.next().id, "nothing of the first was written")
 	require.EqualValues(t, 1, h.conns.Load())
 }
--- a/random_test.go
+++ b/random_test.go
@@ -19,11 +19,10 @@
 }
 
 type seenRequest struct {
-	class    Class
-	due      int64
-	tries    []seenTry
-	answers  int
-	answered int64
+	class   Class
+	due     int64
+	tries   []seenTry
+	answers int
 }
 
 type seenTry struct {
@@ -285,7 +284,8 @@
 		}
 		return text
 	}
-	if play() != play() {
+	first, second := play(), play()
+	if first != second {
 		t.Error("two runs of the same events differ")
 	}
 }
