Wait for the closing in the test of it only where nobody may have closed the connection here

TestClientClosesOverUnreadBytes failed 3 times in 12 runs of the package: in the case in which the watch notices, the connection may be closed here before the test has asked the system for its state. That case waits for the call-off, as before, and no more for the state. go test -count=20 ./internal/north: passed (51 s).

--- a/internal/north/departure_test.go
+++ b/internal/north/departure_test.go
@@ -246,9 +246,10 @@
 			r := d.next(d.sent, "sent")
 			l.stalled.Store(!noticed)
 			require.NoError(t, nc.Close())
-			waitForClosing(t, l.last.Load())
-			if noticed {
+			if noticed { // and the connection may be closed here as well by then
 				require.Same(t, r, d.next(d.off, "called off"))
+			} else {
+				waitForClosing(t, l.last.Load())
 			}
 			require.False(t, r.Start(d.core.Now()))
 			d.core.Ended(r, topazfall.Superseded, topazfall.NoLoad)
