--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -32,6 +32,7 @@
 	workers  *south.Side
 	clients  *north.Side
 	list     *inventory.Watch
+	settings tenantSettings
 
 	mu               sync.Mutex
 	predecessor      *takeover.Link // nil where there is none, or no more
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"topazfall"
 	"topazfall/internal/config"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/figures"
@@ -32,11 +33,17 @@
 
 // Parts are what an extension works with.
 type Parts struct {
-	Config *config.Config
-	Core   *dispatch.Core
-	Hosts  *south.Side
+	Config  *config.Config
+	Core    *dispatch.Core
+	Hosts   *south.Side
+	Figures *figures.Figures
+	// SetTenants brings tenants into force beside those of the configuration; one that is in both is as it is here.
+	SetTenants func([]topazfall.Tenant)
 }
 
+// Reserver is an Extension that needs descriptors of its own, of those that the limits allow.
+type Reserver interface{ Descriptors(name string) int }
+
 // Extension is what other installations add to a dispatcher. It is started before the first list comes, and takes the
 // inventory's news in the core's place; its end is asked for when the dispatcher has left.
 type Extension interface {
@@ -146,6 +153,9 @@
 		runtime.GOMAXPROCS(max(int(math.Ceil(d.config.Cores)), 1))
 	}
 	d.config.Sockets = withinSystem(d.config.Sockets)
+	if r, ok := d.extension.(Reserver); ok {
+		d.config.Sockets = max(d.config.Sockets-r.Descriptors(d.config.Name), 0)
+	}
 	within(&d.config, 1)
 	return nil
 }
@@ -182,6 +192,7 @@
 	d.list.SetHolder(d.core)
 	d.place = &handover{config: &d.config, path: takeover.Path(d.config.Name, d.config.Listen), listener: d.listener,
 		core: d.core, workers: d.workers, clients: d.clients, list: d.list}
+	d.place.settings.configured = *settings
 	d.place.holds(settings)
 	d.clients.Others(d.place.tell)
 	d.joinPeers()
@@ -215,7 +226,7 @@
 	if d.extension == nil {
 		return nil
 	}
-	return d.extension.Start(Parts{&d.config, d.core, d.workers})
+	return d.extension.Start(Parts{&d.config, d.core, d.workers, d.figures, d.place.setTenants})
 }
 
 func (d *dispatcher) closeExtension() {
@@ -301,8 +312,7 @@
 		}
 		now = &c
 		h.holds(&c.Settings)
-		// The core first: no class may come that it does not know.
-		h.clients.Renew(&c.Settings, h.core.Renew(c.Settings))
+		h.renewConfigured(c.Settings)
 		h.workers.SetTimes(times(now))
 		h.list.Renew(inventory.TermsOf(&c.Settings))
 		h.list.Move(c.Discovery)
--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/renameio/v2"
 	jsoniter "github.com/json-iterator/go"
 	"github.com/valyala/fasthttp"
 )
@@ -33,12 +34,13 @@
 	Sockets   int // most descriptors, 0 for 1,024
 	MemoryMB  int // 0 for 192
 	Probe     bool
-	Dial      time.Duration // limit of connecting, 0 for 250 ms
-	Idle      time.Duration // hosts' idle limit, 0 for 60 s
-	Attempts  int           // 0 for 6
-	Deadline  time.Duration // of all classes, 0 for 5 and 10 s
-	Asked     bool          // lists must be asked for
-	Known     string        // the list of hosts as last had, in the form of the wire; "" for none
+	Dial      time.Duration               // limit of connecting, 0 for 250 ms
+	Idle      time.Duration               // hosts' idle limit, 0 for 60 s
+	Attempts  int                         // 0 for 6
+	Deadline  time.Duration               // of all classes, 0 for 5 and 10 s
+	Asked     bool                        // lists must be asked for
+	Known     string                      // the list of hosts as last had, in the form of the wire; "" for none
+	Change    func(config map[string]any) // what is to be other in its configuration; nil for nothing
 
 	Descriptors int // the system's limit on them, 0 for the one of the test
 }
@@ -54,6 +56,8 @@
 	o              Options
 	cmd            *exec.Cmd
 	listen, manage string
+	config         string         // its file
+	document       map[string]any // what stands there
 	log            *buffer
 	started        time.Time
 	done           chan struct{}
@@ -149,7 +153,7 @@
 		o.Name = "n0"
 	}
 	p := &Process{o: o, listen: o.Listen, log: &buffer{}, done: make(chan struct{})}
-	free, err := ports(2)
+	free, err := FreeAddresses(2)
 	if err != nil {
 		return nil, err
 	}
@@ -162,18 +166,14 @@
 		}
 		return v
 	}
-	told := map[string]any{"name": o.Name, "listen": p.listen, "discovery": o.Discovery, "seed": "1",
+	p.document = map[string]any{"name": o.Name, "listen": p.listen, "discovery": o.Discovery, "seed": "1",
 		"limits":   map[string]any{"cores": 1, "memory_mb": first(o.MemoryMB, 192), "sockets": first(o.Sockets, 1024)},
 		"settings": Settings(o)}
 	if o.Known != "" {
-		told["known"] = jsoniter.RawMessage(o.Known)
+		p.document["known"] = jsoniter.RawMessage(o.Known)
 	}
-	text, err := jsoniter.MarshalIndent(told, "", " ")
-	if err != nil {
-		return nil, err
-	}
-	config := filepath.Join(o.Dir, fmt.Sprintf("%s-%d.json", o.Name, time.Now().UnixNano()))
-	if err := os.WriteFile(config, text, 0o600); err != nil {
+	p.config = filepath.Join(o.Dir, fmt.Sprintf("%s-%d.json", o.Name, time.Now().UnixNano()))
+	if _, err := p.Configure(o.Change); err != nil {
 		return nil, err
 	}
 	p.cmd = exec.Command(o.Path, o.Args...)
@@ -181,7 +181,7 @@
 		limited := []string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(o.Descriptors), o.Path}
 		p.cmd = exec.Command("/bin/sh", append(limited, o.Args...)...)
 	}
-	p.cmd.Env = append(append(os.Environ(), "LB_CONFIG="+config, "LB_MANAGEMENT="+p.manage, "TMPDIR="+o.Dir), o.Env...)
+	p.cmd.Env = append(append(os.Environ(), "LB_CONFIG="+p.config, "LB_MANAGEMENT="+p.manage, "TMPDIR="+o.Dir), o.Env...)
 	p.cmd.Stderr = p.log
 	p.started = time.Now()
 	if err := p.cmd.Start(); err != nil {
@@ -194,12 +194,34 @@
 	return p, nil
 }
 
+// Configure changes the configuration and writes its file, whole or not at all; the process takes it at Reload. It
+// returns the bytes of the file.
+func (p *Process) Configure(change func(config map[string]any)) (size int, err error) {
+	if change != nil {
+		change(p.document)
+	}
+	text, err := jsoniter.Marshal(p.document)
+	if err != nil {
+		return 0, err
+	}
+	return len(text), renameio.WriteFile(p.config, text, 0o600)
+}
+
+// Reload tells the process to take its configuration anew.
+func (p *Process) Reload() error { return p.Signal(syscall.SIGHUP) }
+
+// Freeze stops the process, as a machine that swaps does, until Thaw.
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
+
+// Thaw lets it go on.
+func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
+
 // started counts the processes, each of which has an address of its own: a port that was free a moment ago may be
 // somebody else's when the process has come so far.
 var started atomic.Uint32
 
-// ports finds free ports of an address that no other process of ours has.
-func ports(n int) (found []string, err error) {
+// FreeAddresses finds n free TCP ports of a loopback address that no other process of ours has. Its error is that of listening.
+func FreeAddresses(n int) (found []string, err error) {
 	k := started.Add(1)
 	ip := fmt.Sprintf("127.%d.%d.%d:0", 64+os.Getpid()%64, k/250%250, k%250+1)
 	for range n {
@@ -261,12 +283,22 @@
 // Term tells it to end.
 func (p *Process) Term() error { return p.Signal(syscall.SIGTERM) }
 
-// Signal sends it a signal.
-func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
-
 // ExitCode is that of a process that has ended.
 func (p *Process) ExitCode() int { return p.cmd.ProcessState.ExitCode() }
 
+// Signal sends it a signal; its error says that the process has ended.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Ended tells whether the process has ended.
+func (p *Process) Ended() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits for its end, for so long at the most.
 func (p *Process) Wait(limit time.Duration) error {
 	select {
