Serve on with the old list while discovery refuses, unless hold_on_refusal says otherwise

By the logs of all 270 dispatchers discovery is down at the start and refuses each call after 2.0 s, as it does for want of room after its return; state=held at 6.0 s in all of them, released from 16 s on. What tells the two apart is nowhere in an answer.

Change: a refusal shows by default that discovery could not be reached until the next call, which keeps to the budget; hold_on_refusal in the configuration keeps what was built. Its tests run with it as they are; new ones play the default: no order of refusals, silence and broken connections holds anything back (TestRefusalsHoldNothingBackByDefault), 300 that are refused nine times in ten serve on within the budget with lists up to 31 s old (TestFleetIsTurnedAwayAndServesOn), and on loopback (TestRefusedByDefault).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,7 @@
 	Known                   []byte   // the list of hosts as last had, in discovery's form; may be empty
 	Settings                topazfall.Settings
 	ConnIdle                time.Duration // a host closes a connection once it has been idle for so long
+	HoldOnRefusal           bool          // a refusal of discovery shows that it could be reached; see package refresh
 
 	keys any // the file as it came, for those of the next one
 }
@@ -143,6 +144,8 @@
 		Listen string   `json:"peer_listen"`
 		Peers  []string `json:"peers"`
 		All    string   `json:"peers_all"`
+
+		HoldOnRefusal bool `json:"hold_on_refusal"`
 	}
 	if err := jsoniter.Unmarshal(text, &others); err != nil {
 		return Config{}, err
@@ -153,7 +156,7 @@
 	}
 	c := Config{Name: first(env("LB_NAME"), f.Name), Listen: first(env("LB_LISTEN"), f.Listen),
 		Discovery: first(env("LB_DISCOVERY"), f.Discovery), Management: first(env("LB_MANAGEMENT"), f.Manage), Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB,
-		PeerListen: others.Listen, Peers: others.Peers, PeersAll: others.All,
+		PeerListen: others.Listen, Peers: others.Peers, PeersAll: others.All, HoldOnRefusal: others.HoldOnRefusal,
 		Sockets: f.Limits.Sockets, Known: f.Known, ConnIdle: time.Duration(f.Settings.Allowed.ConnIdle) * time.Microsecond}
 	if c.Listen == "" || c.Discovery == "" {
 		return Config{}, errors.New("listen and discovery must be given")
--- a/internal/decide/refresh/fleet_test.go
+++ b/internal/decide/refresh/fleet_test.go
@@ -262,6 +262,29 @@
 	}
 }
 
+// The same where a refusal may come from a discovery that is down: nobody holds back, all keep to the budget, and all
+// have read the list soon after. How old the lists in use were is logged.
+func TestFleetIsTurnedAwayAndServesOn(t *testing.T) {
+	const long = 20 * second
+	terms := asked(300)
+	terms.HoldOnRefusal = false
+	w := newWorld(t, 7)
+	w.turnsAway = func(now time.Duration) bool { return now < long && w.random.Float64() < 0.9 }
+	w.turnedFor = 2 * second
+	w.down = func(time.Duration) bool { return true } // what this asks of nobody: to have read it
+	w.drains = append(w.drains, 5*second, 15*second, 25*second)
+	for range terms.Dispatchers {
+		w.start(time.Duration(w.random.Int64N(int64(600*time.Millisecond))), terms)
+	}
+	w.watchSends(40 * second)
+	w.run(40 * second)
+	w.report("turned away after 2 s by chance", terms.Budget())
+	for _, n := range w.nodes {
+		require.Equal(t, len(w.drains), n.version)
+		require.Zero(t, n.heldFor)
+	}
+}
+
 // Discovery is down for 8 s, silent or refusing all at once, and open watches end with it. Nobody holds back for
 // that. On its return it has the room that the
 // contract names, half of it, or as much as is asked for: nothing goes to who has drained meanwhile, and all
--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -11,16 +11,18 @@
 //
 // where unread is the earliest time at which discovery may have had something that was not read, and could
 // have been reached: the start of the last call that brought a list or, if calls that were opened after it
-// showed that discovery could not be reached, the start of the last of these. A call that waited for its turn and was
-// turned away shows that discovery is at work, as does any other answer but a refusal at once; from then on unread
-// stays until a list is read. Silence, broken connections and refusals at once are what a service that is down
-// shows: each call after one that failed so is made so early that its failure moves HoldAt on in time, and the list is
-// relied on for as long as they last. From HoldAt to the next list that is read, nothing new may be sent to any
-// worker. The grace of a drain begins at HoldAt and is left to what is under way then.
+// showed that discovery could not be reached, the start of the last of these. Any answer but a refusal shows that it
+// could; from then on unread stays until a list is read. Silence, broken connections and refusals are what a service
+// that is down shows, and the list is relied on for as long as they last: each call after one without an answer is made
+// so early that its failure moves HoldAt on in time, and after a refusal the next call decides. From HoldAt to the next
+// list that is read, nothing new may be sent to any worker. The grace of a drain begins at HoldAt and is left to what is
+// under way then.
 //
-// By the operators' page a discovery without room lets calls wait in turn, and those fail that have waited too long. One
-// that is at work and turns calls away at once cannot be told from one that is down. The list is relied on then: to
-// serve nobody for as long as discovery is down would cost all of the service.
+// A refusal for want of room, as when calls wait for their turn and fail when they have waited too long, cannot be told
+// from one of a service that is down. To hold back for it would leave clients without service for as long as discovery
+// is down; to rely on the list may send to a worker whose drain this dispatcher could not read for longer than the bound.
+// Where discovery refuses only for want of room, [Terms.HoldOnRefusal] says so: a refusal after a wait then shows that it
+// could be reached, and one at once still does not.
 //
 // # The budget of the fleet
 //
@@ -70,6 +72,10 @@
 	Asked       bool          // lists come only when they are asked for
 	DrainGrace  time.Duration // in which sends to a worker that drains must cease
 	AskEvery    time.Duration // where it must be asked: how often, at least; 0 if that is not said
+
+	// HoldOnRefusal says that discovery turns calls away only for want of room: one that was turned away after a wait for
+	// its turn then shows that discovery could be reached.
+	HoldOnRefusal bool
 }
 
 // Bound is for how long the list is relied on once discovery may have had news and could be reached.
@@ -145,7 +151,7 @@
 	Silent
 	// Broken: no connection came up, or it ended before an answer.
 	Broken
-	// Refused: it was turned away by a status. After a wait for its turn that shows that discovery could be reached.
+	// Refused: it was turned away by a status. What that shows is for [Terms.HoldOnRefusal] to say.
 	Refused
 )
 
@@ -198,7 +204,11 @@
 	if !listKnown || !s.terms.Asked || s.terms.Dispatchers < 2*aloneUpTo {
 		return 0
 	}
-	return s.spread(0, s.terms.Spacing(spacingGrowth, false))
+	wait := s.spread(0, s.terms.Spacing(spacingGrowth, false))
+	if !s.terms.HoldOnRefusal { // the first call has to end before its refusal shows that nothing is to be held back
+		s.unread += wait
+	}
+	return wait
 }
 
 // Begin notes that a call begins, and returns how long it may wait for news. Only one that goes on from the
@@ -227,12 +237,18 @@
 	s.noRoom = s.noRoom || turnedAway
 	switch {
 	case s.reachable:
-	case result == Answered || turnedAway:
+	case result == Answered || turnedAway && s.terms.HoldOnRefusal:
 		s.reachable = true
 	case s.opened: // discovery could not be reached when this call began
 		s.unread = s.begun
 	}
-	return s.pause(now, result, retryAfter)
+	if s.reachable || !s.terms.Asked || result != Refused || s.terms.HoldOnRefusal {
+		return s.pause(now, result, retryAfter)
+	}
+	// It answers, and so there is no haste; and it shows no more of itself before the next call.
+	pause := s.paced(now, retryAfter)
+	s.unread = max(s.unread, now+pause)
+	return pause
 }
 
 func (s *Schedule) pause(now time.Duration, result Result, retryAfter time.Duration) time.Duration {
@@ -240,8 +256,8 @@
 		longest := min(retrySpacing*3/2*growth(s.failures), s.terms.AgentBeat())
 		return s.spread(longest/2, longest)
 	}
-	spacing := s.terms.Spacing(s.failures, s.noRoom)
 	if !s.reachable { // whether the next call is answered has to show before HoldAt
+		spacing := s.terms.Spacing(s.failures, s.noRoom)
 		holdAt, _ := s.HoldAt()
 		longest := min(spacing, holdAt-s.terms.CallLimit()-timerSlack-now)
 		if result == Refused && s.opened { // it has answered: there is no haste
@@ -249,6 +265,12 @@
 		}
 		return s.spread(leastPause, longest)
 	}
+	return s.paced(now, retryAfter)
+}
+
+// paced is the pause that keeps to the budget of the fleet.
+func (s *Schedule) paced(now, retryAfter time.Duration) time.Duration {
+	spacing := s.terms.Spacing(s.failures, s.noRoom)
 	if !s.opened { // watches that break may all break in one moment
 		return max(s.spread(leastPause, spacing), s.putOff(now, retryAfter, spacing))
 	}
--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -13,7 +13,8 @@
 func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
 
 func asked(dispatchers int) Terms {
-	return Terms{Dispatchers: dispatchers, Asked: true, DrainGrace: 250 * time.Millisecond, AskEvery: 10 * second}
+	return Terms{Dispatchers: dispatchers, Asked: true, DrainGrace: 250 * time.Millisecond, AskEvery: 10 * second,
+		HoldOnRefusal: true}
 }
 
 // started is a dispatcher of many that started at 100 s.
@@ -329,3 +330,39 @@
 		require.Greater(t, now-begun, 2*second, "calls in haste")
 	}
 }
+
+// Where refusals may come from a discovery that is down, neither they nor silence nor broken connections hold anything
+// back, in whatever order they come, and the fleet keeps to its budget; an answer that is no list begins the bound.
+func TestRefusalsHoldNothingBackByDefault(t *testing.T) {
+	for _, dispatchers := range []int{1, 8, 300} {
+		terms := asked(dispatchers)
+		terms.HoldOnRefusal = false
+		for seed := range uint64(50) {
+			random := seeded(seed)
+			s := New(0, terms, random)
+			now, refusals := s.First(true), 0
+			for now < 300*second {
+				begun := now
+				result := []Result{Refused, Refused, Silent, Broken}[random.IntN(4)]
+				s.Begin(now, true)
+				switch {
+				case result == Silent:
+					now += callLimit
+				case result == Refused:
+					now += time.Duration(random.Int64N(int64(callLimit)))
+					refusals++
+				}
+				require.False(t, s.Held(now), "held before the call of %v has ended", begun)
+				now += s.End(now, result, time.Duration(random.Int64N(int64(60*second))))
+				require.LessOrEqual(t, now-begun, max(terms.Spacing(9, true)*7/6, Told)+callLimit)
+				require.False(t, s.Held(now))
+			}
+			require.Positive(t, refusals)
+			now = call(s, now, now, Answered, 0)
+			holdAt, _ := s.HoldAt()
+			require.Less(t, holdAt, now+Told, "an answer that is no list does not begin the bound")
+			call(s, now, now, Refused, 0)
+			requireHoldAt(t, s, holdAt)
+		}
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -16,6 +16,7 @@
 
 	"topazfall"
 	"topazfall/internal/config"
+	"topazfall/internal/decide/refresh"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/figures"
 	"topazfall/internal/inventory"
@@ -188,7 +189,7 @@
 	if d.extension != nil {
 		news = d.extension
 	}
-	d.list = inventory.New(d.config.Discovery, news, inventory.TermsOf(settings))
+	d.list = inventory.New(d.config.Discovery, news, discoveryTerms(&d.config))
 	d.list.SetHolder(d.core)
 	d.place = &handover{config: &d.config, path: takeover.Path(d.config.Name, d.config.Listen), listener: d.listener,
 		core: d.core, workers: d.workers, clients: d.clients, list: d.list}
@@ -299,6 +300,13 @@
 		Probe: c.Settings.Allowed.Probe}
 }
 
+// discoveryTerms are what the configuration says of discovery.
+func discoveryTerms(c *config.Config) refresh.Terms {
+	terms := inventory.TermsOf(&c.Settings)
+	terms.HoldOnRefusal = c.HoldOnRefusal
+	return terms
+}
+
 // reload takes a replaced configuration at each SIGHUP, also while the program is leaving: its settings and its
 // address of discovery, all or nothing. Addresses of our own, the name and the limits are those of the start.
 func (h *handover) reload(hangups <-chan os.Signal, counts *figures.Figures) {
@@ -314,7 +322,7 @@
 		h.holds(&c.Settings)
 		h.renewConfigured(c.Settings)
 		h.workers.SetTimes(times(now))
-		h.list.Renew(inventory.TermsOf(&c.Settings))
+		h.list.Renew(discoveryTerms(&c))
 		h.list.Move(c.Discovery)
 		counts.HangupsTaken.Add(1)
 		slog.Info("reload", "state", "taken", "discovery", c.Discovery, "classes", len(c.Settings.Classes))
--- a/internal/inventory/bound_test.go
+++ b/internal/inventory/bound_test.go
@@ -36,7 +36,8 @@
 // askedTerms are terms of 300 dispatchers that must ask, with this bound on the age of the list. Short bounds
 // spare time.
 func askedTerms(bound time.Duration) refresh.Terms {
-	return refresh.Terms{Dispatchers: 300, Asked: true, DrainGrace: 250 * time.Millisecond, AskEvery: bound / 4}
+	return refresh.Terms{Dispatchers: 300, Asked: true, DrainGrace: 250 * time.Millisecond, AskEvery: bound / 4,
+		HoldOnRefusal: true}
 }
 
 // bounded is a watch whose lists and holds come to one channel.
@@ -145,6 +146,16 @@
 	require.Equal(t, "held", c.next(t))
 }
 
+// Where refusals may come from a discovery that is down they hold nothing back, also after a wait.
+func TestRefusedByDefault(t *testing.T) {
+	t.Parallel()
+	terms := askedTerms(2 * time.Second)
+	terms.HoldOnRefusal = false
+	d, _, c := bounded(t, terms)
+	require.Greater(t, d.refuseFor(t, 6*time.Second, "60"), 2)
+	require.Empty(t, c)
+}
+
 // Where lists are pushed nothing is held back, however the agent fails.
 func TestPushedListsAreNotHeldBack(t *testing.T) {
 	t.Parallel()
