--- a/coldfleet_test.go
+++ b/coldfleet_test.go
@@ -29,7 +29,6 @@
 
 // coldScenario is a fleet of which some workers are cold. The zero value of a field is the plain case.
 type coldScenario struct {
-	name                       string
 	dispatchers, workers, cold int
 	cores, speed               float64
 	work                       float64 // mean work of a job; 0 for plainWork
