--- a/coldramp_test.go
+++ b/coldramp_test.go
@@ -19,7 +19,7 @@
 	change func(*coldScenario)
 	large  bool // played with 300 dispatchers too, which takes seconds
 }{
-	{"words heard", func(c *coldScenario) {}, true},
+	{"words heard", func(*coldScenario) {}, true},
 	{"three in ten words lost", func(c *coldScenario) { c.lost = 0.3 }, true},
 	{"all words lost", func(c *coldScenario) { c.lost = 1 }, true},
 	{"no peer messages", func(c *coldScenario) { c.peers = false }, true},
--- a/internal/decide/configlog/leader.go
+++ b/internal/decide/configlog/leader.go
@@ -45,7 +45,7 @@
 	}
 }
 
-func (n *Node) handleWilling(now int64, from NodeID, w Willing) {
+func (n *Node) handleWilling(from NodeID, w Willing) {
 	if o := n.origin; o.role == canvassing && w.Epoch == (Epoch{o.seen + 1, n.me}) {
 		o.willing[from] = true
 	}
--- a/internal/decide/configlog/origin.go
+++ b/internal/decide/configlog/origin.go
@@ -87,7 +87,7 @@
 	case Canvass:
 		n.handleCanvass(now, m.From, body)
 	case Willing:
-		n.handleWilling(now, m.From, body)
+		n.handleWilling(m.From, body)
 	case Prepare:
 		n.handlePrepare(m.From, body)
 	case Promise:
--- a/internal/decide/hearsay/hearsay.go
+++ b/internal/decide/hearsay/hearsay.go
@@ -24,11 +24,15 @@
 	Failed               // the host has failed one that another might have served
 )
 
+// Size is the length of an encoded word in bytes; up to 16 a datagram has the same price, at each that hears it.
+const Size = 8
+
+// Oldest is the age in microseconds beyond which a word says nothing of now.
+const Oldest = 2e6
+
 const (
 	version = 2
-	Size    = 8        // bytes of a word; up to 16 a datagram has the same price, at each that hears it
 	step    = 16_000   // microseconds: what times are rounded down to
-	Oldest  = 2e6      // microseconds: what is older says nothing of now
 	ahead   = 3 * step // by which clocks may differ
 	most    = 64       // happenings kept of a host
 )
--- a/internal/decide/ramp/place_test.go
+++ b/internal/decide/ramp/place_test.go
@@ -6,10 +6,15 @@
 	"github.com/stretchr/testify/require"
 )
 
-// holders counts who of a row of dispatchers has a turn.
-func holders(from, row, n, sharers, users, salt, turn int64) (have int64) {
+// workerTurn is a turn at a worker that a part of n dispatchers share, as each of them sees it.
+type workerTurn struct {
+	n, sharers, users, salt, turn int64
+}
+
+// holders counts who of a row of dispatchers has the turn.
+func (w workerTurn) holders(from, row int64) (have int64) {
 	for i := range row {
-		if HasTurn((from+i)%n, n, sharers, users, salt, turn) {
+		if HasTurn((from+i)%w.n, w.n, w.sharers, w.users, w.salt, w.turn) {
 			have++
 		}
 	}
@@ -21,7 +26,8 @@
 	for n := int64(1); n < 80; n++ {
 		for _, salt := range []int64{0, 1, 4_000_000_000, 1_700_000_000_000} {
 			for users := int64(1); users <= n; users += 1 + n/5 {
-				require.Equal(t, users, holders(0, n, n, n, users, salt, salt+7), "%d of %d", users, n)
+				turn := workerTurn{n: n, sharers: n, users: users, salt: salt, turn: salt + 7}
+				require.Equal(t, users, turn.holders(0, n), "%d of %d", users, n)
 			}
 		}
 	}
@@ -40,9 +46,11 @@
 				sum, rows := 0.0, 0.0
 				for from := range n - row + 1 {
 					for salt := range int64(salts) {
-						have := holders(from, row, n, row, users, salt*97, 3)
+						turn := workerTurn{n: n, sharers: row, users: users, salt: salt * 97, turn: 3}
+						have := turn.holders(from, row)
 						sum, rows = sum+float64(have), rows+1
-						require.LessOrEqual(t, have, users+min(users-1, 2), "%d from %d of %d, %d users", row, from, n, users)
+						require.LessOrEqual(t, have, users+min(users-1, 2),
+							"%d from %d of %d, %d users", row, from, n, users)
 					}
 				}
 				require.Greater(t, sum/rows, float64(users)*0.6, "%d of %d, %d users", row, n, users)
--- a/internal/inventory/bound_test.go
+++ b/internal/inventory/bound_test.go
@@ -51,7 +51,7 @@
 }
 
 // refuseFor refuses all calls for so long, and returns how many there were.
-func (d *discovery) refuseFor(t *testing.T, long time.Duration, retryAfter string) (calls int) {
+func (d *discovery) refuseFor(long time.Duration, retryAfter string) (calls int) {
 	for over := time.After(long); ; calls++ {
 		select {
 		case a := <-d.calls: // the last may be turned away after this returns
@@ -72,9 +72,9 @@
 	t.Parallel()
 	bound := 2 * time.Second
 	d, w, c := bounded(t, askedTerms(bound))
-	require.GreaterOrEqual(t, d.refuseFor(t, bound-100*time.Millisecond-w.now(), "60"), 2)
+	require.GreaterOrEqual(t, d.refuseFor(bound-100*time.Millisecond-w.now(), "60"), 2)
 	require.Empty(t, c, "held back before the bound")
-	require.Positive(t, d.refuseFor(t, time.Second, "60"), "no call while the list may not be relied on")
+	require.Positive(t, d.refuseFor(time.Second, "60"), "no call while the list may not be relied on")
 	require.Equal(t, "held", c.next(t))
 	require.Empty(t, c)
 
@@ -125,9 +125,9 @@
 		}
 	}
 	require.Empty(t, c, "held back while discovery cannot be reached")
-	d.refuseFor(t, begun+bound-200*time.Millisecond-w.now(), "")
+	d.refuseFor(begun+bound-200*time.Millisecond-w.now(), "")
 	require.Empty(t, c, "held back before the bound")
-	d.refuseFor(t, time.Second, "")
+	d.refuseFor(time.Second, "")
 	require.Equal(t, "held", c.next(t))
 }
 
@@ -141,7 +141,7 @@
 		d.next(t).refuseAtOnce(t, "60")
 	}
 	require.Empty(t, c, "held back while discovery is down")
-	d.refuseFor(t, bound+time.Second, "60")
+	d.refuseFor(bound+time.Second, "60")
 	require.Equal(t, "held", c.next(t))
 }
 
@@ -151,7 +151,7 @@
 	terms := askedTerms(time.Second)
 	terms.Asked = false
 	d, _, c := bounded(t, terms)
-	d.refuseFor(t, 3*time.Second, "60")
+	d.refuseFor(3*time.Second, "60")
 	require.Empty(t, c)
 }
 
@@ -178,7 +178,7 @@
 	t.Parallel()
 	for _, before := range []time.Duration{2 * time.Second, 6 * time.Second} {
 		d, w, c := bounded(t, askedTerms(4*time.Second))
-		d.refuseFor(t, before, "")
+		d.refuseFor(before, "")
 		other := newDiscovery(t)
 		w.Move(other.Addr().String())
 		a := other.next(t)
@@ -198,7 +198,7 @@
 	t.Parallel()
 	terms := askedTerms(3 * time.Second)
 	d, w, c := bounded(t, terms)
-	d.refuseFor(t, 4*time.Second, "")
+	d.refuseFor(4*time.Second, "")
 	require.Equal(t, "held", c.next(t))
 	other := terms
 	other.Asked = false
@@ -214,7 +214,7 @@
 	terms := askedTerms(refresh.Told)
 	d, w, c := bounded(t, terms)
 	require.False(t, w.Legacy().Unread.Reachable)
-	d.refuseFor(t, 4500*time.Millisecond, "")
+	d.refuseFor(4500*time.Millisecond, "")
 	require.Empty(t, c)
 	old := w.Legacy()
 	require.True(t, old.Unread.Reachable)
@@ -226,7 +226,7 @@
 	require.Equal(t, 1, heir.Inherit(old))
 	require.Equal(t, "a0", heard.next(t))
 	go heir.Run()
-	d.refuseFor(t, 2*time.Second, "")
+	d.refuseFor(2*time.Second, "")
 	require.Equal(t, "held", heard.next(t))
 	require.Less(t, heir.now(), 4500*time.Millisecond, "it took another whole bound")
 }
@@ -239,7 +239,7 @@
 	require.Equal(t, 1, w.Known([]byte(listed(41, true, "a", "up"))))
 	require.Equal(t, "a0", c.next(t))
 	go w.Run()
-	d.refuseFor(t, 4*time.Second, "")
+	d.refuseFor(4*time.Second, "")
 	require.Empty(t, c)
 	d.next(t).answer(t, listed(42, false, "a", "up"))
 	require.Equal(t, "a0", c.next(t))
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -145,7 +145,7 @@
 
 // Each frame comes, some of them twice, out of order, or once more: whole always.
 func TestFrames(t *testing.T) {
-	split := func(data []byte, atEOF bool) (int, []byte, error) {
+	split := func(data []byte, _ bool) (int, []byte, error) {
 		if i := strings.IndexByte(string(data), '\n'); i >= 0 {
 			return i + 1, data[:i+1], nil
 		}
--- a/internal/lab/scale/capacity.go
+++ b/internal/lab/scale/capacity.go
@@ -129,7 +129,7 @@
 func (b *Bench) compareKinds() error {
 	for _, c := range []struct{ figure, axis string }{{figureChange, axisWorkers}, {figureReweigh, axisWorkers},
 		{figureWordReal, axisWorkers}, {figureChangeBytes, axisWorkers}} {
-		real, err := b.At(c.figure, c.axis, fromReal, sizeWorkers)
+		full, err := b.At(c.figure, c.axis, fromReal, sizeWorkers)
 		if err != nil {
 			return err
 		}
@@ -138,7 +138,7 @@
 			return err
 		}
 		b.Check(Bar{What: fmt.Sprintf("hollow dispatchers differ from real ones: %s", c.figure),
-			Value: math.Abs(hollow/real - 1),
+			Value: math.Abs(hollow/full - 1),
 			Most:  margin, Unit: "part"})
 	}
 	return nil
--- a/internal/lab/scale/losses.go
+++ b/internal/lab/scale/losses.go
@@ -98,7 +98,7 @@
 		if err != nil {
 			return err
 		}
-		if err = l.die(ctx, b, s, d.what, d.dead); err != nil {
+		if err = l.die(ctx, b, s, d.dead); err != nil {
 			err = fmt.Errorf("loss of %s: %w", d.what, err)
 		}
 		s.close()
@@ -109,7 +109,7 @@
 	return nil
 }
 
-func (Losses) die(ctx context.Context, b *Bench, s *serving, what string, dead int) error {
+func (Losses) die(ctx context.Context, b *Bench, s *serving, dead int) error {
 	deathAt := pick(b, time.Second, 2*time.Second)
 	killing := time.AfterFunc(deathAt, func() { s.kill(dead) })
 	defer killing.Stop()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +21,7 @@
 
 // Bounds of a document.
 const (
+	mostFaults    = 100 // that are listed; a document of them only is not worth reading further
 	mostNames     = 64
 	mostPlaces    = 256
 	mostResolvers = 8
@@ -127,124 +129,150 @@
 	return ""
 }
 
-// Check lists everything that is wrong with a document.
-func Check(doc *pb.Settings) (faults Faults) {
-	bad := func(path, format string, args ...any) {
-		if len(faults) < 100 {
-			faults = append(faults, Fault{path, fmt.Sprintf(format, args...)})
-		}
-	}
+// Check lists everything that is wrong with a document, mostFaults faults at most.
+func Check(doc *pb.Settings) Faults {
+	c := &checker{}
 	if n := proto.Size(doc); n > mostBytes {
-		bad("settings", "%d bytes are more than %d", n, mostBytes)
-		return faults
+		c.bad("settings", "%d bytes are more than %d", n, mostBytes)
+		return c.faults
 	}
 	d := Effective(doc)
-	durations := func(path string, list []duration) bool {
-		sound := true
-		for _, f := range list {
-			if err := (*f.value).CheckValid(); err != nil {
-				bad(path+f.name, "is no duration")
-				sound = false
-			} else if v := (*f.value).AsDuration(); v < f.least || v > f.most {
-				bad(path+f.name, "%s is not within %s to %s", v, f.least, f.most)
-				sound = false
-			}
-		}
-		return sound
-	}
-	ordered := func(path, low, high string, a, b *durationpb.Duration) {
-		if a.AsDuration() > b.AsDuration() {
-			bad(path+low, "%s is more than %s, which is %s", a.AsDuration(), high, b.AsDuration())
-		}
+	c.checkDurations(d)
+	c.checkSources(d.Sources)
+	c.checkTeams(d.Teams)
+	c.checkNames(d.Sources.Srv)
+	return c.faults
+}
+
+// checker gathers what is wrong with a document.
+type checker struct{ faults Faults }
+
+func (c *checker) bad(path, format string, args ...any) {
+	if len(c.faults) < mostFaults {
+		c.faults = append(c.faults, Fault{path, fmt.Sprintf(format, args...)})
 	}
+}
+
+// checkDurations checks each duration within its own bounds and, where all of a section are, those of one section
+// against each other.
+func (c *checker) checkDurations(d *pb.Settings) {
 	s, a := d.Sources, d.Addresses
-	if durations("sources.", sourceDurations(s)) {
-		ordered("sources.", "least_lifetime", "most_lifetime", s.LeastLifetime, s.MostLifetime)
+	if c.within("sources.", sourceDurations(s)) {
+		c.ordered("sources.", "least_lifetime", "most_lifetime", s.LeastLifetime, s.MostLifetime)
 	}
-	if durations("addresses.", addressDurations(a)) {
-		ordered("addresses.", "delay_least", "delay_first", a.DelayLeast, a.DelayFirst)
-		ordered("addresses.", "delay_first", "delay_most", a.DelayFirst, a.DelayMost)
-		ordered("addresses.", "rest_least", "rest_most", a.RestLeast, a.RestMost)
+	if c.within("addresses.", addressDurations(a)) {
+		c.ordered("addresses.", "delay_least", "delay_first", a.DelayLeast, a.DelayFirst)
+		c.ordered("addresses.", "delay_first", "delay_most", a.DelayFirst, a.DelayMost)
+		c.ordered("addresses.", "rest_least", "rest_most", a.RestLeast, a.RestMost)
 	}
+}
+
+// within tells whether all durations of a section are within their bounds.
+func (c *checker) within(section string, list []duration) bool {
+	sound := true
+	for _, f := range list {
+		if err := (*f.value).CheckValid(); err != nil {
+			c.bad(section+f.name, "is no duration")
+			sound = false
+		} else if v := (*f.value).AsDuration(); v < f.least || v > f.most {
+			c.bad(section+f.name, "%s is not within %s to %s", v, f.least, f.most)
+			sound = false
+		}
+	}
+	return sound
+}
+
+func (c *checker) ordered(section, low, high string, a, b *durationpb.Duration) {
+	if a.AsDuration() > b.AsDuration() {
+		c.bad(section+low, "%s is more than %s, which is %s", a.AsDuration(), high, b.AsDuration())
+	}
+}
+
+// checkSources checks the counts of names and resolvers, the resolvers, and the counters of the merge.
+func (c *checker) checkSources(s *pb.Sources) {
 	if len(s.Srv) > mostNames {
-		bad("sources.srv", "%d names are more than %d", len(s.Srv), mostNames)
+		c.bad("sources.srv", "%d names are more than %d", len(s.Srv), mostNames)
 	}
 	if len(s.Resolvers) > mostResolvers {
-		bad("sources.resolvers", "%d are more than %d", len(s.Resolvers), mostResolvers)
+		c.bad("sources.resolvers", "%d are more than %d", len(s.Resolvers), mostResolvers)
 	}
 	if len(s.Srv) > 0 && len(s.Resolvers) == 0 {
-		bad("sources.resolvers", "there are names and nobody to ask")
+		c.bad("sources.resolvers", "there are names and nobody to ask")
 	}
 	for i, text := range s.Resolvers {
 		path := fmt.Sprintf("sources.resolvers[%d]", i)
-		if ap, err := netip.ParseAddrPort(text); err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() || ap.Addr().IsMulticast() {
-			bad(path, "%.64q is no IP:port of a resolver", text)
+		if !isResolver(text) {
+			c.bad(path, "%.64q is no IP:port of a resolver", text)
 		}
-		for _, other := range s.Resolvers[:i] {
-			if other == text {
-				bad(path, "%.64q is listed twice", text)
-				break
-			}
+		if slices.Contains(s.Resolvers[:i], text) {
+			c.bad(path, "%.64q is listed twice", text)
 		}
 	}
 	if s.Confirmations > 100 {
-		bad("sources.confirmations", "%d is not within 1 to 100", s.Confirmations)
+		c.bad("sources.confirmations", "%d is not within 1 to 100", s.Confirmations)
 	}
 	if s.Flaps > 16 {
-		bad("sources.flaps", "%d is not within 1 to 16", s.Flaps)
+		c.bad("sources.flaps", "%d is not within 1 to 16", s.Flaps)
 	}
-	checkTeams(d.Teams, bad)
+}
+
+// isResolver tells whether a text is the IP:port of a single host.
+func isResolver(text string) bool {
+	ap, err := netip.ParseAddrPort(text)
+	return err == nil && ap.Port() != 0 && !ap.Addr().IsUnspecified() && !ap.Addr().IsMulticast()
+}
+
+func (c *checker) checkNames(names []*pb.Srv) {
 	seen := map[string]bool{}
-	for i, n := range s.Srv {
+	for i, n := range names {
 		path := fmt.Sprintf("sources.srv[%d].", i)
 		if fault := checkName(n.Name); fault != "" {
-			bad(path+"name", "%.64q: %s", n.Name, fault)
+			c.bad(path+"name", "%.64q: %s", n.Name, fault)
 		}
 		if key := Canonical(n.Name); seen[key] {
-			bad(path+"name", "%.64q is listed twice", n.Name)
+			c.bad(path+"name", "%.64q is listed twice", n.Name)
 		} else {
 			seen[key] = true
 		}
 		if n.WeightUnit > 65535 {
-			bad(path+"weight_unit", "%d is not within 1 to 65535", n.WeightUnit)
+			c.bad(path+"weight_unit", "%d is not within 1 to 65535", n.WeightUnit)
 		}
 		if len(n.Places) > mostPlaces {
-			bad(path+"places", "%d are more than %d", len(n.Places), mostPlaces)
+			c.bad(path+"places", "%d are more than %d", len(n.Places), mostPlaces)
 		}
 		for j, p := range n.Places {
 			if p.Suffix == "" || len(p.Suffix) > 253 {
-				bad(fmt.Sprintf("%splaces[%d].suffix", path, j), "must have 1 to 253 bytes")
+				c.bad(fmt.Sprintf("%splaces[%d].suffix", path, j), "must have 1 to 253 bytes")
 			}
 		}
 		for field, text := range map[string]string{"zone": n.Zone, "kind": n.Kind} {
 			if len(text) > 128 {
-				bad(path+field, "is longer than 128 bytes")
+				c.bad(path+field, "is longer than 128 bytes")
 			}
 		}
 	}
-	return faults
 }
 
-func checkTeams(teams []*pb.Team, bad func(path, format string, args ...any)) {
+func (c *checker) checkTeams(teams []*pb.Team) {
 	if len(teams) > mostTeams {
-		bad("teams", "%d are more than %d", len(teams), mostTeams)
+		c.bad("teams", "%d are more than %d", len(teams), mostTeams)
 		return
 	}
 	seen := map[string]bool{}
 	for i, team := range teams {
 		path := fmt.Sprintf("teams[%d].", i)
 		if team.Name == "" || len(team.Name) > mostTeamName {
-			bad(path+"name", "must have 1 to %d bytes", mostTeamName)
+			c.bad(path+"name", "must have 1 to %d bytes", mostTeamName)
 		}
 		if seen[team.Name] {
-			bad(path+"name", "%.64q is listed twice", team.Name)
+			c.bad(path+"name", "%.64q is listed twice", team.Name)
 		}
 		seen[team.Name] = true
 		if !(team.Share >= 0 && team.Share <= 1) {
-			bad(path+"share", "%v is not within 0 to 1", team.Share)
+			c.bad(path+"share", "%v is not within 0 to 1", team.Share)
 		}
 		if !(team.Quota >= 0 && team.Quota <= mostQuota) {
-			bad(path+"quota", "%v is not within 0 to %v", team.Quota, mostQuota)
+			c.bad(path+"quota", "%v is not within 0 to %v", team.Quota, mostQuota)
 		}
 	}
 }
