--- a/balancer_test.go
+++ b/balancer_test.go
@@ -124,7 +124,8 @@
 		other := r.sends(r.done(id, 0, first, Unusable)).Worker
 		fails, _ := count(r.done(id, 1, other, second), Fail)
 		blamed := r.b.workers[first].errors
-		if want := map[Outcome]int{Unusable: 1}[second]; fails != want || blamed != 1-want || r.b.workers[other].errors > 0 {
+		if want := map[Outcome]int{Unusable: 1}[second]; fails != want || blamed != 1-want ||
+			r.b.workers[other].errors > 0 {
 			t.Errorf("second says %v: %d failures, first blamed %d times", second, fails, blamed)
 		}
 		if len(r.b.requests) > 0 {
@@ -133,8 +134,8 @@
 	}
 }
 
-// A copy is for a job that has not begun when half of its slack is over, at a worker that has been silent since: what is called
-// off may run all the same, and a worker that gives signs of life has others first.
+// A copy is for a job that has not begun when half of its slack is over, at a worker that has been silent since: what
+// is called off may run all the same, and a worker that gives signs of life has others first.
 func TestSecondCopyWhereAJobDoesNotBegin(t *testing.T) {
 	for class, want := range map[int]int{safe: 1, keyed: 1, unsafe: 0} {
 		r := newRig(t, settings(), fleet(6)...)
@@ -171,8 +172,9 @@
 	}
 }
 
-// Where all workers are late, as when most are cold, each job looks as if its worker were silent: one dispatcher of many has
-// sent there nothing else. Copies then only make all later. So has a worker from which jobs leave, by the list, given a sign.
+// Where all workers are late, as when most are cold, each job looks as if its worker were silent: one dispatcher of
+// many has sent there nothing else. Copies then only make all later. So has a worker from which jobs leave, by the
+// list, given a sign.
 func TestCopiesAreFewWhereAllAreLate(t *testing.T) {
 	for _, leaving := range []bool{false, true} {
 		s, ws := settings(), fleet(6)
@@ -191,7 +193,8 @@
 				weigh(ws, 5/(1+6./5))
 				r.on(Event{Kind: ListPatch, List: ws})
 			}
-			for r.now = r.b.requests[id].tries[0].doubt + 1; len(r.b.requests[id].tries) < s.Allowed.Attempts; r.now += 100e3 {
+			r.now = r.b.requests[id].tries[0].doubt + 1
+			for ; len(r.b.requests[id].tries) < s.Allowed.Attempts; r.now += 100e3 {
 				n, _ := count(r.on(Event{Kind: TimerDue, Token: id<<2 | tokenLook}), Send)
 				if copies += n; n == 0 {
 					break
@@ -205,8 +208,8 @@
 	}
 }
 
-// Where nobody else is left, a worker to which the connection broke is tried once more if a repeat is harmless: it may be
-// reached another way. One that refused connections, or turned the job away, is not.
+// Where nobody else is left, a worker to which the connection broke is tried once more if a repeat is harmless: it may
+// be reached another way. One that refused connections, or turned the job away, is not.
 func TestBrokenConnectionToTheOnlyWorker(t *testing.T) {
 	for _, c := range []struct {
 		class int
--- a/cmd/topazctl/settings.go
+++ b/cmd/topazctl/settings.go
@@ -65,7 +65,9 @@
 }
 
 // with makes a command's work of one that calls an instance, within the time for a call.
-func (t *tool) with(do func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, args []string) error) func(*cobra.Command, []string) error {
+func (t *tool) with(
+	do func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, args []string) error,
+) func(*cobra.Command, []string) error {
 	return func(c *cobra.Command, args []string) error {
 		api, err := t.client()
 		if err != nil {
@@ -78,7 +80,9 @@
 }
 
 // withDocument is with for a command whose one argument names a document.
-func (t *tool) withDocument(do func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, doc *pb.Settings) error) func(*cobra.Command, []string) error {
+func (t *tool) withDocument(
+	do func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, doc *pb.Settings) error,
+) func(*cobra.Command, []string) error {
 	return t.with(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, args []string) error {
 		doc, err := document(c, args[0])
 		if err != nil {
@@ -90,7 +94,8 @@
 
 func getCommand(t *tool) *cobra.Command {
 	var effective bool
-	c := &cobra.Command{Use: "get", Short: "Show the settings in force, as a document that apply takes", Args: cobra.NoArgs,
+	c := &cobra.Command{Use: "get", Short: "Show the settings in force, as a document that apply takes",
+		Args: cobra.NoArgs,
 		RunE: t.with(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, _ []string) error {
 			r, err := api.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
 			if err != nil {
@@ -113,8 +118,10 @@
 }
 
 func checkCommand(t *tool) *cobra.Command {
-	return &cobra.Command{Use: "check FILE", Short: "Say what apply would say of a document, and change nothing", Args: cobra.ExactArgs(1),
-		RunE: t.withDocument(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, doc *pb.Settings) error {
+	return &cobra.Command{Use: "check FILE", Short: "Say what apply would say of a document, and change nothing",
+		Args: cobra.ExactArgs(1),
+		RunE: t.withDocument(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient,
+			doc *pb.Settings) error {
 			r, err := api.Check(ctx, connect.NewRequest(&pb.CheckRequest{Settings: doc}))
 			if err != nil {
 				return failed(err)
@@ -193,7 +200,8 @@
 
 func diffCommand(t *tool) *cobra.Command {
 	return &cobra.Command{Use: "diff FILE", Short: "Show what a document would change", Args: cobra.ExactArgs(1),
-		RunE: t.withDocument(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, doc *pb.Settings) error {
+		RunE: t.withDocument(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient,
+			doc *pb.Settings) error {
 			r, err := api.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
 			if err != nil {
 				return failed(err)
@@ -227,10 +235,13 @@
 
 func applyCommand(t *tool) *cobra.Command {
 	var from int64
-	c := &cobra.Command{Use: "apply FILE", Short: "Bring a document into force, whole or not at all", Args: cobra.ExactArgs(1),
-		Long: "apply takes a document if it has no fault and the revision that it was made from is still in force.\n" +
-			"--from names that revision, as get has shown it; without it the one in force now is taken for it.",
-		RunE: t.withDocument(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient, doc *pb.Settings) error {
+	c := &cobra.Command{Use: "apply FILE", Short: "Bring a document into force, whole or not at all",
+		Args: cobra.ExactArgs(1),
+		Long: "apply takes a document if it has no fault and the revision that it was made from is still\n" +
+			"in force. --from names that revision, as get has shown it; without it the one in force\n" +
+			"now is taken for it.",
+		RunE: t.withDocument(func(ctx context.Context, c *cobra.Command, api controlpbconnect.ControlClient,
+			doc *pb.Settings) error {
 			made := uint64(from)
 			if from < 0 {
 				r, err := api.Get(ctx, connect.NewRequest(&pb.GetRequest{}))
@@ -276,8 +287,9 @@
 					fmt.Fprintf(c.OutOrStdout(), "%s\n", text)
 					continue
 				}
-				fmt.Fprintf(c.OutOrStdout(), "%s revision %d: %d names, %d resolvers\n", r.GetTaken().AsTime().Format("15:04:05.000"),
-					r.GetNumber(), len(r.GetSettings().GetSources().GetSrv()), len(r.GetSettings().GetSources().GetResolvers()))
+				fmt.Fprintf(c.OutOrStdout(), "%s revision %d: %d names, %d resolvers\n",
+					r.GetTaken().AsTime().Format("15:04:05.000"), r.GetNumber(),
+					len(r.GetSettings().GetSources().GetSrv()), len(r.GetSettings().GetSources().GetResolvers()))
 			}
 			if err := stream.Err(); err != nil && !errors.Is(err, context.Canceled) && c.Context().Err() == nil {
 				return failed(err)
--- a/cmd/topazfall-agent/main.go
+++ b/cmd/topazfall-agent/main.go
@@ -30,9 +30,9 @@
 	c := &cobra.Command{
 		Use:   "topazfall agent",
 		Short: "One dispatcher with the control API and DNS SRV as a source of hosts",
-		Long: "The agent is the dispatcher as topazfall runs it, told by the same environment, and takes further settings by\n" +
-			"its control API: see topazctl. What it has taken is kept in the state folder, and is all that a restart needs.\n" +
-			"Where discovery is \"none\" hosts come from DNS alone.",
+		Long: "The agent is the dispatcher as topazfall runs it, told by the same environment, and takes further\n" +
+			"settings by its control API: see topazctl. What it has taken is kept in the state folder, and is all\n" +
+			"that a restart needs. Where discovery is \"none\" hosts come from DNS alone.",
 		Version:       version.String(),
 		Args:          cobra.NoArgs,
 		SilenceErrors: true,
--- a/cmd/topazfall/main.go
+++ b/cmd/topazfall/main.go
@@ -29,8 +29,8 @@
 	root := &cobra.Command{
 		Use:   "topazfall",
 		Short: "One dispatcher: has each message served by a south side host and gives it one final answer",
-		Long: "topazfall runs one dispatcher. LB_CONFIG names its configuration; LB_NAME, LB_LISTEN, LB_DISCOVERY and\n" +
-			"LB_MANAGEMENT overrule what that says. SIGHUP reads it again, SIGTERM ends the program without loss.",
+		Long: "topazfall runs one dispatcher. LB_CONFIG names its configuration; LB_NAME, LB_LISTEN, LB_DISCOVERY\n" +
+			"and LB_MANAGEMENT overrule what that says. SIGHUP reads it again, SIGTERM ends the program without loss.",
 		Version:       version.String(),
 		Args:          cobra.NoArgs,
 		SilenceErrors: true,
@@ -38,8 +38,9 @@
 		RunE:          func(*cobra.Command, []string) error { return instance.Run(nil) },
 	}
 	root.AddCommand(&cobra.Command{
-		Use:                "agent [flags]",
-		Short:              "The same dispatcher with the control API and further sources of hosts (runs topazfall-agent)",
+		Use: "agent [flags]",
+		Short: "The same dispatcher with the control API and further sources of hosts (runs " +
+			"topazfall-agent)",
 		DisableFlagParsing: true,
 		// What the agent links in would cost the bare program some megabytes, so it is a program of its own.
 		RunE: func(_ *cobra.Command, args []string) error {
--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -43,14 +43,15 @@
 			t.Parallel()
 			text, err := os.ReadFile(f)
 			require.NoError(t, err)
-			p := &player{T: t, parties: map[byte]*party{}, conns: map[string]*peer{}, addr: fmt.Sprintf("127.1.0.%d:0", i+2)}
+			p := &player{T: t, parties: map[byte]*party{}, conns: map[string]*peer{},
+				addr: fmt.Sprintf("127.1.0.%d:0", i+2)}
 			p.play(string(text))
 		})
 	}
 }
 
-// The program is told to read its configuration again, and to end, before it has heard of any host: it does the one, and the
-// other at once.
+// The program is told to read its configuration again, and to end, before it has heard of any host: it does the one,
+// and the other at once.
 func TestSignalsBeforeTheFirstList(t *testing.T) {
 	p := &player{T: t, parties: map[byte]*party{}, conns: map[string]*peer{}, addr: "127.1.1.1:0"}
 	p.start("", nil)
@@ -159,14 +160,16 @@
 // wireForm ends the lines of a header with CR LF and leaves the body alone, but for \r\n written out.
 func wireForm(block string) string {
 	head, body, _ := strings.Cut(strings.TrimRight(block, "\n")+"\n\n", "\n\n")
-	return strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" + strings.ReplaceAll(strings.TrimRight(body, "\n"), `\r\n`, "\r\n")
+	return strings.ReplaceAll(head, "\n", "\r\n") + "\r\n\r\n" +
+		strings.ReplaceAll(strings.TrimRight(body, "\n"), `\r\n`, "\r\n")
 }
 
 func (p *player) noError(name string, err error) { require.NoError(p, err, name) }
 
 func (p *player) start(known string, set []string) {
 	for _, name := range "abde" {
-		ln, err := net.Listen("tcp", p.addr) // an address of the test's own: nobody takes the port of a party that is down
+		// an address of the test's own: nobody takes the port of a party that is down
+		ln, err := net.Listen("tcp", p.addr)
 		p.noError("listen", err)
 		p.Cleanup(func() { ln.Close() })
 		p.parties[byte(name)] = &party{ln, make(chan arrival, 99)}
@@ -178,13 +181,15 @@
 	p.noError("config", err)
 	var hosts []string
 	for _, h := range known {
-		hosts = append(hosts, p.fill(`{"host":"s-`+string(h)+`","dial":"{`+string(h)+`}","site":"hall","class":"m","block":0,"health":"up","share":1,"born_ms":0}`))
+		hosts = append(hosts, p.fill(`{"host":"s-`+string(h)+`","dial":"{`+string(h)+`}","site":"hall",`+
+			`"class":"m","block":0,"health":"up","share":1,"born_ms":0}`))
 	}
 	path := filepath.Join(p.TempDir(), "config.json")
 	p.config = path
 	told := strings.NewReplacer(append(set, `"hosts":[]`, `"hosts":[`+strings.Join(hosts, ",")+`]`)...)
 	p.noError("config", os.WriteFile(path, []byte(told.Replace(p.fill(string(config)))), 0o600))
-	p.told = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0", "LB_DISCOVERY=" + p.fill("{d}"), "TMPDIR=" + p.TempDir()}
+	p.told = []string{"TOPAZFALL_PLAYED=1", "LB_CONFIG=" + path, "LB_NAME=n0", "LB_DISCOVERY=" + p.fill("{d}"),
+		"TMPDIR=" + p.TempDir()}
 	p.run()
 }
 
@@ -360,7 +365,8 @@
 	case "replace": // another process is started beside this one, and takes clients
 		p.manage = p.free(strings.Split(p.addr, ":")[0]+":0", 1)[0]
 		p.run()
-		require.Eventually(p, func() bool { return strings.HasPrefix(p.ask("/-/ready"), "HTTP/1.1 200") }, patience, 5*time.Millisecond)
+		require.Eventually(p, func() bool { return strings.HasPrefix(p.ask("/-/ready"), "HTTP/1.1 200") }, patience,
+			5*time.Millisecond)
 	case "reload": // the pairs replace text of the configuration, which the program is told to read again
 		told, err := os.ReadFile(p.config)
 		p.noError(text, err)
@@ -382,7 +388,8 @@
 	case "open":
 		p.peer(rest)
 	case "until": // the figures show this line
-		require.Eventually(p, func() bool { return strings.Contains(p.ask("/-/metrics"), "\n"+rest+"\n") }, patience, 10*time.Millisecond, rest)
+		require.Eventually(p, func() bool { return strings.Contains(p.ask("/-/metrics"), "\n"+rest+"\n") }, patience,
+			10*time.Millisecond, rest)
 	case "pause":
 		d, err := time.ParseDuration(rest)
 		p.noError(rest, err)
--- a/cmd/topazlab/addresses.go
+++ b/cmd/topazlab/addresses.go
@@ -10,11 +10,12 @@
 	var o measure.AddressOptions
 	var file string
 	c := &cobra.Command{
-		Use:   "addresses",
-		Short: "Runs the program against hosts whose addresses fail, and counts runs, answers and the time to a working address",
-		Long: "addresses starts the program and stand-in hosts that listen on 127.0.0.1, ::1 and a socket file, and makes\n" +
-			"them fail in one way after the other. Every id's runs and final answers are counted. The figures that have a\n" +
-			"bar are checked, and the exit code is 1 if one falls short.",
+		Use: "addresses",
+		Short: "Runs the program against hosts whose addresses fail, and counts runs, answers and the time to a " +
+			"working address",
+		Long: "addresses starts the program and stand-in hosts that listen on 127.0.0.1, ::1 and a socket file,\n" +
+			"and makes them fail in one way after the other. Every id's runs and final answers are counted. The\n" +
+			"figures that have a bar are checked, and the exit code is 1 if one falls short.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if err := beside(&o.Program, "topazfall"); err != nil {
--- a/cmd/topazlab/scale.go
+++ b/cmd/topazlab/scale.go
@@ -18,9 +18,9 @@
 		Use:   "scale",
 		Short: "Measures how costs grow with the size of an installation, and what is met at that of two years",
 		Long: "scale starts real dispatchers and hollow ones, which are the same code without clients, and measures\n" +
-			"what each event costs over the size of the installation: a slope with its 95% interval and the growth that\n" +
-			"was tested and rejected. The operators' figures are worked out from the slopes and checked, and the exit\n" +
-			"code is 1 if one is missed.",
+			"what each event costs over the size of the installation: a slope with its 95% interval and the growth\n" +
+			"that was tested and rejected. The operators' figures are worked out from the slopes and checked, and\n" +
+			"the exit code is 1 if one is missed.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if len(from) > 0 {
@@ -50,7 +50,8 @@
 	}
 	c.Flags().StringVar(&file, "json", "", "keep the figures in this file as well")
 	c.Flags().StringVar(&o.Charts, "charts", "", "draw the slopes as SVG files in this folder")
-	c.Flags().StringArrayVar(&from, "from", nil, "measure nothing, and work out anew what these files of earlier runs hold")
+	c.Flags().StringArrayVar(&from, "from", nil,
+		"measure nothing, and work out anew what these files of earlier runs hold")
 	c.Flags().StringVar(&o.Only, "only", "", "make only the measurements whose names contain this")
 	c.Flags().Uint64Var(&o.Seed, "seed", 1, "of what is drawn by chance")
 	c.Flags().BoolVar(&o.Quick, "quick", false, "fewer and shorter measurements: under 3 minutes")
--- a/evidence_test.go
+++ b/evidence_test.go
@@ -148,7 +148,8 @@
 	}
 }
 
-// Beyond the last threshold there is none to cross: a report of three jobs that wait must not hide a later one of thirty.
+// Beyond the last threshold there is none to cross: a report of three jobs that wait must not hide a later one of
+// thirty.
 func TestCrowdedWorkersAreToldApart(t *testing.T) {
 	r := newRig(t, settings(), fleet(2)...)
 	for _, queues := range [][2]float64{{3, 30}, {30, 3}, {6, 4}} {
@@ -157,7 +158,8 @@
 			r.b.report(r.b.workers[fmt.Sprintf("w%d", i)], Load{Queue: q, Inflight: -1, Free: -1, Util: -1})
 		}
 		_, acts := r.arrive(unsafe)
-		if want := fmt.Sprintf("w%d", map[bool]int{true: 0, false: 1}[queues[0] < queues[1]]); r.sends(acts).Worker != want {
+		want := fmt.Sprintf("w%d", map[bool]int{true: 0, false: 1}[queues[0] < queues[1]])
+		if r.sends(acts).Worker != want {
 			t.Errorf("queues %v: sent to %s", queues, r.sends(acts).Worker)
 		}
 	}
@@ -316,8 +318,8 @@
 	}
 }
 
-// Where clients give no hints, a job is taken for one like those of its class: its aim grows with its work all the same, and
-// it is not refused as one whose aim is lost.
+// Where clients give no hints, a job is taken for one like those of its class: its aim grows with its work all the
+// same, and it is not refused as one whose aim is lost.
 func TestNoHints(t *testing.T) {
 	s := settings()
 	s.Classes = s.Classes[:2]
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -29,7 +29,8 @@
 
 // The environment still names the discovery of the start when the file has been replaced.
 func TestReload(t *testing.T) {
-	told := env(map[string]string{"LB_CONFIG": "../../example/config.json", "LB_DISCOVERY": "127.0.0.1:9", "LB_NAME": "n7"})
+	told := env(map[string]string{"LB_CONFIG": "../../example/config.json", "LB_DISCOVERY": "127.0.0.1:9",
+		"LB_NAME": "n7"})
 	c, err := Load(told)
 	require.NoError(t, err)
 	require.Equal(t, "127.0.0.1:9", c.Discovery)
@@ -101,8 +102,10 @@
 		_, err := c.Reload(told)
 		require.ErrorContains(t, err, want, file)
 	}
-	for _, file := range []string{string(text), with(`"send_cap": 6`, `"send_cap": 2, "new": 1`), with(`"known"`, `"was"`),
-		with(`"classes": [`, `"classes": [{"name": "r2", "aim_us": 1, "deadline_us": 2, "points": 1, "late_worth": 0, "repeat": "fragile"},`)} {
+	for _, file := range []string{string(text), with(`"send_cap": 6`, `"send_cap": 2, "new": 1`),
+		with(`"known"`, `"was"`),
+		with(`"classes": [`, `"classes": [{"name": "r2", "aim_us": 1, "deadline_us": 2, "points": 1, `+
+			`"late_worth": 0, "repeat": "fragile"},`)} {
 		write(file)
 		_, err := c.Reload(told)
 		require.NoError(t, err)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -47,8 +47,8 @@
 
 // Installation is the other instances that this one shares its settings with.
 type Installation interface {
-	// Apply takes a document for all of them, as settings.options.Store.Apply does for one. Its errors are settings.Faults,
-	// settings.StaleError, ElsewhereError, ErrOutcomeUnknown, or why it cannot be done now.
+	// Apply takes a document for all of them, as settings.options.Store.Apply does for one. Its errors are
+	// settings.Faults, settings.StaleError, ElsewhereError, ErrOutcomeUnknown, or why it cannot be done now.
 	Apply(ctx context.Context, doc *pb.Settings, from uint64) (*pb.Revision, error)
 	// Instances asks all of them what they hold.
 	Instances(ctx context.Context) *pb.InstancesResponse
@@ -82,7 +82,8 @@
 func Listen(address string) (net.Listener, error) {
 	path, ok := strings.CutPrefix(address, "unix:")
 	if !ok || !filepath.IsAbs(path) {
-		return nil, fmt.Errorf("control address %q: only unix:/absolute/path is served; TCP needs mutual TLS, which is not there yet", address)
+		return nil, fmt.Errorf("control address %q: only unix:/absolute/path is served; "+
+			"TCP needs mutual TLS, which is not there yet", address)
 	}
 	// Bound beside and renamed, so that the path never leads nowhere while one process replaces another, and never to a
 	// socket with wider rights.
@@ -166,11 +167,14 @@
 // Get returns the revision in force.
 func (s *Server) Get(context.Context, *connect.Request[pb.GetRequest]) (*connect.Response[pb.GetResponse], error) {
 	r, readOnly := s.options.Store.Now()
-	return connect.NewResponse(&pb.GetResponse{Revision: r, Effective: settings.Effective(r.Settings), ReadOnly: readOnly}), nil
+	return connect.NewResponse(&pb.GetResponse{Revision: r, Effective: settings.Effective(r.Settings),
+		ReadOnly: readOnly}), nil
 }
 
 // Check says what Apply would say of a document.
-func (s *Server) Check(_ context.Context, r *connect.Request[pb.CheckRequest]) (*connect.Response[pb.CheckResponse], error) {
+func (s *Server) Check(
+	_ context.Context, r *connect.Request[pb.CheckRequest],
+) (*connect.Response[pb.CheckResponse], error) {
 	out := &pb.CheckResponse{}
 	for _, f := range settings.Check(r.Msg.Settings) {
 		out.Faults = append(out.Faults, &pb.Fault{Path: f.Path, Text: f.Text})
@@ -179,9 +183,11 @@
 }
 
 // Apply takes a document, whole or not at all. A document with faults is an invalid argument, with each fault as a
-// detail; one that was made from another revision is aborted; at an instance that follows it is a failed precondition; of
-// what may be in force or not the outcome is unknown; what cannot be taken now is unavailable.
-func (s *Server) Apply(ctx context.Context, r *connect.Request[pb.ApplyRequest]) (*connect.Response[pb.ApplyResponse], error) {
+// detail; one that was made from another revision is aborted; at an instance that follows it is a failed precondition;
+// of what may be in force or not the outcome is unknown; what cannot be taken now is unavailable.
+func (s *Server) Apply(
+	ctx context.Context, r *connect.Request[pb.ApplyRequest],
+) (*connect.Response[pb.ApplyResponse], error) {
 	taken, err := s.apply(ctx, r.Msg)
 	var faults settings.Faults
 	var stale settings.StaleError
@@ -217,15 +223,20 @@
 }
 
 // Instances returns what every instance of the installation holds; without one that is a failed precondition.
-func (s *Server) Instances(ctx context.Context, _ *connect.Request[pb.InstancesRequest]) (*connect.Response[pb.InstancesResponse], error) {
+func (s *Server) Instances(
+	ctx context.Context, _ *connect.Request[pb.InstancesRequest],
+) (*connect.Response[pb.InstancesResponse], error) {
 	if s.options.Installation == nil {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("this instance was started without a roster"))
+		return nil, connect.NewError(connect.CodeFailedPrecondition,
+			errors.New("this instance was started without a roster"))
 	}
 	return connect.NewResponse(s.options.Installation.Instances(ctx)), nil
 }
 
 // Watch tells of every revision, once and in order.
-func (s *Server) Watch(ctx context.Context, r *connect.Request[pb.WatchRequest], out *connect.ServerStream[pb.WatchResponse]) error {
+func (s *Server) Watch(
+	ctx context.Context, r *connect.Request[pb.WatchRequest], out *connect.ServerStream[pb.WatchResponse],
+) error {
 	if s.watching.Add(1) > watchers {
 		s.watching.Add(-1)
 		return connect.NewError(connect.CodeResourceExhausted, fmt.Errorf("%d watch already", watchers))
@@ -252,13 +263,16 @@
 }
 
 // Hosts returns the merged list.
-func (s *Server) Hosts(context.Context, *connect.Request[pb.HostsRequest]) (*connect.Response[pb.HostsResponse], error) {
+func (s *Server) Hosts(
+	context.Context, *connect.Request[pb.HostsRequest],
+) (*connect.Response[pb.HostsResponse], error) {
 	out := &pb.HostsResponse{}
 	hosts, faults := s.options.Hosts.Hosts()
 	now := s.options.Hosts.Now()
 	count := map[string]uint32{}
 	for _, h := range hosts {
-		one := &pb.Host{Name: h.ID, Sources: h.Sources, State: "up", Why: h.Why, Zone: h.Zone, Kind: h.Kind, Share: h.Weight}
+		one := &pb.Host{Name: h.ID, Sources: h.Sources, State: "up", Why: h.Why, Zone: h.Zone, Kind: h.Kind,
+			Share: h.Weight}
 		if h.State != topazfall.Ready {
 			one.State = "draining"
 		}
@@ -278,7 +292,8 @@
 	}
 	out.Sources = append(out.Sources, &pb.Source{Name: "roster", Hosts: count["roster"]})
 	for _, name := range slices.Sorted(maps.Keys(faults)) {
-		out.Sources = append(out.Sources, &pb.Source{Name: "srv:" + name, Fault: faults[name], Hosts: count["srv:"+name]})
+		out.Sources = append(out.Sources,
+			&pb.Source{Name: "srv:" + name, Fault: faults[name], Hosts: count["srv:"+name]})
 	}
 	return connect.NewResponse(out), nil
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -26,8 +26,9 @@
 
 func (hosts) Now() int64 { return 1e6 }
 func (hosts) Hosts() ([]sources.Info, map[string]string) {
-	return []sources.Info{{Entry: sources.Entry{Addr: "10.0.0.1:9000", Worker: topazfall.Worker{ID: "a", State: topazfall.Draining}},
-		Sources: []string{"roster", "srv:x"}, Why: "drains", Expires: 3e6}}, map[string]string{"x": "timeout"}
+	entry := sources.Entry{Addr: "10.0.0.1:9000", Worker: topazfall.Worker{ID: "a", State: topazfall.Draining}}
+	return []sources.Info{{Entry: entry, Sources: []string{"roster", "srv:x"}, Why: "drains", Expires: 3e6}},
+		map[string]string{"x": "timeout"}
 }
 
 func serve(t *testing.T) (controlpbconnect.ControlClient, *settings.Store, string) {
@@ -94,14 +95,16 @@
 	require.Equal(t, "timeout", list.Msg.Sources[1].Fault)
 
 	// A person with curl.
-	h := http.Client{Transport: &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return net.Dial("unix", path) }}}
+	dial := func(context.Context, string, string) (net.Conn, error) { return net.Dial("unix", path) }
+	h := http.Client{Transport: &http.Transport{DialContext: dial}}
 	resp, err := h.Post("http://x/topazfall.control.v1.Control/Get", "application/json", strings.NewReader("{}"))
 	require.NoError(t, err)
 	defer resp.Body.Close()
 	text, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
 	require.Contains(t, string(text), `"number":"1"`)
-	resp, err = h.Post("http://x/topazfall.control.v1.Control/Apply", "application/json", strings.NewReader(`{"settings":{"sources":{"hold":"`+strings.Repeat("9", largest)+`"}}}`))
+	resp, err = h.Post("http://x/topazfall.control.v1.Control/Apply", "application/json",
+		strings.NewReader(`{"settings":{"sources":{"hold":"`+strings.Repeat("9", largest)+`"}}}`))
 	require.NoError(t, err)
 	resp.Body.Close()
 	require.NotEqual(t, 200, resp.StatusCode, "larger than a document may be")
--- a/internal/decide/pure_test.go
+++ b/internal/decide/pure_test.go
@@ -24,8 +24,10 @@
 			name, err := strconv.Unquote(i.Path.Value)
 			require.NoError(t, err)
 			first, _, _ := strings.Cut(name, "/")
-			require.False(t, name != "net/netip" && (first == "net" || first == "os" || first == "log" || first == "syscall") ||
-				strings.HasPrefix(name, "topazfall/internal/") && !strings.HasPrefix(name, "topazfall/internal/decide/") ||
+			system := first == "net" || first == "os" || first == "log" || first == "syscall"
+			require.False(t, system && name != "net/netip" ||
+				strings.HasPrefix(name, "topazfall/internal/") &&
+					!strings.HasPrefix(name, "topazfall/internal/decide/") ||
 				strings.Contains(first, "."), "%s imports %s", path, name)
 		}
 		ast.Inspect(file, func(n ast.Node) bool {
@@ -36,10 +38,12 @@
 			switch p, _ := s.X.(*ast.Ident); {
 			case p == nil:
 			case p.Name == "time":
-				require.NotContains(t, []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"},
+				require.NotContains(t,
+					[]string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"},
 					s.Sel.Name, path)
 			case p.Name == "rand":
-				require.Contains(t, []string{"Rand", "New", "NewPCG", "PCG", "Source", "Zipf", "NewZipf"}, s.Sel.Name, path)
+				require.Contains(t, []string{"Rand", "New", "NewPCG", "PCG", "Source", "Zipf", "NewZipf"}, s.Sel.Name,
+					path)
 			}
 			return true
 		})
--- a/internal/inventory/watch_test.go
+++ b/internal/inventory/watch_test.go
@@ -111,7 +111,8 @@
 }
 
 func listed(seq int, whole bool, host, health string) string {
-	return fmt.Sprintf("{\n \"seq\": %d,\n \"whole\": %v,\n \"hosts\": [\n  {\"host\": %q, \"dial\": \"127.0.0.1:1\", \"health\": %q}\n ]\n}", seq, whole, host, health)
+	return fmt.Sprintf("{\n \"seq\": %d,\n \"whole\": %v,\n \"hosts\": [\n"+
+		"  {\"host\": %q, \"dial\": \"127.0.0.1:1\", \"health\": %q}\n ]\n}", seq, whole, host, health)
 }
 
 // pushed are terms under which lists come unasked. The grace is long, lest a slow machine mistakes itself for
--- a/internal/lab/configmodel/scenario.go
+++ b/internal/lab/configmodel/scenario.go
@@ -35,9 +35,10 @@
 	RelayBytes          float64 // mean bytes a second sent and received by the busiest relay or origin
 	FeederBytes         float64 // and by the busiest dispatcher
 	MeanBytes           float64 // and by all dispatchers on average
-	CatchUp             int64   // from a heal until all have what the others had at the heal; 0 where nothing was healed
-	CatchUpBytes        float64 // received in that time for each member that was cut off, heartbeats among them
-	Drops               map[configlog.Drop]int64
+	// from a heal until all have what the others had at the heal; 0 where nothing was healed
+	CatchUp      int64
+	CatchUpBytes float64 // received in that time for each member that was cut off, heartbeats among them
+	Drops        map[configlog.Drop]int64
 }
 
 // operatorsRate is 5,200 changes a day, in changes a second.
@@ -236,29 +237,36 @@
 		{Name: "lost, doubled, old", Seconds: 240, Rate: 1, Network: func(n *Network) {
 			n.Lost, n.Doubled, n.Replayed, n.Jitter = 0.05, 0.05, 0.02, 3
 		}},
-		{Name: "all dispatchers start from nothing", Seconds: 600, Rate: operatorsRate, Faults: func(m *Model, _ int64) {
-			m.after(20*second, func() {
-				all := m.some(1, configlog.Follower)
-				for _, i := range all {
-					m.stop(i, second, false)
-				}
-				m.after(second, func() { m.measureCatchUp(all) })
-			})
-		}},
-		{Name: "region cut for an hour", Seconds: 3660, Rate: operatorsRate, Faults: func(m *Model, _ int64) {
-			region := "region-0"
-			m.after(10*second, func() {
-				for _, i := range m.members {
-					if i.node.Status(m.now).Leading {
-						region = i.Region
-					}
-				}
-				m.cutRegion(region, true)
-			})
-			m.after(3610*second, func() {
-				m.cutRegion(region, false)
-				m.measureCatchUp(slices.DeleteFunc(slices.Clone(m.members), func(i *member) bool { return i.Region != region }))
-			})
-		}},
+		{Name: "all dispatchers start from nothing", Seconds: 600, Rate: operatorsRate, Faults: startFromNothing},
+		{Name: "region cut for an hour", Seconds: 3660, Rate: operatorsRate, Faults: cutLeadersRegion},
 	}
 }
+
+// startFromNothing restarts all dispatchers at once, each with nothing on its disk.
+func startFromNothing(m *Model, _ int64) {
+	m.after(20*second, func() {
+		all := m.some(1, configlog.Follower)
+		for _, i := range all {
+			m.stop(i, second, false)
+		}
+		m.after(second, func() { m.measureCatchUp(all) })
+	})
+}
+
+// cutLeadersRegion cuts the region of the leader off for an hour.
+func cutLeadersRegion(m *Model, _ int64) {
+	region := "region-0"
+	m.after(10*second, func() {
+		for _, i := range m.members {
+			if i.node.Status(m.now).Leading {
+				region = i.Region
+			}
+		}
+		m.cutRegion(region, true)
+	})
+	m.after(3610*second, func() {
+		m.cutRegion(region, false)
+		elsewhere := func(i *member) bool { return i.Region != region }
+		m.measureCatchUp(slices.DeleteFunc(slices.Clone(m.members), elsewhere))
+	})
+}
--- a/internal/lab/measure/addresses.go
+++ b/internal/lab/measure/addresses.go
@@ -56,7 +56,8 @@
 func (s *scene) fault(door int, f host.Fault) {
 	for _, h := range s.hosts {
 		if err := h.Set(door, f); err != nil {
-			panic(fmt.Sprintf("door %d cannot %s: %v", door, f, err)) // the machine lacks something: no figure would be true
+			// the machine lacks something: no figure would be true
+			panic(fmt.Sprintf("door %d cannot %s: %v", door, f, err))
 		}
 	}
 }
@@ -137,21 +138,47 @@
 	}
 }
 
+// addressTally is what the bars are checked against, gathered over all cases.
+type addressTally struct {
+	unanswered  int            // messages
+	runs        int            // most runs of one id that must not run twice
+	lost        map[string]int // by case, messages that must not run twice and failed
+	returned    float64        // milliseconds until the address that was down was in use again
+	reach, late map[string]*hdrhistogram.Histogram
+}
+
+// check holds the tally against the bars.
+func (t *addressTally) check(r *report.Report) {
+	base := float64(t.reach[addressCases[0].name].ValueAtQuantile(99)) / 1000
+	p99 := func(h *hdrhistogram.Histogram) float64 { return float64(h.ValueAtQuantile(99)) / 1000 }
+	const delay = 50 // unmeasured, milliseconds: addresses.Defaults.DelayFirst
+	r.Check("messages without a final answer", float64(t.unanswered), 0, "messages")
+	r.Check("runs of an id that must not run twice", float64(t.runs), 1, "runs")
+	r.Check("first refuses: reach p99", p99(t.reach["first refuses"]), 2*base+5, "ms")
+	r.Check("first is silent: reach p99", p99(t.reach["first is silent"]), delay+2*base+5, "ms")
+	r.Check("first is silent, after 1 s: reach p99", p99(t.late["first is silent"]), 2*base+5, "ms")
+	r.Check("first is down for a second: once messages failed",
+		float64(t.lost["first is down for a second"]), 0, "messages")
+	r.Check("first is down for a second: in use again after", t.returned, 2000, "ms")
+	r.Check("one host resets whole requests: once messages failed",
+		float64(t.lost["one host resets whole requests"]), 5, "messages")
+}
+
 // Addresses measures how the program reaches hosts whose addresses fail. Arrivals are a Poisson process; progress goes
 // to w.
 func Addresses(ctx context.Context, o AddressOptions, w io.Writer) (*report.Report, error) {
 	if o.Messages < len(addressCases) || o.Rate < 1 || o.Rate > 5000 || o.Messages > 1_000_000 {
-		return nil, fmt.Errorf("n is %d and rate %d: at least a message for each of %d cases, a million in all and 5,000 a second",
+		return nil, fmt.Errorf(
+			"n is %d and rate %d: at least a message for each of %d cases, a million in all and 5,000 a second",
 			o.Messages, o.Rate, len(addressCases))
 	}
-	r := report.New("addresses", o.Seed, "case", "sent", "served", "failed", "refused", "unanswered", "most runs of a once id",
-		"dials per message", "reach p50 ms", "reach p99 ms", "reach max ms", "p99 ms after 1 s")
+	r := report.New("addresses", o.Seed, "case", "sent", "served", "failed", "refused", "unanswered",
+		"most runs of a once id", "dials per message", "reach p50 ms", "reach p99 ms", "reach max ms",
+		"p99 ms after 1 s")
 	chance := rand.New(rand.NewPCG(o.Seed, 0))
 	each := o.Messages / (len(addressCases) + 1) // the last needs the time of two
-	unanswered, runs, lost := 0, 0, map[string]int{}
-	returned := math.Inf(1) // milliseconds until the address that was down was in use again
-	reach := map[string]*hdrhistogram.Histogram{}
-	late := map[string]*hdrhistogram.Histogram{}
+	t := addressTally{returned: math.Inf(1), lost: map[string]int{},
+		reach: map[string]*hdrhistogram.Histogram{}, late: map[string]*hdrhistogram.Histogram{}}
 	for i, c := range addressCases {
 		n := each
 		if i == len(addressCases)-1 {
@@ -173,7 +200,7 @@
 				ran += h.Runs(x.id)
 				for _, seen := range h.Seen(x.id) {
 					if seen.Door == doorLocal && !s.back.IsZero() && seen.At.After(s.back) {
-						returned = min(returned, float64(seen.At.Sub(s.back).Microseconds())/1000)
+						t.returned = min(t.returned, float64(seen.At.Sub(s.back).Microseconds())/1000)
 					}
 					if first.IsZero() || seen.At.Before(first) {
 						first = seen.At
@@ -191,30 +218,23 @@
 				}
 			}
 		}
-		unanswered += count.none
-		lost[c.name] += count.lost
-		runs = max(runs, most)
-		reach[c.name], late[c.name] = all, after
+		t.unanswered += count.none
+		t.lost[c.name] += count.lost
+		t.runs = max(t.runs, most)
+		t.reach[c.name], t.late[c.name] = all, after
 		ms := func(us int64) float64 { return float64(us) / 1000 }
-		r.Add(c.name, len(outcomes), count.served, count.failed, count.refused, count.none, most, dials/float64(max(len(outcomes), 1)),
-			ms(all.ValueAtQuantile(50)), ms(all.ValueAtQuantile(99)), ms(all.Max()), ms(after.ValueAtQuantile(99)))
+		r.Add(c.name, len(outcomes), count.served, count.failed, count.refused, count.none, most,
+			dials/float64(max(len(outcomes), 1)), ms(all.ValueAtQuantile(50)), ms(all.ValueAtQuantile(99)),
+			ms(all.Max()), ms(after.ValueAtQuantile(99)))
 	}
-	base := float64(reach[addressCases[0].name].ValueAtQuantile(99)) / 1000
-	p99 := func(h *hdrhistogram.Histogram) float64 { return float64(h.ValueAtQuantile(99)) / 1000 }
-	const delay = 50 // unmeasured, milliseconds: addresses.Defaults.DelayFirst
-	r.Check("messages without a final answer", float64(unanswered), 0, "messages")
-	r.Check("runs of an id that must not run twice", float64(runs), 1, "runs")
-	r.Check("first refuses: reach p99", p99(reach["first refuses"]), 2*base+5, "ms")
-	r.Check("first is silent: reach p99", p99(reach["first is silent"]), delay+2*base+5, "ms")
-	r.Check("first is silent, after 1 s: reach p99", p99(late["first is silent"]), 2*base+5, "ms")
-	r.Check("first is down for a second: once messages failed", float64(lost["first is down for a second"]), 0, "messages")
-	r.Check("first is down for a second: in use again after", returned, 2000, "ms")
-	r.Check("one host resets whole requests: once messages failed", float64(lost["one host resets whole requests"]), 5, "messages")
+	t.check(r)
 	return r, nil
 }
 
 // playAddresses plays one case.
-func playAddresses(ctx context.Context, o AddressOptions, c addressCase, single bool, n int, chance *rand.Rand) (*scene, []outcome, float64, error) {
+func playAddresses(
+	ctx context.Context, o AddressOptions, c addressCase, single bool, n int, chance *rand.Rand,
+) (*scene, []outcome, float64, error) {
 	dir, err := os.MkdirTemp("", "topazlab")
 	if err != nil {
 		return nil, nil, 0, err
@@ -296,7 +316,8 @@
 		wait.Go(func() {
 			x := &outcomes[i]
 			x.id, x.class, x.at, x.due = to.NextID(), class, at, start.Add(at)
-			x.answer = to.Do(client.Message{ID: x.id, Class: class, Tenant: tenant, Wait: 4 * time.Second, Body: []byte("x"), Hint: 10 * time.Millisecond})
+			x.answer = to.Do(client.Message{ID: x.id, Class: class, Tenant: tenant, Wait: 4 * time.Second,
+				Body: []byte("x"), Hint: 10 * time.Millisecond})
 		})
 	}
 	wait.Wait()
--- a/internal/lab/measure/agent.go
+++ b/internal/lab/measure/agent.go
@@ -33,9 +33,13 @@
 	if err != nil {
 		return err
 	}
-	_, err = i.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: now.Msg.Revision.GetNumber(), Settings: &pb.Settings{Sources: &pb.Sources{
-		Resolvers: []string{r.Address()}, Timeout: durationpb.New(200 * time.Millisecond), LeastLifetime: durationpb.New(200 * time.Millisecond),
-		Srv: []*pb.Srv{{Name: jobs, Zone: "hall-a", Kind: "small"}}}}}))
+	doc := &pb.Settings{Sources: &pb.Sources{
+		Resolvers:     []string{r.Address()},
+		Timeout:       durationpb.New(200 * time.Millisecond),
+		LeastLifetime: durationpb.New(200 * time.Millisecond),
+		Srv:           []*pb.Srv{{Name: jobs, Zone: "hall-a", Kind: "small"}},
+	}}
+	_, err = i.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: now.Msg.Revision.GetNumber(), Settings: doc}))
 	return err
 }
 
--- a/internal/lab/measure/settings.go
+++ b/internal/lab/measure/settings.go
@@ -61,7 +61,8 @@
 		return true
 	}
 	want := time.Duration(r.Number) * time.Millisecond
-	return r.GetSettings().GetSources().GetHold().AsDuration() == want && r.GetSettings().GetAddresses().GetCalm().AsDuration() == want
+	return r.GetSettings().GetSources().GetHold().AsDuration() == want &&
+		r.GetSettings().GetAddresses().GetCalm().AsDuration() == want
 }
 
 func measureWriters(ctx context.Context, o SettingsOptions, dir, roster string, r *report.Report) error {
@@ -112,7 +113,8 @@
 					return
 				}
 				from := now.Msg.Revision.GetNumber()
-				if _, err := a.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: from, Settings: numbered(from + 1)})); err == nil {
+				next := &pb.ApplyRequest{From: from, Settings: numbered(from + 1)}
+				if _, err := a.API.Apply(ctx, connect.NewRequest(next)); err == nil {
 					done++
 					continue
 				}
@@ -166,7 +168,8 @@
 		acknowledged = now.GetNumber()
 		kill := time.AfterFunc(time.Duration(chance.Int64N(int64(20*time.Millisecond))), a.Kill)
 		for {
-			if _, err := a.API.Apply(ctx, connect.NewRequest(&pb.ApplyRequest{From: acknowledged, Settings: numbered(acknowledged + 1)})); err != nil {
+			next := &pb.ApplyRequest{From: acknowledged, Settings: numbered(acknowledged + 1)}
+			if _, err := a.API.Apply(ctx, connect.NewRequest(next)); err != nil {
 				break
 			}
 			acknowledged++
--- a/internal/north/leaving_test.go
+++ b/internal/north/leaving_test.go
@@ -110,7 +110,8 @@
 
 // over waits until nothing is in hand.
 func (d *dispatcher) over() {
-	require.Eventually(d, func() bool { return d.core.InHand() == 0 }, patience, time.Millisecond, "a message stays in hand")
+	require.Eventually(d, func() bool { return d.core.InHand() == 0 }, patience, time.Millisecond,
+		"a message stays in hand")
 	d.core.Sync() // what its end has led to is done as well
 	d.core.Sync()
 }
@@ -175,7 +176,8 @@
 				require.NoError(t, err)
 				require.NoError(t, leave(c))
 				close(l.on)
-				require.Eventually(t, func() bool { return l.accepted.Load() == 1 && d.side.Conns() == 0 }, patience, time.Millisecond)
+				require.Eventually(t, func() bool { return l.accepted.Load() == 1 && d.side.Conns() == 0 }, patience,
+					time.Millisecond)
 				d.over()
 				require.Empty(t, d.sent)
 			})
@@ -200,8 +202,9 @@
 			_, err = nc.Read(make([]byte, 1))
 			require.Error(t, err, "its leaving is here")
 			d.side.ln.mu.Lock() // nobody watches the connection before the core has the message
-			d.side.Continue(nc, dispatch.Begun{Message: exchange.Message{ID: "m", Method: "POST", Path: "/api", Tenant: -1, Slots: 1,
-				Arrived: d.core.Now(), Due: d.core.Now() + 60e6}, ClassIs: topazfall.Class{Name: "job"}}, false)
+			d.side.Continue(nc,
+				dispatch.Begun{Message: exchange.Message{ID: "m", Method: "POST", Path: "/api", Tenant: -1, Slots: 1,
+					Arrived: d.core.Now(), Due: d.core.Now() + 60e6}, ClassIs: topazfall.Class{Name: "job"}}, false)
 			d.core.Sync()
 			d.core.Sync() // what the message has led to is done as well
 			d.side.ln.mu.Unlock()
@@ -326,8 +329,8 @@
 	})
 }
 
-// The taking in ends while a message is being taken. Either it is in hand when Shut returns, and is waited for, or it is refused:
-// one that is taken after the last look at what is in hand would be lost.
+// The taking in ends while a message is being taken. Either it is in hand when Shut returns, and is waited for, or it
+// is refused: one that is taken after the last look at what is in hand would be lost.
 func TestShutWaitsForWhatIsBeingTaken(t *testing.T) {
 	d := serving(t, "a")
 	d.side.taking.RLock() // as whoever takes one
@@ -348,7 +351,9 @@
 	d.side.taking.Lock() // as Shut
 	c := d.message()
 	require.Eventually(t, func() bool { return d.side.Busy() == 1 }, patience, time.Millisecond)
-	for begin := time.Now(); time.Since(begin) < 200*time.Millisecond && d.core.InHand() == 0; time.Sleep(time.Millisecond) {
+	begin := time.Now()
+	for time.Since(begin) < 200*time.Millisecond && d.core.InHand() == 0 {
+		time.Sleep(time.Millisecond)
 	}
 	taken := d.core.InHand()
 	d.side.shut = true
@@ -362,7 +367,8 @@
 	require.Empty(t, d.sent)
 }
 
-// A message waits in the system's queue when the listening ends, as nobody had the time to accept its connection: it is answered.
+// A message waits in the system's queue when the listening ends, as nobody had the time to accept its connection: it is
+// answered.
 func TestCloseAnswersWhatNobodyAccepted(t *testing.T) {
 	l := newLate(t)
 	d := servingOn(t, l, "a")
@@ -410,7 +416,8 @@
 	c.SetReadDeadline(time.Now().Add(patience))
 	_, err = c.Read(make([]byte, 1))
 	require.Error(t, err)
-	require.Eventually(t, func() bool { return d.side.server.GetOpenConnectionsCount() == 0 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return d.side.server.GetOpenConnectionsCount() == 0 }, patience,
+		time.Millisecond)
 	d.over()
 	require.Empty(t, d.sent)
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,16 +32,22 @@
 func TestCheckNamesAllFaults(t *testing.T) {
 	require.Empty(t, Check(nil))
 	require.Empty(t, Check(doc(t, sound)))
-	faults := Check(doc(t, `{"sources":{"srv":[{"name":"a b","weight_unit":70000},{"name":"x.example","places":[{"zone":"z"}]},{"name":"X.example."}],
-		"resolvers":["127.0.0.1","127.0.0.1:53","127.0.0.1:53"],"hold":"-1s","least_lifetime":"30s","most_lifetime":"20s","confirmations":1000,"flaps":99},
+	faults := Check(doc(t, `{"sources":{"srv":[{"name":"a b","weight_unit":70000},
+		{"name":"x.example","places":[{"zone":"z"}]},{"name":"X.example."}],
+		"resolvers":["127.0.0.1","127.0.0.1:53","127.0.0.1:53"],"hold":"-1s","least_lifetime":"30s",
+		"most_lifetime":"20s","confirmations":1000,"flaps":99},
 		"addresses":{"delay_first":"1s","rest_most":"0.001s"}}`))
 	text := faults.Error()
-	for _, want := range []string{"sources.srv[0].name", "sources.srv[0].weight_unit: 70000", "sources.srv[1].places[0].suffix", "sources.srv[2].name",
-		"sources.resolvers[0]", "sources.resolvers[2]", "sources.hold: -1s", "sources.confirmations: 1000", "sources.flaps: 99", "addresses.rest_most: 1ms"} {
+	for _, want := range []string{"sources.srv[0].name", "sources.srv[0].weight_unit: 70000",
+		"sources.srv[1].places[0].suffix", "sources.srv[2].name",
+		"sources.resolvers[0]", "sources.resolvers[2]", "sources.hold: -1s", "sources.confirmations: 1000",
+		"sources.flaps: 99", "addresses.rest_most: 1ms"} {
 		require.Contains(t, text, want)
 	}
-	require.Contains(t, Check(doc(t, `{"sources":{"least_lifetime":"30s","most_lifetime":"20s"},"addresses":{"delay_first":"1s"}}`)).Error(),
-		"least_lifetime: 30s is more than most_lifetime, which is 20s; addresses.delay_first: 1s is more than delay_most")
+	unordered := `{"sources":{"least_lifetime":"30s","most_lifetime":"20s"},"addresses":{"delay_first":"1s"}}`
+	require.Contains(t, Check(doc(t, unordered)).Error(),
+		"least_lifetime: 30s is more than most_lifetime, which is 20s; "+
+			"addresses.delay_first: 1s is more than delay_most")
 	require.Contains(t, Check(doc(t, `{"sources":{"srv":[{"name":"x.example"}]}}`)).Error(), "nobody to ask")
 	require.NoError(t, AddressLimits(Effective(nil)).Check())
 	require.Equal(t, addresses.Defaults, AddressLimits(Effective(nil)))
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -11,9 +11,11 @@
 	"topazfall/internal/decide/affinity"
 )
 
-const settings = `{"me": 2, "replicas_of_me": 5, "my_zone": "z", "areas": ["z"], "skus": ["fast", "std"], "new_key": [1],
+const settings = `{"me": 2, "replicas_of_me": 5, "my_zone": "z", "areas": ["z"], "skus": ["fast", "std"],
+ "new_key": [1],
  "classes": [{"name": "plan", "deadline_us": 5000000, "aim_us": 150000, "repeat": "retryable", "points": 1},
- {"name": "book", "deadline_us": 5000000, "aim_us": 1, "repeat": "dedup", "group": "cell", "window_us": 7, "points": 3}],
+ {"name": "book", "deadline_us": 5000000, "aim_us": 1, "repeat": "dedup", "group": "cell", "window_us": 7,
+ "points": 3}],
  "realms": [{"name": "t", "share": 0.5, "quota_per_s": 4}], "allowed": {"send_cap": 3, "may_probe": true},
  "domain": {"class_kind": [-1, 0], "class_stretch": [1.75, 2], "tells_start": true}, "stats": {"source": "answers"}}`
 
@@ -43,7 +45,8 @@
 		t.Fatalf("%v, %d messages", err, len(msgs))
 	}
 	s := msgs[1].Settings
-	if s.Seed != 9 || s.Me != 2 || s.Dispatchers != 5 || len(s.Classes) != 2 || s.Classes[1].Repeat != topazfall.Keyed ||
+	if s.Seed != 9 || s.Me != 2 || s.Dispatchers != 5 || len(s.Classes) != 2 ||
+		s.Classes[1].Repeat != topazfall.Keyed ||
 		s.Classes[1].Group != topazfall.GroupCell || s.Classes[1].Kind != "fast" || s.Classes[0].Kind != "" ||
 		s.Classes[0].Stretch != 1.75 || !s.Allowed.Probe || s.Allowed.Attempts != 3 || !s.TellsStart ||
 		s.ReportsIn != topazfall.ReportsInAnswers || s.Tenants[0].Quota != 4 {
@@ -54,15 +57,17 @@
 func TestEvents(t *testing.T) {
 	list := "LIST 0 2\nWORKER w1 z fast 4 ready 1.5 -\nWORKER w2 z std 4 gone 1 77\n"
 	for line, want := range map[string]topazfall.Event{
-		"CALL 17 book t 99 8000 120 2 - 3": {Kind: topazfall.Arrival, Request: 17, Class: 1, Tenant: 0, Due: 8000, Hint: 120, Key: affinity.Key("99"),
-			Slots: 2, Retry: true, Load: topazfall.NoLoad},
-		"CALL 17 plan 0 - 8000 120 - - 0": {Kind: topazfall.Arrival, Request: 17, Tenant: -1, Due: 8000, Load: topazfall.NoLoad},
-		"BELL 12":                         {Kind: topazfall.TimerDue, Token: 12, Tenant: -1, Load: topazfall.NoLoad},
+		"CALL 17 book t 99 8000 120 2 - 3": {Kind: topazfall.Arrival, Request: 17, Class: 1, Tenant: 0, Due: 8000,
+			Hint: 120, Key: affinity.Key("99"), Slots: 2, Retry: true, Load: topazfall.NoLoad},
+		"CALL 17 plan 0 - 8000 120 - - 0": {Kind: topazfall.Arrival, Request: 17, Tenant: -1, Due: 8000,
+			Load: topazfall.NoLoad},
+		"BELL 12": {Kind: topazfall.TimerDue, Token: 12, Tenant: -1, Load: topazfall.NoLoad},
 		"NOTICE 17 w1 1 2 0.25": {Kind: topazfall.JobProgress, Request: 17, Worker: "w1", Attempt: 1, Amount: 0.25,
 			Tenant: -1, Load: topazfall.NoLoad},
 		"CANCELLED_BY_CLIENT 17": {Kind: topazfall.ClientGone, Request: 17, Tenant: -1, Load: topazfall.NoLoad},
-		"HEALTH_RESULT w1 completed 1400 busy_reqs:7,cpu_share:0.62,pending:3,x0:-0.4,odd:1": {Kind: topazfall.ProbeDone,
-			Worker: "w1", Took: 1400, Tenant: -1, Load: topazfall.Load{Queue: 3, Inflight: 7, Free: -0.4, Util: 0.62}},
+		"HEALTH_RESULT w1 completed 1400 busy_reqs:7,cpu_share:0.62,pending:3,x0:-0.4,odd:1": {
+			Kind: topazfall.ProbeDone, Worker: "w1", Took: 1400, Tenant: -1,
+			Load: topazfall.Load{Queue: 3, Inflight: 7, Free: -0.4, Util: 0.62}},
 		"COMPLETED 17 1 w1 severed 18500 0 - -": {Kind: topazfall.AttemptDone, Request: 17, Attempt: 1, Worker: "w1",
 			Outcome: topazfall.Severed, Took: 18500, Tenant: -1, Load: topazfall.NoLoad},
 		"FIRST_BYTE 17 9250 0 w1": {Kind: topazfall.StreamBegan, Request: 17, Took: 9250, Worker: "w1", Tenant: -1,
@@ -78,7 +83,8 @@
 			t.Errorf("%s:\n got %+v\nwant %+v", line, got, want)
 		}
 	}
-	msgs, err := decode(start(list + "TARGETS 4 patch 0\nLIST 0 0\nTARGETS 5 whole 0\nWHISPER 2 aGkgNw==\nKILL\nCOMMIT\n"))
+	msgs, err := decode(
+		start(list + "TARGETS 4 patch 0\nLIST 0 0\nTARGETS 5 whole 0\nWHISPER 2 aGkgNw==\nKILL\nCOMMIT\n"))
 	if err != io.EOF || len(msgs[2].Event.List) != 2 || len(msgs[3].Event.List) != 0 ||
 		msgs[2].Event.List[1].State != topazfall.Gone || msgs[2].Event.List[1].StartedAt != 77 ||
 		string(msgs[4].Event.Data) != "hi 7" || msgs[5].Kind != Kill {
@@ -121,8 +127,10 @@
 		{Kind: topazfall.Send, Request: 7, Worker: "w1", After: 9}, {Kind: topazfall.Refuse, Request: 7, After: 5},
 		{Kind: topazfall.Fail, Request: 7}, {Kind: topazfall.CancelAttempt, Request: 7, Attempt: 1},
 		{Kind: topazfall.SetTimer, After: 4, Token: 29}, {Kind: topazfall.ProbeWorker, Worker: "w1"},
-		{Kind: topazfall.FollowList}, {Kind: topazfall.FetchList}, {Kind: topazfall.TellPeer, Peer: 2, Data: []byte("hi 7")},
-		{Kind: topazfall.TellPeer, Peer: topazfall.AllPeers, Data: []byte{1}}, {Kind: topazfall.Log, Text: "two words"}} {
+		{Kind: topazfall.FollowList}, {Kind: topazfall.FetchList},
+		{Kind: topazfall.TellPeer, Peer: 2, Data: []byte("hi 7")},
+		{Kind: topazfall.TellPeer, Peer: topazfall.AllPeers, Data: []byte{1}},
+		{Kind: topazfall.Log, Text: "two words"}} {
 		out = AppendAction(out, &a)
 	}
 	want := "AS 3\nPASS_ON 7 w1 9\nTURN_AWAY 7 5\nABORT 7\nABORT_ATTEMPT 7 1\nWAKE_ME 4 29\nASK_LOAD w1\nFOLLOW 1\n" +
@@ -133,7 +141,8 @@
 }
 
 func TestFloat(t *testing.T) {
-	for text, want := range map[string]float64{"0": 0, "12.5": 12.5, "-3": -3, "1e3": 1000, "0.000001": 1e-6, "1e999": math.Inf(1)} {
+	for text, want := range map[string]float64{"0": 0, "12.5": 12.5, "-3": -3, "1e3": 1000, "0.000001": 1e-6,
+		"1e999": math.Inf(1)} {
 		if got, err := float([]byte(text)); err != nil || got != want {
 			t.Errorf("%s: %v, %v", text, got, err)
 		}
@@ -147,7 +156,8 @@
 
 func FuzzDecoder(f *testing.F) {
 	f.Add(start("COMMIT\nBEGIN_BATCH 6\nCOMMIT\n"))
-	f.Add(start("LIST 0 1\nWORKER w1 z fast 4 ready 1.5 -\nTARGETS 4 stale_copy 0\nCALL 17 book t 99 8000 120 2 - 3\nCOMMIT\n"))
+	f.Add(start("LIST 0 1\nWORKER w1 z fast 4 ready 1.5 -\nTARGETS 4 stale_copy 0\n" +
+		"CALL 17 book t 99 8000 120 2 - 3\nCOMMIT\n"))
 	f.Add(start("COMPLETED 17 1 w1 severed 18500 0 - pending:1,x0:nan\nHEALTH_RESULT w1 overdue 5 -\nKILL\nCOMMIT\n"))
 	f.Add("BEGIN_BATCH 9223372036854775807\nSELECT -1\nLIST 0 99999999999\n")
 	f.Fuzz(func(t *testing.T, text string) {
--- a/list_test.go
+++ b/list_test.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// Jobs of one key go where what they need is kept, from whichever dispatcher, and beside the buddies; where those have much
-// to do, to others, and on to the next home when one leaves.
+// Jobs of one key go where what they need is kept, from whichever dispatcher, and beside the buddies; where those have
+// much to do, to others, and on to the next home when one leaves.
 func TestJobsOfAKeyMeet(t *testing.T) {
 	s, key := settings(), uint64(99)
 	s.Dispatchers, s.LiveWeights = 40, true
@@ -160,7 +160,8 @@
 		s.Me = me
 		r := newRig(t, s, fleet(60)...)
 		r.id++
-		met[r.sends(r.on(Event{Kind: Arrival, Request: r.id, Tenant: -1, Due: r.now + 10e6, Hint: 200e3, Key: key})).Worker]++
+		acts := r.on(Event{Kind: Arrival, Request: r.id, Tenant: -1, Due: r.now + 10e6, Hint: 200e3, Key: key})
+		met[r.sends(acts).Worker]++
 		first = r
 	}
 	if len(met) > cover {
@@ -168,7 +169,8 @@
 	}
 	send := func() string {
 		first.id++
-		return first.sends(first.on(Event{Kind: Arrival, Request: first.id, Tenant: -1, Due: first.now + 10e6, Hint: 200e3, Key: key})).Worker
+		return first.sends(first.on(Event{Kind: Arrival, Request: first.id, Tenant: -1, Due: first.now + 10e6,
+			Hint: 200e3, Key: key})).Worker
 	}
 	used := map[string]bool{}
 	for range 40 {
--- a/memory.go
+++ b/memory.go
@@ -37,7 +37,8 @@
 // Memory returns what the balancer has learned.
 func (b *Balancer) Memory() Memory {
 	m := Memory{JobTime: b.jobTime, Least: b.least, StartLag: b.startLag, Loss: b.loss, MeanHeld: b.meanHeld,
-		CommonAt: b.commonAt, Patience: map[string]int64{}, Kinds: map[string]KindMemory{}, Workers: map[string]WorkerMemory{}}
+		CommonAt: b.commonAt, Patience: map[string]int64{}, Kinds: map[string]KindMemory{},
+		Workers: map[string]WorkerMemory{}}
 	for i, c := range b.s.Classes {
 		m.Patience[c.Name] = b.patience[i]
 	}
@@ -56,7 +57,8 @@
 	return m
 }
 
-// succession takes what happens between this balancer and another in whose place it goes on, or that goes on in its own.
+// succession takes what happens between this balancer and another in whose place it goes on, or that goes on in its
+// own.
 func (b *Balancer) succession(e *Event) {
 	switch e.Kind {
 	case HandedOver:
@@ -129,8 +131,9 @@
 			b.entry(&Worker{ID: t.Worker, State: Gone})
 		}
 		w := b.workers[t.Worker]
-		a := &attempt{r: r, n: len(r.tries), region: b.region(w), w: w, sent: t.Sent, wait: b.backlog(w), started: t.Started, heard: t.Heard,
-			done: t.Done, notRun: t.NotRun, recalled: t.Recalled, unusable: t.Unusable}
+		a := &attempt{r: r, n: len(r.tries), region: b.region(w), w: w, sent: t.Sent, wait: b.backlog(w),
+			started: t.Started, heard: t.Heard, done: t.Done, notRun: t.NotRun, recalled: t.Recalled,
+			unusable: t.Unusable}
 		r.tries = append(r.tries, a)
 		if !a.done {
 			r.out++
@@ -170,7 +173,8 @@
 			for _, sent := range l.Sent {
 				w.sent.Add(sent, b.s.Contract.FallTime)
 			}
-			w.silent, w.lastTry, w.downUntil, w.failures, w.errors = l.Silent, l.LastTry, l.DownUntil, l.Failures, l.Errors
+			w.silent, w.lastTry, w.downUntil = l.Silent, l.LastTry, l.DownUntil
+			w.failures, w.errors = l.Failures, l.Errors
 			w.faultAt = now // when it was is not handed on
 			w.p = l.Table
 			w.blendWith(nil)
