--- a/coldramp_test.go
+++ b/coldramp_test.go
@@ -19,7 +19,7 @@
 	change func(*coldScenario)
 	large  bool // played with 300 dispatchers too, which takes seconds
 }{
-	{"words heard", func(c *coldScenario) {}, true},
+	{"words heard", func(*coldScenario) {}, true},
 	{"three in ten words lost", func(c *coldScenario) { c.lost = 0.3 }, true},
 	{"all words lost", func(c *coldScenario) { c.lost = 1 }, true},
 	{"no peer messages", func(c *coldScenario) { c.peers = false }, true},
@@ -35,7 +35,8 @@
 	}, false},
 	{"seven in ten dispatchers killed", func(c *coldScenario) { c.restarted, c.cold = 0.7, c.workers/2 }, false},
 	{"no hints", func(c *coldScenario) { c.noHints = true }, false},
-	{"no hints, fast cores, all cold", func(c *coldScenario) { c.noHints, c.speed, c.cold = true, 1.7, c.workers }, false},
+	{"no hints, fast cores, all cold", func(c *coldScenario) { c.noHints, c.speed, c.cold = true, 1.7, c.workers },
+		false},
 	{"hints of half the work, slow cores, all cold", func(c *coldScenario) {
 		c.hintBias, c.cold, c.workers, c.live = 0.5, 24, 24, false
 		c.multiple, c.fallTime, c.coldFrom, c.cores, c.speed, c.work = 2.5, 1e6, 0.3, 5, 0.7, 60e3
