--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -9,20 +9,20 @@
 //
 //	HoldAt = unread + min(Told, 4 * AskEvery)
 //
-// where unread is the earliest time at which discovery may have had something that was not read, and could
-// have been reached: the start of the last call that brought a list or, if calls that were opened after it
-// showed that discovery could not be reached, the start of the last of these. Any answer but a refusal shows that it
-// could; from then on unread stays until a list is read. Silence, broken connections and refusals are what a service
-// that is down shows, and the list is relied on for as long as they last: each call after one without an answer is made
-// so early that its failure moves HoldAt on in time, and after a refusal the next call decides. From HoldAt to the next
-// list that is read, nothing new may be sent to any worker. The grace of a drain begins at HoldAt and is left to what is
-// under way then.
+// where unread is the earliest time at which discovery may have had something that was not read, and could have been
+// reached: the start of the last call that brought a list or, if calls that were opened after it showed that discovery
+// could not be reached, the start of the last of these. Any answer but a refusal shows that it could; from then on
+// unread stays until a list is read. Silence, broken connections and refusals are what a service that is down shows,
+// and the list is relied on for as long as they last: each call after one without an answer is made so early that its
+// failure moves HoldAt on in time, and after a refusal the next call decides. From HoldAt to the next list that is
+// read, nothing new may be sent to any worker. The grace of a drain begins at HoldAt and is left to what is under way
+// then.
 //
-// A refusal for want of room, as when calls wait for their turn and fail when they have waited too long, cannot be told
-// from one of a service that is down. To hold back for it would leave clients without service for as long as discovery
-// is down; to rely on the list may send to a worker whose drain this dispatcher could not read for longer than the bound.
-// Where discovery refuses only for want of room, [Terms.HoldOnRefusal] says so: a refusal after a wait then shows that it
-// could be reached, and one at once still does not.
+// A refusal for want of room, as when calls wait for their turn and fail when they have waited too long, cannot be
+// told from one of a service that is down. To hold back for it would leave clients without service for as long as
+// discovery is down; to rely on the list may send to a worker whose drain this dispatcher could not read for longer
+// than the bound. Where discovery refuses only for want of room, [Terms.HoldOnRefusal] says so: a refusal after a wait
+// then shows that it could be reached, and one at once still does not.
 //
 // # The budget of the fleet
 //
@@ -73,8 +73,8 @@
 	DrainGrace  time.Duration // in which sends to a worker that drains must cease
 	AskEvery    time.Duration // where it must be asked: how often, at least; 0 if that is not said
 
-	// HoldOnRefusal says that discovery turns calls away only for want of room: one that was turned away after a wait for
-	// its turn then shows that discovery could be reached.
+	// HoldOnRefusal says that discovery turns calls away only for want of room: one that was turned away after a wait
+	// for its turn then shows that discovery could be reached.
 	HoldOnRefusal bool
 }
 
