Scale run: measure a change of configuration over a shared roster beside the serial calls

Both carriers are now measured with the same steps: time until in force, what a change costs the first instance (processor time, bytes on the links, idle bytes), who lacks a change with one instance frozen, and, where nobody does, further changes meanwhile and the time until the woken instance has them. The model's figures for 300 dispatchers stand in the same report and are marked as model. A series at one place of its axis prints its median there, which it did not.

--- a/internal/lab/scale/configuration.go
+++ b/internal/lab/scale/configuration.go
@@ -25,6 +25,8 @@
 	Bring(ctx context.Context, n uint64) error
 	// InTurn tells whether instances are reached one after the other, so that the time grows with their number.
 	InTurn() bool
+	// Sizes are the numbers of instances that it is measured with; realCount is one of them.
+	Sizes() []int
 	// Holds is the revision in force at an instance.
 	Holds(ctx context.Context, instance int) (uint64, error)
 	// Process is that of an instance, to freeze it.
@@ -41,7 +43,11 @@
 	askEvery      = 10 * time.Millisecond  // how often an instance is asked what it holds
 	askLimit      = 200 * time.Millisecond // for its answer
 	axisInstances = "instances"
-	figureInForce = "time until a change is in force everywhere: " // and the carrier
+
+	// Figures, each with the carrier's name after it.
+	figureInForce   = "time until a change is in force everywhere: "
+	figureOneFrozen = "time until a change is in force at all others while one is frozen: "
+	figureWoken     = "time until a woken instance has what it missed: "
 )
 
 // Name implements Measurement.
@@ -50,7 +56,7 @@
 // Measure implements Measurement.
 func (c Configuration) Measure(ctx context.Context, b *Bench) error {
 	for _, carrier := range c.Carriers {
-		for _, instances := range []int{1, 2, 3, 4, realCount} {
+		for _, instances := range carrier.Sizes() {
 			if err := c.carry(ctx, b, carrier, instances); err != nil {
 				return fmt.Errorf("%s, %d instances: %w", carrier.Name(), instances, err)
 			}
@@ -69,22 +75,9 @@
 	if err := carrier.Start(ctx, b, dir, instances); err != nil {
 		return err
 	}
-	figure, revision, slowest := figureInForce+carrier.Name(), uint64(0), 0.0
-	for range pick(b, 5, 20) {
-		revision++
-		began := time.Now()
-		if err := carrier.Bring(ctx, revision); err != nil {
-			return err
-		}
-		if err := awaitRevision(ctx, carrier, revision, instances); err != nil {
-			return err
-		}
-		took := time.Since(began).Seconds()
-		b.Add(figure, axisInstances, "ms", fromReal, float64(instances), took*1e3)
-		slowest = max(slowest, took)
-	}
-	if instances < realCount {
-		return nil
+	revision, slowest, err := c.changes(ctx, b, carrier, figureInForce, 0, 0, instances)
+	if err != nil || instances < realCount {
+		return err
 	}
 	b.Check(Bar{What: fmt.Sprintf("%s: slowest change at %d instances", carrier.Name(), instances),
 		Value: slowest, Most: mostInForce,
@@ -94,10 +87,31 @@
 			return err
 		}
 	}
-	lacking, err := c.frozen(ctx, carrier, revision+1, instances)
-	b.Check(Bar{What: fmt.Sprintf("%s: reachable instances, of %d, without the change after 4 s while one is frozen",
-		carrier.Name(), instances-1), Value: float64(lacking)})
-	return err
+	if revision, err = c.cost(ctx, b, carrier, revision, instances); err != nil {
+		return err
+	}
+	return c.frozen(ctx, b, carrier, revision, instances)
+}
+
+// changes brings some changes, one after the other, and measures the time until each is in force at all instances
+// from the first one named on. It returns the last revision and the longest time, in seconds.
+func (Configuration) changes(ctx context.Context, b *Bench, carrier Carrier, figure string, revision uint64,
+	first, instances int) (uint64, float64, error) {
+	slowest := 0.0
+	for range pick(b, 5, 20) {
+		revision++
+		began := time.Now()
+		if err := carrier.Bring(ctx, revision); err != nil {
+			return revision, 0, err
+		}
+		if err := awaitRevision(ctx, carrier, revision, first, instances); err != nil {
+			return revision, 0, err
+		}
+		took := time.Since(began).Seconds()
+		b.Add(figure+carrier.Name(), axisInstances, "ms", fromReal, float64(instances), took*1e3)
+		slowest = max(slowest, took)
+	}
+	return revision, slowest, nil
 }
 
 // allInTurn measures the time until a change is in force at as many instances as there are to be dispatchers: by so
@@ -114,14 +128,14 @@
 	b.Check(Bar{What: fmt.Sprintf("%s: time for %d instances on one machine, in rounds over %d, none frozen",
 		carrier.Name(),
 		sizeDispatchers, instances), Value: time.Since(began).Seconds(), Most: mostInForce, Unit: "s", Timed: true})
-	return revision, awaitRevision(ctx, carrier, revision, instances)
+	return revision, awaitRevision(ctx, carrier, revision, 0, instances)
 }
 
-// awaitRevision waits until all instances hold a revision.
-func awaitRevision(ctx context.Context, carrier Carrier, revision uint64, instances int) error {
+// awaitRevision waits until all instances from the first one named on hold a revision.
+func awaitRevision(ctx context.Context, carrier Carrier, revision uint64, first, instances int) error {
 	ctx, cancel := context.WithTimeout(ctx, loading)
 	defer cancel()
-	for i := range instances {
+	for i := first; i < instances; i++ {
 		for {
 			held, err := carrier.Holds(ctx, i)
 			if err == nil && held >= revision {
@@ -135,13 +149,43 @@
 	return nil
 }
 
-// frozen counts the instances that lack a change when it should be in force, while the first is frozen.
-func (Configuration) frozen(ctx context.Context, carrier Carrier, revision uint64, instances int) (lacking int,
-	err error) {
+// frozen freezes the first instance and measures what the others get meanwhile; where none lacks the change, further
+// ones follow, and then the time until the first has what it missed after it is woken.
+func (c Configuration) frozen(ctx context.Context, b *Bench, carrier Carrier, revision uint64, instances int) error {
 	if err := carrier.Process(0).Freeze(); err != nil {
-		return 0, err
+		return err
 	}
 	defer carrier.Process(0).Thaw()
+	revision++
+	lacking, err := lackingAfterLimit(ctx, carrier, revision, instances)
+	if err != nil {
+		return err
+	}
+	b.Check(Bar{What: fmt.Sprintf("%s: reachable instances, of %d, without the change after 4 s while one is frozen",
+		carrier.Name(), instances-1), Value: float64(lacking)})
+	if lacking > 0 {
+		return nil
+	}
+	revision, slowest, err := c.changes(ctx, b, carrier, figureOneFrozen, revision, 1, instances)
+	if err != nil {
+		return err
+	}
+	b.Check(Bar{What: fmt.Sprintf("%s: slowest change at the others of %d instances while one is frozen",
+		carrier.Name(), instances), Value: slowest, Most: mostInForce, Unit: "s", Timed: true})
+	if err := carrier.Process(0).Thaw(); err != nil {
+		return err
+	}
+	began := time.Now()
+	if err := awaitRevision(ctx, carrier, revision, 0, 1); err != nil {
+		return err
+	}
+	b.Add(figureWoken+carrier.Name(), axisInstances, "ms", fromReal, float64(instances), time.Since(began).Seconds()*1e3)
+	return nil
+}
+
+// lackingAfterLimit brings a change and counts the instances, all but the first, that lack it when it should be in
+// force.
+func lackingAfterLimit(ctx context.Context, carrier Carrier, revision uint64, instances int) (lacking int, err error) {
 	began := time.Now()
 	bringing, cancel := context.WithCancel(ctx)
 	brought := make(chan error, 1)
@@ -176,6 +220,9 @@
 // InTurn implements Carrier.
 func (s *SerialApply) InTurn() bool { return true }
 
+// Sizes implements Carrier.
+func (s *SerialApply) Sizes() []int { return []int{1, 2, 3, 4, realCount} }
+
 // Start implements Carrier.
 func (s *SerialApply) Start(_ context.Context, b *Bench, dir string, instances int) (err error) {
 	if s.list, err = discovery.Start(); err != nil {
--- a/internal/lab/scale/installation_test.go
+++ b/internal/lab/scale/installation_test.go
@@ -22,6 +22,10 @@
 		instance.Run(nil)
 	case "hollow":
 		ServeHollow(os.Stdin, os.Stdout)
+	case "agent":
+		if playAgent() != nil {
+			os.Exit(1)
+		}
 	default:
 		os.Exit(m.Run())
 	}
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -18,7 +18,7 @@
 // Measurements are those of a run, in order.
 func Measurements() []Measurement {
 	return []Measurement{Module{}, Workers{}, Dispatchers{}, Changes{}, Quotas{}, Regions{}, Losses{}, Urgent{},
-		Configuration{Carriers: []Carrier{&SerialApply{}}}}
+		Configuration{Carriers: []Carrier{&SerialApply{}, &SharedRoster{}}}, ConfigurationModel{}}
 }
 
 // Bounds in time of a run, beyond which it ends with an error: a few times what it takes on a busy machine.
@@ -65,7 +65,8 @@
 	for _, s := range b.Series {
 		x, _ := s.ranges()
 		if s.Fit == nil {
-			r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), "none", "", "", "", "", "", "", "", "")
+			is, _ := s.at(x[1])
+			r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), "none", "", "", "", "", "", x[1], is, "")
 			continue
 		}
 		f, at := s.Fit, sizes[s.Axis]
