--- a/internal/lab/scale/roster.go
+++ b/internal/lab/scale/roster.go
@@ -46,8 +46,13 @@
 // InTurn implements Carrier.
 func (s *SharedRoster) InTurn() bool { return false }
 
-// Sizes implements Carrier.
-func (s *SharedRoster) Sizes() []int { return []int{1, 2, 3, 4, realCount, levelled} }
+// Sizes implements Carrier. A quick run has no time for more than what the other carrier is compared at.
+func (s *SharedRoster) Sizes(quick bool) []int {
+	if quick {
+		return []int{realCount}
+	}
+	return []int{1, 2, 3, 4, realCount, levelled}
+}
 
 // Start implements Carrier. Up to three instances have one origin.
 func (s *SharedRoster) Start(ctx context.Context, b *Bench, dir string, instances int) (err error) {
