Scale run: time saves of a small file while changes are carried

Changes over a roster took 3.3 to 8.6 s at times in four tests at once (trials), where they take 20 to 100 ms otherwise, and no figure of the run told why. A probe beside it saw saves with fsync of up to 4.3 s on the shared disk; each change waits for some saves in turn. The run now saves a small file every 100 ms meanwhile and prints the median and the longest save. The bars stay as they were: nothing is excused by it.

--- a/internal/lab/scale/configuration.go
+++ b/internal/lab/scale/configuration.go
@@ -55,6 +55,32 @@
 
 // Measure implements Measurement.
 func (c Configuration) Measure(ctx context.Context, b *Bench) error {
+	dir, err := os.MkdirTemp("", "topazlab-saves")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	saving, stop := context.WithCancel(ctx)
+	defer stop()
+	var saves []float64
+	ended := make(chan error, 1)
+	go func() {
+		var err error
+		saves, err = timeSaves(saving, dir)
+		ended <- err
+	}()
+	fault := c.carryAll(ctx, b)
+	stop()
+	if err := errors.Join(fault, <-ended); err != nil {
+		return err
+	}
+	b.Add(figureSave, axisTimings, "ms", fromRun, 1, saves...)
+	b.Note("%s: median %.1f ms, longest %.1f ms of %d", figureSave, quantile(saves, 0.5), quantile(saves, 1), len(saves))
+	return nil
+}
+
+// carryAll measures each carrier at each of its sizes.
+func (c Configuration) carryAll(ctx context.Context, b *Bench) error {
 	for _, carrier := range c.Carriers {
 		for _, instances := range carrier.Sizes(b.Quick) {
 			if err := c.carry(ctx, b, carrier, instances); err != nil {
--- a/internal/lab/scale/roster_test.go
+++ b/internal/lab/scale/roster_test.go
@@ -34,8 +34,13 @@
 	defer cancel()
 	b := NewBench(Options{Agent: os.Args[0], Quick: true, Seed: 1}, &strings.Builder{})
 	carrier := &SharedRoster{}
-	const instances = realCount
-	require.NoError(t, Configuration{}.carry(ctx, b, carrier, instances))
+	began := time.Now()
+	err := Configuration{}.carry(ctx, b, carrier, realCount)
+	t.Logf("took %v, bars %v", time.Since(began), b.Bars)
+	for _, s := range b.Series {
+		t.Log(s.Figure, s.Unit, s.Points)
+	}
+	require.NoError(t, err)
 	bars := map[string]Bar{}
 	for _, bar := range b.Bars {
 		bars[bar.What] = bar
@@ -119,3 +124,14 @@
 	_, err := play(b, "no such")
 	require.ErrorContains(t, err, `no scenario "no such"`)
 }
+
+// Saves are timed until they are told to end, and a folder that is not there is an error.
+func TestTimeSaves(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*saveEvery)
+	defer cancel()
+	took, err := timeSaves(ctx, t.TempDir())
+	require.NoError(t, err)
+	require.NotEmpty(t, took)
+	_, err = timeSaves(t.Context(), t.TempDir()+"/none")
+	require.Error(t, err)
+}
