--- a/internal/lab/scale/configuration.go
+++ b/internal/lab/scale/configuration.go
@@ -75,7 +75,8 @@
 		return err
 	}
 	b.Add(figureSave, axisTimings, "ms", fromRun, 1, saves...)
-	b.Note("%s: median %.1f ms, longest %.1f ms of %d", figureSave, quantile(saves, 0.5), quantile(saves, 1), len(saves))
+	b.Note("%s: median %.1f ms, longest %.1f ms of %d", figureSave,
+		quantile(saves, 0.5), quantile(saves, 1), len(saves))
 	return nil
 }
 
@@ -101,7 +102,7 @@
 	if err := carrier.Start(ctx, b, dir, instances); err != nil {
 		return err
 	}
-	revision, slowest, err := c.changes(ctx, b, carrier, figureInForce, 0, 0, instances)
+	revision, slowest, err := c.changes(ctx, b, carrier, figureInForce, 0, span{0, instances})
 	if err != nil || instances < realCount {
 		return err
 	}
@@ -119,10 +120,13 @@
 	return c.frozen(ctx, b, carrier, revision, instances)
 }
 
+// span is the instances that are asked: from the first one's index on, up to the number of all.
+type span struct{ first, instances int }
+
 // changes brings some changes, one after the other, and measures the time until each is in force at all instances
 // from the first one named on. It returns the last revision and the longest time, in seconds.
 func (Configuration) changes(ctx context.Context, b *Bench, carrier Carrier, figure string, revision uint64,
-	first, instances int) (uint64, float64, error) {
+	asked span) (uint64, float64, error) {
 	slowest := 0.0
 	for range pick(b, 5, 20) {
 		revision++
@@ -130,11 +134,11 @@
 		if err := carrier.Bring(ctx, revision); err != nil {
 			return revision, 0, err
 		}
-		if err := awaitRevision(ctx, carrier, revision, first, instances); err != nil {
+		if err := awaitRevision(ctx, carrier, revision, asked.first, asked.instances); err != nil {
 			return revision, 0, err
 		}
 		took := time.Since(began).Seconds()
-		b.Add(figure+carrier.Name(), axisInstances, "ms", fromReal, float64(instances), took*1e3)
+		b.Add(figure+carrier.Name(), axisInstances, "ms", fromReal, float64(asked.instances), took*1e3)
 		slowest = max(slowest, took)
 	}
 	return revision, slowest, nil
@@ -192,7 +196,7 @@
 	if lacking > 0 {
 		return nil
 	}
-	revision, slowest, err := c.changes(ctx, b, carrier, figureOneFrozen, revision, 1, instances)
+	revision, slowest, err := c.changes(ctx, b, carrier, figureOneFrozen, revision, span{1, instances})
 	if err != nil {
 		return err
 	}
@@ -205,7 +209,8 @@
 	if err := awaitRevision(ctx, carrier, revision, 0, 1); err != nil {
 		return err
 	}
-	b.Add(figureWoken+carrier.Name(), axisInstances, "ms", fromReal, float64(instances), time.Since(began).Seconds()*1e3)
+	took := time.Since(began).Seconds() * 1e3
+	b.Add(figureWoken+carrier.Name(), axisInstances, "ms", fromReal, float64(instances), took)
 	return nil
 }
 
--- a/internal/lab/scale/roster.go
+++ b/internal/lab/scale/roster.go
@@ -90,7 +90,8 @@
 func (s *SharedRoster) arguments(m rig.Member) ([]string, error) {
 	roster := configsync.Roster{Installation: "scale"}
 	for i, name := range s.names {
-		one := configsync.Member{Name: name, Address: m.Peers[name], Region: "region-0", Zone: fmt.Sprint("zone-", i%zones)}
+		one := configsync.Member{Name: name, Address: m.Peers[name], Region: "region-0",
+			Zone: fmt.Sprint("zone-", i%zones)}
 		if name == m.Name {
 			one.Address = m.Listen
 		}
--- a/internal/lab/scale/roster_test.go
+++ b/internal/lab/scale/roster_test.go
@@ -107,7 +107,8 @@
 	require.NoError(t, carrier.Bring(ctx, 1))
 	require.NoError(t, carrier.Bring(ctx, 1)) // it is there already
 	require.NoError(t, awaitRevision(ctx, carrier, 1, 0, 2))
-	require.ErrorContains(t, carrier.apply(ctx, 1, 3), fmt.Sprintf("holds revision %d and cannot make revision %d", 1, 3))
+	require.ErrorContains(t, carrier.apply(ctx, 1, 3),
+		fmt.Sprintf("holds revision %d and cannot make revision %d", 1, 3))
 }
 
 // The model's figures are marked as such, and have their bars.
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -66,7 +66,8 @@
 		x, _ := s.ranges()
 		if s.Fit == nil {
 			is, _ := s.at(x[1])
-			r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), "none", "", "", "", "", "", x[1], is, "")
+			r.Add(s.Figure, s.Source, s.Axis, x[0], x[1], s.Unit, len(s.Points), "none", "", "", "", "", "",
+				x[1], is, "")
 			continue
 		}
 		f, at := s.Fit, sizes[s.Axis]
