--- a/cmd/topazfall/restart_test.go
+++ b/cmd/topazfall/restart_test.go
@@ -225,7 +225,7 @@
 			p := launch(t, program.Options{Discovery: list.Address()})
 			_, err := p.AwaitReady(patience)
 			require.NoError(t, err)
-			require.NoError(t, p.Signal(syscall.SIGSTOP))
+			require.NoError(t, p.Freeze())
 			next := launch(t, program.Options{Dir: p.Dir(), Listen: p.Address(), Discovery: list.Address()})
 			_, err = next.AwaitReady(3 * time.Second)
 			require.ErrorContains(t, err, "not ready")
--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -215,12 +215,6 @@
 // Reload tells the process to take its configuration anew.
 func (p *Process) Reload() error { return p.Signal(syscall.SIGHUP) }
 
-// Freeze stops the process, as a machine that swaps does, until Thaw.
-func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
-
-// Thaw lets it go on.
-func (p *Process) Thaw() error { return p.Signal(syscall.SIGCONT) }
-
 // started counts the processes, each of which has an address of its own: a port that was free a moment ago may be
 // somebody else's when the process has come so far.
 var started atomic.Uint32
--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -12,7 +12,6 @@
 	"path/filepath"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"topazfall/internal/lab/link"
@@ -201,11 +200,11 @@
 	}
 }
 
-// Freeze stops a member's process where it is (SIGSTOP).
-func (r *Rig) Freeze(name string) error { return r.Process(name).Signal(syscall.SIGSTOP) }
+// Freeze stops a member's process where it is (SIGSTOP), and returns when it stands still.
+func (r *Rig) Freeze(name string) error { return r.Process(name).Freeze() }
 
 // Wake lets a frozen process go on (SIGCONT).
-func (r *Rig) Wake(name string) error { return r.Process(name).Signal(syscall.SIGCONT) }
+func (r *Rig) Wake(name string) error { return r.Process(name).Thaw() }
 
 // Kill ends the processes of some members within one moment (SIGKILL).
 func (r *Rig) Kill(names ...string) {
