Let a played party's address be closed only when connections to it are refused

A process that another test starts at that moment holds a copy of the listening descriptor between fork and exec, so that the system still accepts; by reading, it was not forced. The play waits until a connection is refused before it goes on; what it expects is unchanged.

--- a/cmd/topazfall/play_test.go
+++ b/cmd/topazfall/play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -237,6 +238,19 @@
 	return found
 }
 
+// refuse closes a listener and returns when connections to it are refused. A process that is being started by another
+// test holds a copy of the descriptor until it becomes its own program, and the system accepts connections meanwhile.
+func (p *player) refuse(ln net.Listener) {
+	p.noError("close", ln.Close())
+	require.Eventually(p, func() bool {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		if err == nil {
+			c.Close()
+		}
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}, patience, time.Millisecond, "connections are not refused")
+}
+
 // ask makes one call to the second address and returns all that comes back.
 func (p *player) ask(path string) string {
 	c, err := net.Dial("tcp", p.manage)
@@ -359,7 +373,7 @@
 		require.Error(p, err, rest)
 		require.False(p, os.IsTimeout(err), rest)
 	case "down": // connections to the party are refused
-		p.noError(rest, p.parties[rest[0]].Close())
+		p.refuse(p.parties[rest[0]])
 	case "term": // "old" for the one that was replaced, as with exit
 		p.noError(text, p.which(&rest).Process.Signal(syscall.SIGTERM))
 	case "replace": // another process is started beside this one, and takes clients
