--- a/cmd/topazfall/crowd_test.go
+++ b/cmd/topazfall/crowd_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -19,62 +17,6 @@
 	"topazfall/internal/lab/program"
 )
 
-// crowd is so many clients that connect, stay, and come again when they are sent away. Most say nothing; every third
-// brings something of use first, and may be quiet for long after that.
-type crowd struct {
-	stop chan struct{}
-	wait sync.WaitGroup
-}
-
-const comeAgain = time.Second // of each of the crowd, after it has been sent away
-
-func gather(t *testing.T, addr string, size int) *crowd {
-	c := &crowd{stop: make(chan struct{})}
-	for i := range size {
-		c.wait.Go(func() { c.idle(addr, i%3 == 0) })
-	}
-	t.Cleanup(c.disperse)
-	return c
-}
-
-const useful = "POST /v1/job-events HTTP/1.1\r\nHost: x\r\nContent-Length: 41\r\n\r\n" +
-	`{"id":"none","from":"","state":"started"}`
-
-func (c *crowd) idle(addr string, proves bool) {
-	for {
-		nc, err := net.DialTimeout("tcp", addr, time.Second)
-		if err == nil {
-			stay := make(chan struct{})
-			go func() {
-				if proves {
-					io.WriteString(nc, useful)
-				}
-				io.Copy(io.Discard, nc) // until it is sent away
-				close(stay)
-			}()
-			select {
-			case <-stay:
-			case <-c.stop:
-			}
-			nc.Close()
-		}
-		select {
-		case <-c.stop:
-			return
-		case <-time.After(comeAgain):
-		}
-	}
-}
-
-func (c *crowd) disperse() {
-	select {
-	case <-c.stop:
-	default:
-		close(c.stop)
-	}
-	c.wait.Wait()
-}
-
 // descriptors is how many a process has open.
 func descriptors(t *testing.T, p *program.Process) int {
 	names, err := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", p.PID()))
@@ -220,7 +162,8 @@
 			s := enact(t, 1, o)
 			s.servedAmongCrowd()
 			s.list.SetFault(d.fault)
-			c := gather(t, s.program.Address(), d.clients)
+			c := client.Gather(s.program.Address(), d.clients)
+			t.Cleanup(c.Disperse)
 			s.eventually("the descriptors are as full as they get", func() bool {
 				return descriptors(t, s.program) > d.limit/2
 			})
@@ -263,7 +206,7 @@
 			require.NoError(t, s.program.Term())
 			require.NoError(t, s.program.Wait(patience))
 			require.Zero(t, s.program.ExitCode())
-			c.disperse()
+			c.Disperse()
 			require.NotContains(t, old.Log()+s.program.Log(), "too many open files")
 		})
 	}
--- a/cmd/topazlab/main.go
+++ b/cmd/topazlab/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -10,15 +11,31 @@
 
 	"github.com/spf13/cobra"
 
+	"topazfall/internal/lab/soak"
 	"topazfall/internal/version"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
+	os.Exit(exitCode(command().ExecuteContext(ctx)))
+}
+
+// The exit codes: a bar that was missed or a run that failed, and a command that cannot be done as it was given.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+func exitCode(err error) int {
+	var usage soak.UsageError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage):
+		return exitUsage
 	}
+	return exitFailed
 }
 
 func command() *cobra.Command {
@@ -28,7 +45,8 @@
 		Version:      version.String(),
 		SilenceUsage: true,
 	}
-	root.AddCommand(addressesCommand(), dnsCommand(), settingsCommand(), scaleCommand(), hollowCommand())
+	root.AddCommand(addressesCommand(), dnsCommand(), settingsCommand(), scaleCommand(), hollowCommand(), soakCommand())
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return soak.UsageError{Err: err} })
 	return root
 }
 
--- a/internal/lab/client/client.go
+++ b/internal/lab/client/client.go
@@ -13,6 +13,7 @@
 // Message is what a client hands in.
 type Message struct {
 	ID, Class, Tenant string
+	Key               string // of a class whose repeats go by one; "" for none
 	Body              []byte
 	Wait              time.Duration // for the answer
 	Hint              time.Duration // of its work
--- a/internal/lab/discovery/discovery.go
+++ b/internal/lab/discovery/discovery.go
@@ -35,6 +35,7 @@
 	answers map[int64][]byte // of this version, by the version that they begin after: many ask for the same
 	news    chan struct{}    // closed at the next change
 	fault   Fault
+	whole   bool          // all answers are whole lists
 	calls   int           // so far, answered or not
 	healed  chan struct{} // closed when the fault ends
 }
@@ -86,6 +87,14 @@
 	s.news = make(chan struct{})
 }
 
+// TellWhole makes all answers whole lists from now on, or what has changed again.
+func (s *Server) TellWhole(whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.whole = whole
+	clear(s.answers)
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if s.hinder(ctx) {
 		return
@@ -125,7 +134,7 @@
 	if text := s.answers[after]; text != nil {
 		return text
 	}
-	whole := after == fromNothing
+	whole := after == fromNothing || s.whole
 	list := struct {
 		Seq   int64   `json:"seq"`
 		Whole bool    `json:"whole"`
--- a/internal/lab/host/host.go
+++ b/internal/lab/host/host.go
@@ -34,10 +34,12 @@
 	ResetJobs           // the same, but what is no job is answered
 	ResetAccepted       // it is reset after the 202, and the job runs
 	Garbage             // the answer is none
+	Hang                // jobs are taken, and nothing is ever heard of them
+	TurnAway            // jobs are turned away unstarted
 )
 
 var faults = [...]string{"serve", "refuse", "silent", "accept-late", "reset-unread", "reset-midway", "reset-whole",
-	"reset-jobs", "reset-accepted", "garbage"}
+	"reset-jobs", "reset-accepted", "garbage", "hang", "turn-away"}
 
 func (f Fault) String() string { return faults[f] }
 
@@ -57,7 +59,8 @@
 	mu   sync.Mutex
 	runs map[string]int     // of each id: how often a job of it has begun
 	seen map[string][]Sight // of each id: where and when a request began to come
-	off  map[string]bool
+	all  []*Attempt
+	byID map[string][]*Attempt
 	last time.Time
 	back func(body []byte) error // makes a call-back
 }
@@ -68,6 +71,60 @@
 	At   time.Time
 }
 
+// Attempt is one request for a job, as the host saw it. Times are zero where that did not happen.
+type Attempt struct {
+	ID      string
+	Began   time.Time     // its first byte came
+	Whole   time.Time     // its last byte came: it counts from then on
+	Timeout time.Duration // what the dispatcher said that it will wait
+	Ended   time.Time     // the host first tried to tell of its end, or reset its connection
+	GivenUp time.Time     // the dispatcher called it off
+	NotRun  bool          // the host turned it away unstarted
+}
+
+// Attempts are all that have come so far, in the order of their first bytes.
+func (h *Host) Attempts() (list []Attempt) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, a := range h.all {
+		list = append(list, *a)
+	}
+	return list
+}
+
+// EndIdle closes the connections to an address that rest now, as a host does that wants room; some see a reset.
+func (h *Host) EndIdle(door int, resets bool) {
+	d := h.doors[door]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c, resting := range d.open {
+		switch {
+		case resting && resets:
+			reset(c)
+		case resting:
+			c.Close()
+		}
+	}
+}
+
+// Crash makes an address refuse connections, as that of a process that dies: what it has in hand ends, and its machine
+// tells that it is lost. Set lets it serve again.
+func (h *Host) Crash(door int) error {
+	var lost []*Attempt
+	h.note(func() {
+		for _, a := range h.all {
+			if a.Ended.IsZero() && a.GivenUp.IsZero() {
+				a.Ended = time.Now()
+				lost = append(lost, a)
+			}
+		}
+	})
+	for _, a := range lost {
+		go h.tell(map[string]string{"id": a.ID, "from": h.o.Name, "state": "lost"})
+	}
+	return h.doors[door].set(Refuse)
+}
+
 // door is one address.
 type door struct {
 	h       *Host
@@ -78,15 +135,15 @@
 	mu       sync.Mutex
 	fault    Fault
 	ln       net.Listener
-	full     []net.Conn // what fills the queue of a silent one
-	open     map[net.Conn]bool
+	full     []net.Conn        // what fills the queue of a silent one
+	open     map[net.Conn]bool // and whether nothing is under way on it
 	accepted int
 	closed   bool
 }
 
 // Start listens on each address: "127.0.0.1:0", "[::1]:0", or "unix" for a socket file. Call-backs go by back.
 func Start(o Options, back func(body []byte) error, listen ...string) (*Host, error) {
-	h := &Host{o: o, runs: map[string]int{}, seen: map[string][]Sight{}, off: map[string]bool{}, back: back}
+	h := &Host{o: o, runs: map[string]int{}, seen: map[string][]Sight{}, byID: map[string][]*Attempt{}, back: back}
 	for i, address := range listen {
 		d := &door{h: h, n: i, network: "tcp", address: address, open: map[net.Conn]bool{}}
 		if address == "unix" {
@@ -314,95 +371,156 @@
 		time.Sleep(d.h.o.Late)
 	}
 	in := bufio.NewReader(c)
-	for {
-		if _, err := in.Peek(1); err != nil {
-			return
-		}
-		at := time.Now()
-		var req fasthttp.Request
-		if err := req.Header.Read(in); err != nil {
-			return
-		}
-		id := string(req.Header.Peek("X-Request-Id"))
-		job := id != "" && req.Header.IsPost()
-		if job {
-			d.h.sight(id, d.n, at)
-		}
-		f := d.faulty()
-		if f == ResetMidway {
-			reset(c)
-			return
-		}
-		if err := req.ContinueReadBody(in, 1<<20); err != nil {
-			return
-		}
-		if f == Garbage {
-			if job {
-				d.h.run(id, false)
-			}
-			io.WriteString(c, "\x00\x01 this is no answer\r\n\r\n")
-			return
-		}
-		answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-		switch path := string(req.Header.RequestURI()); {
-		case strings.HasPrefix(path, "/jobs/"):
-			d.h.callOff(strings.TrimPrefix(path, "/jobs/"))
-		case job:
-			d.h.run(id, f != ResetWhole && f != ResetJobs)
-			answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
-		}
-		if f == ResetWhole || f == ResetJobs && job {
-			reset(c)
-			return
-		}
-		if _, err := io.WriteString(c, answer); err != nil {
-			return
-		}
-		if f == ResetAccepted && job {
-			time.Sleep(time.Millisecond) // a reset may overtake what was written
-			reset(c)
-			return
+	for d.serveOne(c, in) {
+	}
+}
+
+// serveOne serves the next request of a connection, and tells whether the connection goes on.
+func (d *door) serveOne(c net.Conn, in *bufio.Reader) bool {
+	d.rests(c, true)
+	if _, err := in.Peek(1); err != nil {
+		return false
+	}
+	d.rests(c, false)
+	at := time.Now()
+	var req fasthttp.Request
+	if err := req.Header.Read(in); err != nil {
+		return false
+	}
+	id := string(req.Header.Peek("X-Request-Id"))
+	var job *Attempt // nil for what is none
+	if id != "" && req.Header.IsPost() {
+		job = d.h.sight(id, d.n, at)
+	}
+	f := d.faulty()
+	if f == ResetMidway {
+		reset(c)
+		return false
+	}
+	if err := req.ContinueReadBody(in, 1<<20); err != nil {
+		return false
+	}
+	if job != nil {
+		wait, _ := strconv.Atoi(string(req.Header.Peek("X-Timeout-Ms")))
+		d.h.note(func() { job.Whole, job.Timeout = time.Now(), time.Duration(wait)*time.Millisecond })
+	}
+	if f == Garbage {
+		if job != nil {
+			d.h.run(job, false)
+			d.h.ended(job)
 		}
+		io.WriteString(c, "\x00\x01 this is no answer\r\n\r\n")
+		return false
+	}
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	switch path := string(req.Header.RequestURI()); {
+	case strings.HasPrefix(path, "/jobs/"):
+		d.h.callOff(strings.TrimPrefix(path, "/jobs/"))
+	case job != nil && f == TurnAway:
+		d.h.note(func() { job.NotRun, job.Ended = true, time.Now() })
+		answer = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+	case job != nil:
+		d.h.run(job, f != ResetWhole && f != ResetJobs && f != Hang)
+		answer = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+	}
+	if f == ResetWhole || f == ResetJobs && job != nil {
+		d.h.ended(job)
+		reset(c)
+		return false
+	}
+	if _, err := io.WriteString(c, answer); err != nil {
+		return false
 	}
+	if f == ResetAccepted && job != nil {
+		time.Sleep(time.Millisecond) // a reset may overtake what was written
+		reset(c)
+		return false
+	}
+	return true
 }
 
-func (h *Host) sight(id string, door int, at time.Time) {
+// rests notes whether nothing is under way on a connection.
+func (d *door) rests(c net.Conn, resting bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, open := d.open[c]; open {
+		d.open[c] = resting
+	}
+}
+
+func (h *Host) sight(id string, door int, at time.Time) *Attempt {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.seen[id] = append(h.seen[id], Sight{door, at})
 	if at.After(h.last) {
 		h.last = at
 	}
+	a := &Attempt{ID: id, Began: at}
+	h.all, h.byID[id] = append(h.all, a), append(h.byID[id], a)
+	return a
+}
+
+// note changes what is known of an attempt.
+func (h *Host) note(change func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change()
 }
 
+// ended notes that an attempt, if it is one, ends now.
+func (h *Host) ended(a *Attempt) {
+	if a != nil {
+		h.note(func() { a.Ended = time.Now() })
+	}
+}
+
+// Result is the result that the host calls back for a job.
+func (h *Host) Result(id string) string { return h.o.Name + " " + id }
+
 // run begins a job, which calls back when it is done if tells is set.
-func (h *Host) run(id string, tells bool) {
+func (h *Host) run(a *Attempt, tells bool) {
 	h.mu.Lock()
-	h.runs[id]++
+	h.runs[a.ID]++
 	h.mu.Unlock()
 	if !tells {
 		return
 	}
 	time.AfterFunc(h.o.Work, func() {
-		h.mu.Lock()
-		off := h.off[id]
-		h.mu.Unlock()
-		if off {
-			return
-		}
-		body, _ := jsoniter.Marshal(map[string]string{"id": id, "from": h.o.Name, "state": "done",
-			"result": h.o.Name + " " + strconv.Itoa(len(id))})
-		for range 10 {
-			if h.back(body) == nil {
-				return
+		over := false
+		h.note(func() {
+			if over = !a.GivenUp.IsZero() || !a.Ended.IsZero(); !over {
+				a.Ended = time.Now()
 			}
-			time.Sleep(20 * time.Millisecond)
+		})
+		if !over {
+			h.tell(map[string]string{"id": a.ID, "from": h.o.Name, "state": "done", "result": h.Result(a.ID)})
 		}
 	})
 }
 
+// callBacks is how often a call-back is tried, callBackPause the time between two tries.
+const (
+	callBacks     = 10
+	callBackPause = 20 * time.Millisecond
+)
+
+// tell makes a call-back.
+func (h *Host) tell(what map[string]string) {
+	body, _ := jsoniter.Marshal(what)
+	for range callBacks {
+		if h.back(body) == nil {
+			return
+		}
+		time.Sleep(callBackPause)
+	}
+}
+
 func (h *Host) callOff(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.off[id] = true
+	for _, a := range h.byID[id] {
+		if a.GivenUp.IsZero() {
+			a.GivenUp = time.Now()
+		}
+	}
 }
--- a/internal/lab/program/usage.go
+++ b/internal/lab/program/usage.go
@@ -41,3 +41,9 @@
 	const scheduled = 2 // time on a processor, by the scheduler's count
 	return int32(^pid<<3 | scheduled)
 }
+
+// Descriptors is how many the process has open.
+func (p *Process) Descriptors() (int, error) {
+	names, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
+	return len(names), err
+}
--- /dev/null
+++ b/internal/lab/soak/acts.go
@@ -0,0 +1,291 @@
+package soak
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"topazfall/internal/lab/discovery"
+	"topazfall/internal/lab/host"
+	"topazfall/internal/lab/program"
+)
+
+const (
+	leastDeadline = 3 * time.Second        // that the platform counts
+	killAfter     = 700 * time.Millisecond // beyond the longest deadline
+	firstHangup   = time.Second            // no SIGHUP comes sooner after a process is ready
+	hangups       = 3                      // of a series
+)
+
+// killTime is how long after SIGTERM the kill comes at the earliest.
+func (i *installation) killTime() time.Duration {
+	return max(i.plan.Deadline, leastDeadline) + killAfter
+}
+
+// act does the steps of a member one after the other.
+func (m *member) act(ctx context.Context) error {
+	for _, s := range m.plan.Dispatch[m.index] {
+		if sleep(ctx, s.After); ctx.Err() != nil {
+			return nil
+		}
+		if err := m.step(s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// step does one step, while nobody else does anything to the member's processes.
+func (m *member) step(s ProcessStep) error {
+	m.acting.Lock()
+	defer m.acting.Unlock()
+	p := m.rig.Process(m.name)
+	if p.Ended() { // by itself
+		m.ended(p)
+		return m.launch(false)
+	}
+	switch s.Act {
+	case End, EndTwice, HangupThenEnd, EndThenHangup:
+		return m.endAndStart(p, s)
+	case Reload:
+		m.hangups(s.Gap, p)
+		return nil
+	case Freeze:
+		if err := p.Freeze(); err != nil {
+			return err
+		}
+		time.Sleep(frozenFor)
+		return p.Thaw()
+	case KillAtOnce:
+		m.kill(p)
+		return m.launch(false)
+	}
+	return m.replace(p, s)
+}
+
+// life notes something of the life of a process.
+func (m *member) life(p *program.Process, change func(l *Life, now time.Time)) {
+	m.note(func(now time.Time) { change(m.lives[p], now) })
+}
+
+// launch starts a process of the member and waits until it is ready.
+func (m *member) launch(successor bool) error {
+	l := &Life{Process: m.name, Started: time.Now(), Successor: successor}
+	err := m.rig.Restart(m.name)
+	if err != nil {
+		return err
+	}
+	l.Ready = time.Now()
+	m.note(func(time.Time) { m.lives[m.rig.Process(m.name)] = l })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closedFor = time.Time{}
+	return nil
+}
+
+// terminate tells a process to end.
+func (m *member) terminate(p *program.Process) {
+	m.life(p, func(l *Life, now time.Time) {
+		if l.Terminated.IsZero() {
+			l.Terminated = now
+		}
+	})
+	p.Term()
+}
+
+// hangup tells a process to read its configuration again, which names the other address of discovery.
+func (m *member) hangup(p *program.Process) {
+	ready := time.Time{}
+	m.life(p, func(l *Life, _ time.Time) { ready = l.Ready })
+	time.Sleep(time.Until(ready.Add(firstHangup)))
+	p.Configure(func(config map[string]any) {
+		config["discovery"] = m.otherDoor(config["discovery"].(string))
+	})
+	m.life(p, func(l *Life, now time.Time) { l.Moved = append(l.Moved, now) })
+	p.Reload()
+}
+
+func (m *member) otherDoor(address string) string {
+	if address == m.doors[0].Address() {
+		return m.doors[1].Address()
+	}
+	return m.doors[0].Address()
+}
+
+// hangups sends a series of SIGHUP to processes.
+func (m *member) hangups(gap time.Duration, processes ...*program.Process) {
+	for range hangups {
+		for _, p := range processes {
+			m.hangup(p)
+		}
+		time.Sleep(gap)
+	}
+}
+
+// endAndStart ends a process as a planned restart does, and starts one from nothing.
+func (m *member) endAndStart(p *program.Process, s ProcessStep) error {
+	if s.Act == HangupThenEnd {
+		m.hangup(p)
+	}
+	m.mu.Lock()
+	m.closedFor = time.Now().Add(s.Late)
+	m.mu.Unlock()
+	m.terminate(p)
+	time.Sleep(s.Gap)
+	switch s.Act {
+	case EndTwice:
+		m.terminate(p)
+	case EndThenHangup:
+		m.hangup(p)
+	}
+	m.awaitEnd(p, m.killTime()-s.Gap)
+	return m.launch(false)
+}
+
+// awaitEnd waits for the end of a process that was told to end, and kills it when its time is over.
+func (m *member) awaitEnd(p *program.Process, limit time.Duration) {
+	if p.Wait(limit) != nil {
+		m.kill(p)
+		return
+	}
+	m.ended(p)
+}
+
+// kill kills a process.
+func (m *member) kill(p *program.Process) {
+	if p.Ended() {
+		m.ended(p)
+		return
+	}
+	m.life(p, func(l *Life, now time.Time) { l.Killed = now })
+	p.Kill()
+	m.ended(p)
+}
+
+// ended notes how a process ended.
+func (m *member) ended(p *program.Process) {
+	m.life(p, func(l *Life, now time.Time) {
+		l.Ended, l.ExitCode, l.Fatal = now, p.ExitCode(), fatal(p.Log())
+	})
+}
+
+// fatal is the line of a log that tells of a crash, if one does.
+func fatal(log string) string {
+	for line := range strings.Lines(log) {
+		for _, sign := range []string{"panic:", "fatal error:", "SIGABRT", "DATA RACE"} {
+			if strings.Contains(line, sign) {
+				return strings.TrimSpace(line)
+			}
+		}
+	}
+	return ""
+}
+
+// replace has other processes take the place of one, as the act says, and ends all but the last.
+func (m *member) replace(p *program.Process, s ProcessStep) error {
+	var leaving sync.WaitGroup
+	end := func(p *program.Process, limit time.Duration) {
+		m.terminate(p)
+		leaving.Go(func() { m.awaitEnd(p, limit) })
+	}
+	switch s.Act {
+	case EndMidReplace:
+		time.AfterFunc(s.Gap, func() { m.terminate(p) })
+	case HangupInReplace:
+		m.hangup(p)
+	}
+	if err := m.launch(true); err != nil {
+		return err
+	}
+	second := m.rig.Process(m.name)
+	switch s.Act {
+	case HangupInReplace:
+		m.hangups(s.Gap, p, second)
+	case ReplaceTwice:
+		if err := m.launch(true); err != nil {
+			return err
+		}
+		end(second, m.killTime())
+	}
+	end(p, m.killTime())
+	leaving.Wait()
+	return nil
+}
+
+// joint does the joint steps of the plan.
+func (i *installation) joint(ctx context.Context) error {
+	began := time.Now()
+	for _, j := range i.plan.Joint {
+		if sleep(ctx, time.Until(began.Add(j.At))); ctx.Err() != nil {
+			return nil
+		}
+		faults := make(chan error, len(j.Processes))
+		for _, k := range j.Processes {
+			go func() { faults <- i.members[k].step(j.Step) }()
+		}
+		for range j.Processes {
+			if err := <-faults; err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// trouble does the steps of the workers.
+func (i *installation) trouble(ctx context.Context) error {
+	began := time.Now()
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for _, s := range i.plan.Workers {
+		if sleep(ctx, time.Until(began.Add(s.At))); ctx.Err() != nil {
+			return nil
+		}
+		wait.Go(func() { i.troubled(ctx, s) })
+	}
+	return nil
+}
+
+// troubled does one step of a worker, to its end.
+func (i *installation) troubled(ctx context.Context, s WorkerStep) {
+	h := i.workers[s.Worker]
+	switch s.Trouble {
+	case Drains:
+		i.listed(s.Worker, "draining", time.Time{})
+		sleep(ctx, s.For)
+		i.listed(s.Worker, "up", time.Time{})
+	case Returns:
+		i.listed(s.Worker, "removed", time.Time{})
+		h.Crash(onAddress)
+		sleep(ctx, s.For)
+		h.Set(onAddress, host.Serve)
+		i.listed(s.Worker, "up", time.Now())
+	case EndsIdle:
+		h.EndIdle(onAddress, s.Resets)
+	case Faulty:
+		if s.Fault == host.Refuse {
+			h.Crash(onAddress)
+		} else {
+			h.Set(onAddress, s.Fault)
+		}
+		sleep(ctx, s.For)
+		h.Set(onAddress, host.Serve)
+	}
+}
+
+// outages does the faults of discovery.
+func (i *installation) outages(ctx context.Context) error {
+	began := time.Now()
+	for _, s := range i.plan.Discovery {
+		if sleep(ctx, time.Until(began.Add(s.At))); ctx.Err() != nil {
+			return nil
+		}
+		from := time.Now()
+		i.list.SetFault(s.Fault)
+		sleep(ctx, s.For)
+		i.list.SetFault(discovery.None)
+		i.note(func(now time.Time) { i.history.Outages = append(i.history.Outages, Outage{from, now}) })
+	}
+	return nil
+}
