--- a/cmd/topazlab/soak.go
+++ b/cmd/topazlab/soak.go
@@ -15,10 +15,10 @@
 	c := &cobra.Command{
 		Use:   "soak",
 		Short: "Plays seeded runs of starts, ends, reloads and replacements under load, and judges their histories",
-		Long: "soak starts 3 to 8 dispatchers with workers, discovery and clients that fail, for 20 to 60 s a run. What\n" +
-			"happens is drawn from the run's seed and printed first. All that left and reached anybody is judged by\n" +
-			"the operators' rules; the exit code is 1 if one is broken, with the command that plays the seed again, and\n" +
-			"2 if the run cannot be made as it was asked for.",
+		Long: "soak starts 3 to 8 dispatchers with workers, discovery and clients that fail, for 20 to 60 s a run.\n" +
+			"What happens is drawn from the run's seed and printed first. All that left and reached anybody is\n" +
+			"judged by the operators' rules; the exit code is 1 if one is broken, with the command that plays the\n" +
+			"seed again, and 2 if the run cannot be made as it was asked for.",
 		Args: func(c *cobra.Command, args []string) error {
 			if err := cobra.NoArgs(c, args); err != nil {
 				return soak.UsageError{Err: err}
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -175,7 +175,8 @@
 	faults := []host.Fault{host.Refuse, host.ResetUnread, host.ResetMidway, host.ResetWhole, host.ResetAccepted,
 		host.Garbage, host.Hang, host.TurnAway}
 	free := make([]time.Duration, len(p.Work))
-	for at := d.between(time.Second, 2*time.Second); at < p.Length; at += d.between(300*time.Millisecond, 2*time.Second) {
+	const least, most = 300 * time.Millisecond, 2 * time.Second // between two troubles
+	for at := time.Second; at < p.Length; at += d.between(least, most) {
 		s := WorkerStep{At: at, For: d.between(time.Second, 6*time.Second), Worker: 1 + d.IntN(len(p.Work)-1),
 			Trouble: Trouble(d.IntN(4)), Fault: faults[d.IntN(len(faults))], Resets: d.oneIn(2)}
 		if free[s.Worker] > at {
@@ -219,8 +220,9 @@
 func (p Plan) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d: %v, %d processes of %d descriptors, %d clients each every %v, deadline %v, window %v, "+
-		"asked %v, whole lists %v, crowd %d, %d workers\n", p.Seed, p.Length, p.Processes, p.Sockets, p.Clients, p.Pause,
-		p.Deadline, p.Window, p.Asked, p.Whole, p.Crowd, len(p.Work))
+		"asked %v, whole lists %v, crowd %d, %d workers\n",
+		p.Seed, p.Length.Round(time.Millisecond), p.Processes, p.Sockets, p.Clients, p.Pause.Round(time.Millisecond),
+		p.Deadline.Round(time.Millisecond), p.Window.Round(time.Millisecond), p.Asked, p.Whole, p.Crowd, len(p.Work))
 	for i, steps := range p.Dispatch {
 		fmt.Fprintf(&b, "  %s:", processName(i))
 		for _, s := range steps {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -1,5 +1,5 @@
-// Package soak plays seeded runs of starts, ends, reloads and replacements of real dispatchers under load, with workers,
-// discovery and clients that fail, and judges the history of each by the operators' rules.
+// Package soak plays seeded runs of starts, ends, reloads and replacements of real dispatchers under load, with
+// workers, discovery and clients that fail, and judges the history of each by the operators' rules.
 package soak
 
 import (
@@ -279,7 +279,7 @@
 
 // tell tells what a run has shown.
 func (o Outcome) tell(w io.Writer) {
-	fmt.Fprintf(w, "seed %d: %v, statuses %v, %d attempts, %d processes, %d killed at the end of their time, stalled %v\n",
+	fmt.Fprintf(w, "seed %d: %v, statuses %v, %d attempts, %d processes, %d killed at their time's end, stalled %v\n",
 		o.Seed, o.Ends, o.Statuses, o.Attempts, o.Lives, o.Killed, o.Stalled.Round(time.Millisecond))
 	if o.Fault != "" {
 		fmt.Fprintf(w, "seed %d: COULD NOT BE PLAYED: %s\n", o.Seed, o.Fault)
@@ -306,11 +306,12 @@
 			faults++
 		}
 		if len(out.Breaks) > 0 || out.Fault != "" {
-			r.Notes = append(r.Notes, fmt.Sprintf("again: topazlab soak --first %d --seeds 1%s", out.Seed, o.lengthFlag()))
+			r.Notes = append(r.Notes,
+				fmt.Sprintf("again: topazlab soak --first %d --seeds 1%s", out.Seed, o.lengthFlag()))
 		}
 	}
-	for _, rule := range []Rule{Lost, Closed, Duplicate, Refused, Invented, Drain, Departed, Timeout, Owed, Crash, Ready,
-		Leak} {
+	for _, rule := range []Rule{Lost, Closed, Duplicate, Refused, Invented, Drain, Departed, Timeout, Owed, Crash,
+		Ready, Leak} {
 		n := 0
 		for _, out := range outcomes {
 			for _, b := range out.Breaks {
--- a/internal/north/conn_test.go
+++ b/internal/north/conn_test.go
@@ -37,8 +37,9 @@
 
 // A client that has had an answer on its connection stops in the middle of its next request and stays. It is owed an
 // error or a close within 3 s, and got neither for 10 s, the time for a whole request: the bound of 2.5 s held on
-// connections alone that had brought nothing of use yet. Seen in the soak (seed 1, --longest 20s): six clients silent or
-// closed 3.7 to 6.8 s after they had stopped, all on reused connections. One that goes on in time is read to its end.
+// connections alone that had brought nothing of use yet. Seen in the soak (seed 1, --longest 20s): six clients silent
+// or closed 3.7 to 6.8 s after they had stopped, all on reused connections. One that goes on in time is read to its
+// end.
 func TestWhoStopsMidwayIsAnsweredInTime(t *testing.T) {
 	const owed, piece = 3 * time.Second, 800 * time.Millisecond
 	_, c, client := pair(t)
