--- a/internal/lab/soak/acts.go
+++ b/internal/lab/soak/acts.go
@@ -49,14 +49,11 @@
 	case End, EndTwice, HangupThenEnd, EndThenHangup:
 		return m.endAndStart(p, s)
 	case Reload:
-		m.hangups(s.Gap, p)
+		m.hangups(s, p)
 		return nil
 	case Freeze:
-		if err := p.Freeze(); err != nil {
-			return err
-		}
-		time.Sleep(frozenFor)
-		return p.Thaw()
+		held(p, func() {})
+		return nil
 	case KillAtOnce:
 		m.kill(p)
 		return m.launch(false)
@@ -84,26 +81,48 @@
 	return nil
 }
 
+// held does something while a process stands still, as one that is off its core does for a moment. One that has ended
+// does not mind.
+func held(p *program.Process, do func()) {
+	p.Freeze()
+	do()
+	time.Sleep(frozenFor)
+	p.Thaw()
+}
+
+// signal sends a process a signal, as the step says.
+func (s ProcessStep) signal(p *program.Process, send func()) {
+	if s.Held {
+		held(p, send)
+		return
+	}
+	send()
+}
+
 // terminate tells a process to end.
-func (m *member) terminate(p *program.Process) {
-	m.life(p, func(l *Life, now time.Time) {
-		if l.Terminated.IsZero() {
-			l.Terminated = now
-		}
+func (m *member) terminate(p *program.Process, s ProcessStep) {
+	s.signal(p, func() {
+		m.life(p, func(l *Life, now time.Time) {
+			if l.Terminated.IsZero() {
+				l.Terminated = now
+			}
+		})
+		p.Term()
 	})
-	p.Term()
 }
 
 // hangup tells a process to read its configuration again, which names the other address of discovery.
-func (m *member) hangup(p *program.Process) {
+func (m *member) hangup(p *program.Process, s ProcessStep) {
 	ready := time.Time{}
 	m.life(p, func(l *Life, _ time.Time) { ready = l.Ready })
 	time.Sleep(time.Until(ready.Add(firstHangup)))
 	p.Configure(func(config map[string]any) {
 		config["discovery"] = m.otherDoor(config["discovery"].(string))
 	})
-	m.life(p, func(l *Life, now time.Time) { l.Moved = append(l.Moved, now) })
-	p.Reload()
+	s.signal(p, func() {
+		m.life(p, func(l *Life, now time.Time) { l.Moved = append(l.Moved, now) })
+		p.Reload()
+	})
 }
 
 func (m *member) otherDoor(address string) string {
@@ -114,38 +133,40 @@
 }
 
 // hangups sends a series of SIGHUP to processes.
-func (m *member) hangups(gap time.Duration, processes ...*program.Process) {
+func (m *member) hangups(s ProcessStep, processes ...*program.Process) {
 	for range hangups {
 		for _, p := range processes {
-			m.hangup(p)
+			m.hangup(p, s)
 		}
-		time.Sleep(gap)
+		time.Sleep(s.Gap)
 	}
 }
 
 // endAndStart ends a process as a planned restart does, and starts one from nothing.
 func (m *member) endAndStart(p *program.Process, s ProcessStep) error {
 	if s.Act == HangupThenEnd {
-		m.hangup(p)
+		m.hangup(p, s)
 	}
 	m.mu.Lock()
 	m.closedFor = time.Now().Add(s.Late)
 	m.mu.Unlock()
-	m.terminate(p)
+	m.terminate(p, s)
 	time.Sleep(s.Gap)
 	switch s.Act {
 	case EndTwice:
-		m.terminate(p)
+		m.terminate(p, s)
 	case EndThenHangup:
-		m.hangup(p)
+		m.hangup(p, s)
 	}
-	m.awaitEnd(p, m.killTime()-s.Gap)
+	m.awaitEnd(p)
 	return m.launch(false)
 }
 
-// awaitEnd waits for the end of a process that was told to end, and kills it when its time is over.
-func (m *member) awaitEnd(p *program.Process, limit time.Duration) {
-	if p.Wait(limit) != nil {
+// awaitEnd waits for the end of a process that was told to end, and kills it at the earliest moment.
+func (m *member) awaitEnd(p *program.Process) {
+	told := time.Time{}
+	m.life(p, func(l *Life, _ time.Time) { told = l.Terminated })
+	if p.Wait(time.Until(told.Add(m.killTime()))) != nil {
 		m.kill(p)
 		return
 	}
@@ -185,15 +206,18 @@
 // replace has other processes take the place of one, as the act says, and ends all but the last.
 func (m *member) replace(p *program.Process, s ProcessStep) error {
 	var leaving sync.WaitGroup
-	end := func(p *program.Process, limit time.Duration) {
-		m.terminate(p)
-		leaving.Go(func() { m.awaitEnd(p, limit) })
+	end := func(p *program.Process) {
+		m.terminate(p, s)
+		leaving.Go(func() { m.awaitEnd(p) })
 	}
 	switch s.Act {
 	case EndMidReplace:
-		time.AfterFunc(s.Gap, func() { m.terminate(p) })
+		leaving.Go(func() {
+			time.Sleep(s.Gap)
+			m.terminate(p, s)
+		})
 	case HangupInReplace:
-		m.hangup(p)
+		m.hangup(p, s)
 	}
 	if err := m.launch(true); err != nil {
 		return err
@@ -201,14 +225,14 @@
 	second := m.rig.Process(m.name)
 	switch s.Act {
 	case HangupInReplace:
-		m.hangups(s.Gap, p, second)
+		m.hangups(s, p, second)
 	case ReplaceTwice:
 		if err := m.launch(true); err != nil {
 			return err
 		}
-		end(second, m.killTime())
+		end(second)
 	}
-	end(p, m.killTime())
+	end(p)
 	leaving.Wait()
 	return nil
 }
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -61,6 +61,14 @@
 	Act   Act
 	Gap   time.Duration // between the signals of a series
 	Late  time.Duration // for which new connections come after SIGTERM
+	Held  bool          // the process stands still for a moment round each signal
+}
+
+func (s ProcessStep) String() string {
+	if s.Held {
+		return s.Act.String() + " held"
+	}
+	return s.Act.String()
 }
 
 // JointStep is an act on several processes within one moment.
@@ -150,7 +158,8 @@
 
 func (d drawer) step() ProcessStep {
 	return ProcessStep{After: d.between(500*time.Millisecond, 4*time.Second), Act: Act(d.IntN(int(acts))),
-		Gap: d.between(0, 60*time.Millisecond), Late: d.between(200*time.Millisecond, 400*time.Millisecond)}
+		Gap: d.between(0, 60*time.Millisecond), Late: d.between(200*time.Millisecond, 400*time.Millisecond),
+		Held: d.oneIn(3)}
 }
 
 func (d drawer) processSteps(length time.Duration) (steps []ProcessStep) {
@@ -226,12 +235,12 @@
 	for i, steps := range p.Dispatch {
 		fmt.Fprintf(&b, "  %s:", processName(i))
 		for _, s := range steps {
-			fmt.Fprintf(&b, " +%v %v,", s.After.Round(time.Millisecond), s.Act)
+			fmt.Fprintf(&b, " +%v %v,", s.After.Round(time.Millisecond), s)
 		}
 		b.WriteByte('\n')
 	}
 	for _, s := range p.Joint {
-		fmt.Fprintf(&b, "  %v: %v of %v\n", s.At.Round(time.Millisecond), s.Step.Act, s.Processes)
+		fmt.Fprintf(&b, "  %v: %v of %v\n", s.At.Round(time.Millisecond), s.Step, s.Processes)
 	}
 	for _, s := range p.Workers {
 		fmt.Fprintf(&b, "  %v for %v: %s %s\n", s.At.Round(time.Millisecond), s.For.Round(time.Millisecond),
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -70,6 +70,7 @@
 	Seed     uint64         `json:"seed"`
 	Ends     map[string]int `json:"ends"`     // of the requests
 	Statuses map[int]int    `json:"statuses"` // of the answers
+	Door     int            `json:"door"`     // first requests of a connection that nobody read, where no crowd was
 	Attempts int            `json:"attempts"`
 	Lives    int            `json:"lives"`  // processes
 	Killed   int            `json:"killed"` // of these, at the end of their time
@@ -118,8 +119,11 @@
 	}
 	for _, r := range history.Requests {
 		out.Ends[r.End.String()]++
-		if r.End == client.Answered {
+		switch {
+		case r.End == client.Answered:
 			out.Statuses[r.Status]++
+		case r.End == client.Unread && !r.Reused && !r.Crowded:
+			out.Door++
 		}
 	}
 	for _, l := range history.Lives {
@@ -236,8 +240,8 @@
 	for _, m := range i.members {
 		wait.Go(func() {
 			p := i.rig.Process(m.name)
-			m.terminate(p)
-			m.awaitEnd(p, i.killTime())
+			m.terminate(p, ProcessStep{})
+			m.awaitEnd(p)
 		})
 	}
 	wait.Wait()
@@ -279,8 +283,9 @@
 
 // tell tells what a run has shown.
 func (o Outcome) tell(w io.Writer) {
-	fmt.Fprintf(w, "seed %d: %v, statuses %v, %d attempts, %d processes, %d killed at their time's end, stalled %v\n",
-		o.Seed, o.Ends, o.Statuses, o.Attempts, o.Lives, o.Killed, o.Stalled.Round(time.Millisecond))
+	fmt.Fprintf(w, "seed %d: %v, %d at the door, statuses %v, %d attempts, %d processes, %d killed at their end, "+
+		"stalled %v\n",
+		o.Seed, o.Ends, o.Door, o.Statuses, o.Attempts, o.Lives, o.Killed, o.Stalled.Round(time.Millisecond))
 	if o.Fault != "" {
 		fmt.Fprintf(w, "seed %d: COULD NOT BE PLAYED: %s\n", o.Seed, o.Fault)
 	}
@@ -294,14 +299,15 @@
 
 // summary makes the report of all runs.
 func summary(o Options, outcomes []Outcome) *report.Report {
-	r := report.New("soak", o.First, "seed", "requests", "served", "attempts", "processes", "killed", "breaks")
+	r := report.New("soak", o.First, "seed", "requests", "served", "door", "attempts", "processes", "killed",
+		"breaks")
 	faults := 0
 	for _, out := range outcomes {
 		requests := 0
 		for _, n := range out.Ends {
 			requests += n
 		}
-		r.Add(out.Seed, requests, out.Statuses[200], out.Attempts, out.Lives, out.Killed, len(out.Breaks))
+		r.Add(out.Seed, requests, out.Statuses[200], out.Door, out.Attempts, out.Lives, out.Killed, len(out.Breaks))
 		if out.Fault != "" {
 			faults++
 		}
