--- a/cmd/topazfall/restart_test.go
+++ b/cmd/topazfall/restart_test.go
@@ -245,6 +245,20 @@
 	}
 }
 
+// A process is stopped (SIGSTOP) and stays so: the one that is started in its place is ready within the bound all the
+// same. It is not: the kernel gives the address to nobody else while the stopped process lives, and only that process
+// could pass it on. Its successor says "listen ...: address already in use" and waits. Listed in KNOWN-RED.txt.
+func TestReadyWhileThePredecessorStaysStopped(t *testing.T) {
+	list := listener(t)
+	p := launch(t, program.Options{Discovery: list.Address()})
+	_, err := p.AwaitReady(patience)
+	require.NoError(t, err)
+	require.NoError(t, p.Freeze())
+	next := launch(t, program.Options{Dir: p.Dir(), Listen: p.Address(), Discovery: list.Address()})
+	_, err = next.AwaitReady(readyWithin)
+	require.NoError(t, err)
+}
+
 // The address is still another's, who hands nothing over and goes: the process has it at once then. A signal to read
 // the configuration that comes meanwhile does not end it, and is heeded.
 func testReadyOnceTheAddressIsFree(t *testing.T) {
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -115,6 +115,7 @@
 	crowdSize                     = 300
 	plainSockets                  = 1024
 	frozenFor                     = 150 * time.Millisecond
+	thawedFor                     = 100 * time.Millisecond // between two standstills
 )
 
 // drawer draws a plan.
