--- a/internal/decide/refresh/fleet_test.go
+++ b/internal/decide/refresh/fleet_test.go
@@ -286,12 +286,13 @@
 	}
 }
 
-// A discovery that works turns away nine calls in ten for 20 s, by default settings: whoever has not read a drain within
-// the 6 s after which it counts as told sends nothing. It does, for up to half a minute: a refusal is not taken for a
-// sign that discovery could be reached, as one that is down refuses in the same way. On the bench (harbour-north, herd
-// 1301 with 60 dispatchers) all 145 refusals were alike in both times: connected at once, 503 with Connection: close, no
-// Retry-After, no body, after 2.000 s, but for those that waited when discovery went down (0.5 to 1.6 s). What differed
-// is what others got: nobody a list while it was down, 50 a second while it was crowded. Listed in KNOWN-RED.txt.
+// A discovery that works turns away nine calls in ten for 20 s, by default settings: whoever has not read a drain
+// within the 6 s after which it counts as told sends nothing. It does, for up to half a minute: a refusal is not
+// taken for a sign that discovery could be reached, as one that is down refuses in the same way. On the bench
+// (harbour-north, herd 1301 with 60 dispatchers) all 145 refusals were alike in both times: connected at once, 503
+// with Connection: close, no Retry-After, no body, after 2.000 s, but for those that waited when discovery went down
+// (0.5 to 1.6 s). What differed is what others got: nobody a list while it was down, 50 a second while it was
+// crowded. Listed in KNOWN-RED.txt.
 func TestFleetThatIsTurnedAwaySendsToNobodyWhoDrains(t *testing.T) {
 	const long, refusedAfter = 20 * second, 2 * second
 	terms := asked(300)
