Count a link's bytes before they can arrive

Cause: link.pass counted after the write, so that a quick reader finds the old count. It counts before, and takes off what could not be written. TestBytesAreCountedBeforeTheyArrive looks from within the write and fails without the mend.

--- a/internal/lab/link/link.go
+++ b/internal/lab/link/link.go
@@ -344,7 +344,8 @@
 	if p.holed.Load() && !l.now(Forward).cut && !l.now(Backward).cut {
 		return errHole
 	}
+	l.bytes[d].Add(int64(len(piece))) // before anybody can have read them
 	n, err := to.Write(piece)
-	l.bytes[d].Add(int64(n))
+	l.bytes[d].Add(int64(n - len(piece)))
 	return err
 }
--- a/internal/lab/link/link_test.go
+++ b/internal/lab/link/link_test.go
@@ -73,6 +73,27 @@
 	goleak.VerifyNone(t, before)
 }
 
+// witness is a receiver that notes how many bytes are counted when they reach it.
+type witness struct {
+	link    *Link
+	counted int64
+}
+
+func (w *witness) Write(p []byte) (int, error) {
+	w.counted = w.link.Bytes(Forward)
+	return len(p), nil
+}
+
+// Whoever has received bytes finds them counted. They were counted after they had been passed on: once in two runs of
+// CI, beside other packages, TestPassesBothWaysAndCounts read its line before the link had counted it (0 of 6 bytes).
+func TestBytesAreCountedBeforeTheyArrive(t *testing.T) {
+	l := start(t, nil)
+	to := &witness{link: l}
+	require.NoError(t, l.pass(&pair{}, to, []byte("hello\n"), Forward))
+	require.EqualValues(t, 6, to.counted)
+	require.EqualValues(t, 6, l.Bytes(Forward))
+}
+
 func TestDelay(t *testing.T) {
 	l := start(t, nil)
 	c, r := dial(t, l)
