Review: case 3 is now the graver one, requests lost behind workers that hang

Added: review/3, in which slow clients write requests across a replacement of the process while two of four workers hang through it. review/stand: a client that writes in pieces.

--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,59 +1,103 @@
-// Package main plays case 3: the answer to the call that reports a job as lost does not arrive, and the call is made
-// again while the next attempt runs at the same worker.
+// Package main plays case 3: requests that slow clients write across a replacement of the process reach workers that
+// hang through it.
 package main
 
 import (
+	"fmt"
+	"net"
+	"sync"
 	"time"
 
 	"topazfall/review/stand"
 )
 
 const (
-	killedAfter = 200 * time.Millisecond // the first attempt is killed
-	jobTime     = 600 * time.Millisecond
+	connectTimeout = time.Second
+	jobTime        = 500 * time.Millisecond
+	termDelay      = 100 * time.Millisecond  // from the new process's yes to SIGTERM
+	killDelay      = 3700 * time.Millisecond // from SIGTERM: 3 s, as the longest deadline is longer, and 0.7 s
+	pieces         = 4                       // of a request
+	pieceGap       = 900 * time.Millisecond
+	clientTimeout  = 12 * time.Second
+	graceTime      = 550 * time.Millisecond // after the client's time: an answer earns nothing, and is none lost
+	numWorkers     = 4
+	numHanging     = 2 // "a quarter to a half of the workers"
+	numClients     = 4
 )
 
 func main() { stand.Main(play) }
 
 func play(c *stand.Case) error {
-	job := func(_ string, number int) stand.Job {
-		if number == 0 {
-			return stand.Job{Duration: killedAfter, EndState: "lost"}
+	job := func(string, int) stand.Job { return stand.Job{Duration: jobTime} }
+	var workers []*stand.Worker
+	for i := range numWorkers {
+		w, err := c.AddWorker(fmt.Sprintf("s-%d", i), "up", job)
+		if err != nil {
+			return err
 		}
-		return stand.Job{Duration: jobTime}
+		workers = append(workers, w)
 	}
-	worker, err := c.AddWorker("s-1", "up", job)
+	old, err := c.Start("", stand.SmallSite)
 	if err != nil {
 		return err
 	}
-	if _, err := c.AddWorker("s-2", "draining", job); err != nil {
-		return err
+	var conns []net.Conn
+	for i := range numClients { // each has its connection, and has had an answer on it
+		conn, err := net.DialTimeout("tcp", old.Address(), connectTimeout)
+		if err != nil {
+			return err
+		}
+		defer conn.Close()
+		if first := stand.SendOn(conn, request("a", i), c.Record); first.Status != 200 {
+			return fmt.Errorf("request %s was answered with %d", first.ID, first.Status)
+		}
+		conns = append(conns, conn)
 	}
-	p, err := c.Start("", stand.SmallSite)
-	if err != nil {
+	replies := make([]stand.Reply, numClients)
+	var clients sync.WaitGroup
+	for i, conn := range conns {
+		clients.Go(func() { replies[i] = stand.SendSlowly(conn, request("b", i), pieces, pieceGap, c.Record) })
+	}
+	time.Sleep(termDelay)
+	if _, err := c.Start(old.Address(), stand.SmallSite); err != nil {
 		return err
 	}
-	proxy, err := stand.StartProxy(p.Address(), c.Record)
-	if err != nil {
+	for _, w := range workers[:numHanging] {
+		w.SetHanging(c.Trouble)
+	}
+	time.Sleep(termDelay)
+	c.Record.Add("SIGTERM to the old process")
+	term := time.Now()
+	if err := old.Terminate(); err != nil {
 		return err
 	}
-	defer proxy.Close()
-	worker.SetCallbacks(proxy.Address())
-	if c.Trouble {
-		proxy.LoseAnswer(`"lost"`)
-	}
-	reply := stand.Send(p.Address(), stand.Request{ID: "0d", Class: "lookup", Tenant: "delta-mobile",
-		Timeout: 5 * time.Second, Cost: jobTime, Body: "lookup"}, c.Record)
-	time.Sleep(2 * jobTime)
-	attempts := c.Attempts(reply.ID)
-	c.Record.Print("client: %d %q; attempts: %d", reply.Status, reply.Body, len(attempts))
-	for i, later := range attempts {
-		for k, earlier := range attempts[:i] {
-			if earlier.Worker == later.Worker && !earlier.IsOver(later.Arrived) {
-				c.Break("attempt %d came to %s while attempt %d had neither ended nor been given up", i, later.Worker,
-					k)
-			}
-		}
+	if old.Wait(killDelay) != nil {
+		c.Record.Add("SIGKILL to the old process")
+		old.Kill()
+	}
+	clients.Wait()
+	for _, r := range replies {
+		judge(c, r, term)
 	}
 	return nil
 }
+
+func request(prefix string, i int) stand.Request {
+	return stand.Request{ID: fmt.Sprintf("%s%d", prefix, i), Class: "dispute-extract", Tenant: "delta-mobile",
+		Timeout: clientTimeout, Cost: jobTime, Body: "a dispute"}
+}
+
+// judge checks that a request whose last byte was written has its final answer, in time. One that the kill finds
+// unanswered is excused if it came within 0.7 s after SIGTERM, and none did.
+func judge(c *stand.Case, r stand.Reply, term time.Time) {
+	c.Record.Print("%s: whole %v after SIGTERM, answered %d %q %v later, error %v", r.ID,
+		r.Sent.Sub(term).Round(time.Millisecond), r.Status, r.Body, r.Ended.Sub(r.Sent).Round(time.Millisecond), r.Err)
+	switch {
+	case r.Unsent:
+		c.Record.Print("%s: not written whole", r.ID)
+	case r.Status == 0:
+		c.Break("%s was read whole, and its connection ended with no answer", r.ID)
+	case r.Ended.Sub(r.Sent) > clientTimeout+graceTime:
+		c.Break("%s was answered too late", r.ID)
+	}
+}
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -25,6 +25,7 @@
 	Sent   time.Time // after its last byte
 	Ended  time.Time
 	Err    error
+	Unsent bool // its last byte could not be written
 }
 
 // Encode returns the request's bytes.
@@ -51,11 +52,19 @@
 }
 
 // SendOn hands a request in on a connection and waits for the answer, for a second beyond its timeout.
-func SendOn(conn net.Conn, q Request, record *Record) Reply {
-	r := Reply{Request: q}
-	_, r.Err = conn.Write(q.Encode())
-	r.Sent = time.Now()
-	record.Add("client: sent %s, class %s, timeout %v", q.ID, q.Class, q.Timeout)
+func SendOn(conn net.Conn, q Request, record *Record) Reply { return SendSlowly(conn, q, 1, 0, record) }
+
+// SendSlowly is SendOn for a client that writes a request in several pieces, with a pause between two of them.
+func SendSlowly(conn net.Conn, q Request, pieces int, pause time.Duration, record *Record) Reply {
+	r, text := Reply{Request: q}, q.Encode()
+	for i := 0; i < pieces && r.Err == nil; i++ {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		_, r.Err = conn.Write(text[i*len(text)/pieces : (i+1)*len(text)/pieces])
+		record.Add("client: sent piece %d of %d of %s, class %s, timeout %v", i+1, pieces, q.ID, q.Class, q.Timeout)
+	}
+	r.Sent, r.Unsent = time.Now(), r.Err != nil
 	if r.Err == nil {
 		conn.SetReadDeadline(r.Sent.Add(q.Timeout + time.Second))
 		r.Err = readAnswer(conn, &r)
