--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -1,5 +1,5 @@
-// Package stand holds the stand-ins of the review's cases: workers, clients, and a proxy that loses answers. They speak
-// the protocol of the platform's pages on loopback addresses.
+// Package stand holds the stand-ins of the review's cases, workers and clients, and the frame of a case. They speak the
+// protocol of the platform's pages on loopback addresses.
 package stand
 
 import (
