--- a/review/stand/case.go
+++ b/review/stand/case.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -82,7 +83,7 @@
 func (c *Case) close(err error) int {
 	for i, p := range c.processes {
 		p.Kill()
-		c.Record.Add("log of process %d:\n%s", i, p.Log())
+		c.Record.Add("log of process %d:\n%s", i, strings.ReplaceAll(p.Log(), c.dir, "$TMPDIR"))
 	}
 	for _, w := range c.workers {
 		w.Close()
