Review: case 1 checks the rule as written

Need: each check is the rule with its bounds and excuses.

The frame of a case: ending a process, waiting for attempts, whose result an answer is.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"time"
 
@@ -14,7 +15,6 @@
 	jobTime        = 1500 * time.Millisecond
 	termDelay      = 100 * time.Millisecond // from the new process's yes to SIGTERM
 	settleTime     = 50 * time.Millisecond  // at least, from the bad client's request to SIGTERM, on a slow machine
-	arrivalLimit   = 2 * time.Second        // for the good client's request to reach a worker
 	killDelay      = 3700 * time.Millisecond
 )
 
@@ -37,9 +37,8 @@
 		return err
 	}
 	defer conn.Close()
-	first := stand.SendOn(conn, request("0a", "first of the good client"), c.Record)
-	if first.Status != 200 {
-		c.Record.Print("the first request was not served")
+	if first := stand.SendOn(conn, request("0a", "first of the good client"), c.Record); first.Status != 200 {
+		return fmt.Errorf("the first request was answered with %d", first.Status)
 	}
 	if c.Trouble { // from the yes on the new process accepts all connections; the old one keeps those that it has
 		if _, err := c.Start(old.Address(), stand.SmallSite); err != nil {
@@ -49,20 +48,15 @@
 	ready := time.Now()
 	good, bad := make(chan stand.Reply, 1), make(chan stand.Reply, 1)
 	go func() { good <- stand.SendOn(conn, request("0b", "of the good client"), c.Record) }()
-	for time.Since(ready) < arrivalLimit && len(c.Attempts("0b")) == 0 {
-		time.Sleep(time.Millisecond)
+	if !c.AwaitAttempts("0b", 1) {
+		return fmt.Errorf("the good client's job has not reached a worker")
 	}
 	go func() { bad <- stand.Send(old.Address(), request("0b", "of the bad client"), c.Record) }()
 	time.Sleep(max(time.Until(ready.Add(termDelay)), settleTime))
 	if c.Trouble {
-		c.Record.Add("SIGTERM to the old process")
-		if err := old.Terminate(); err != nil {
+		if _, err := c.Terminate(old, killDelay); err != nil {
 			return err
 		}
-		if old.Wait(killDelay) != nil {
-			c.Record.Add("SIGKILL to the old process")
-			old.Kill()
-		}
 	}
 	judge(c, <-good, <-bad)
 	return nil
@@ -73,15 +67,21 @@
 		Cost: jobTime, Body: body}
 }
 
-// judge checks what clients and workers have seen: the bad client is owed an error, and the job must not run twice.
+// judge checks what clients and workers have seen. Rule lost: the bad client must not be served. Rule duplicate: no
+// attempt comes to a worker at which an earlier one of this id has neither ended nor been given up.
 func judge(c *stand.Case, good, bad stand.Reply) {
 	attempts := c.Attempts(good.ID)
 	c.Record.Print("good client: %d %q; bad client: %d %q; attempts: %d", good.Status, good.Body, bad.Status, bad.Body,
 		len(attempts))
 	if bad.Status == 200 {
-		c.Break("the bad client was served with %q in place of an error", bad.Body)
+		c.Break("lost: the bad client was served with %q in place of an error", bad.Body)
 	}
-	for i, a := range attempts[min(1, len(attempts)):] {
-		c.Break("attempt %d of the open request, at %s, which runs for another client: %q", i+1, a.Worker, a.Body)
+	for i, later := range attempts {
+		for _, earlier := range attempts[:i] {
+			if earlier.Worker == later.Worker && !earlier.IsOver(later.Arrived) {
+				c.Break("duplicate: %s got %q under the open request's id, while %q runs there", later.Worker,
+					later.Body, earlier.Body)
+			}
+		}
 	}
 }
--- a/review/stand/case.go
+++ b/review/stand/case.go
@@ -137,6 +137,46 @@
 	return p, nil
 }
 
+// Terminate sends SIGTERM to a process, and SIGKILL after killDelay if it still runs. It returns when the process has
+// ended, with the time of SIGTERM.
+func (c *Case) Terminate(p *program.Process, killDelay time.Duration) (at time.Time, err error) {
+	c.Record.Add("SIGTERM to the old process")
+	at = time.Now()
+	if err := p.Terminate(); err != nil {
+		return at, err
+	}
+	if p.Wait(killDelay) != nil {
+		c.Record.Add("SIGKILL to the old process")
+		p.Kill()
+	}
+	return at, nil
+}
+
+// arrivalLimit limits AwaitAttempts.
+const arrivalLimit = 2 * time.Second
+
+// AwaitAttempts waits until workers have so many attempts of a request, and reports whether they have.
+func (c *Case) AwaitAttempts(id string, count int) bool {
+	for end := time.Now().Add(arrivalLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if len(c.Attempts(id)) >= count {
+			return true
+		}
+	}
+	return false
+}
+
+// IsResult reports whether a worker has made this result for a request.
+func (c *Case) IsResult(id, body string) bool {
+	for _, w := range c.workers {
+		for _, a := range w.Attempts() {
+			if a.ID == id && w.Result(&a) == body {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Attempts returns the attempts of a request at all workers, in the order of their arrival.
 func (c *Case) Attempts(id string) (list []Attempt) {
 	for _, w := range c.workers {
