Claim the ids of messages at the process that is being replaced

Cause: the two processes decided alone which ids are in hand. The successor had the ids of the predecessor as of its hello, and again at SIGTERM; those that the predecessor admitted between the two were unknown to it, and its own were unknown to the predecessor for good.

Change: the oldest process decides. A successor claims each id there before it passes a message to the module, over the questions of the link, and the predecessor reports the ids that it admits from before the successor admits any. In a row of processes the claim goes on to the first. A predecessor of an older version answers a claim with no; an older successor reads the reports, which are frames that it knows.

Ruled out: reports alone, in both directions. They leave the time that a report is on its way. The forwarding of callbacks is not at fault: it finds the right message where ids are unique.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -60,14 +60,17 @@
 	listOps  chan func()
 	ops      chan func()
 	inFlight atomic.Int64
+	claim    atomic.Pointer[ClaimID] // nil if this process alone decides which ids are taken
+	idsAdded chan struct{}
 	metrics  *metrics.Metrics
 
 	// The fields below belong to the dispatch goroutine.
 	lastNumber    uint64
 	byID          map[string]*exchange.Exchange
 	byNumber      map[uint64]*exchange.Exchange
-	knownIDs      map[string]bool     // recent message ids, in flight or not
-	recentIDs     [maxKnownIDs]string // the same ids as a ring, by number
+	knownIDs      map[string]uint64             // the last number of each recent message id, in flight or not
+	recentIDs     [maxKnownIDs]knownID          // the same ids as a ring, by number
+	claiming      map[string]*exchange.Exchange // by id: messages that are admitted if their id is not taken
 	hosts         map[string]*exchange.Host
 	listedWorkers map[string]topazfall.Worker // as discovery reported them
 	onHold        bool                        // the list is too old to use; see SetHold
@@ -89,7 +92,8 @@
 	return &Core{Clock: NewClock(), balancer: balancer, settings: settings, classes: settings.Classes,
 		tenants: settings.Tenants, ops: make(chan func(), 1024), listOps: make(chan func(), 16), metrics: counters,
 		byID: map[string]*exchange.Exchange{}, byNumber: map[uint64]*exchange.Exchange{},
-		knownIDs: map[string]bool{}, hosts: map[string]*exchange.Host{},
+		knownIDs: map[string]uint64{}, claiming: map[string]*exchange.Exchange{},
+		idsAdded: make(chan struct{}, 1), hosts: map[string]*exchange.Host{},
 		listedWorkers: map[string]topazfall.Worker{}, claims: addresses.NewClaims()}, nil
 }
 
@@ -153,9 +157,6 @@
 // InFlight returns the number of messages without a final answer plus the number of relays that have not ended.
 func (c *Core) InFlight() int64 { return c.inFlight.Load() }
 
-// maxKnownIDs is the number of message ids that are kept: some minutes of them on a busy day, in a few hundred kB.
-const maxKnownIDs = 4096
-
 // Submit accepts a message. It gets exactly one final answer. Each message needs a new id: a message with a known id is
 // rejected as a duplicate, because a callback could not tell the two messages apart. Ids stay known for a while after
 // their message has ended, because hosts may still send callbacks for it and must not be asked to run it again.
@@ -167,19 +168,18 @@
 			c.finish(x, exchange.Answer{Result: exchange.Failed})
 			return
 		}
-		if c.knownIDs[x.ID] || c.byID[x.ID] != nil {
-			c.finish(x, exchange.Answer{Result: exchange.Duplicate})
-			return
-		}
-		c.addKnownID(x.ID)
-		x.Number = c.lastNumber
-		c.applyClass(x)
-		c.byID[x.ID], c.byNumber[x.Number] = x, x
-		c.queueEvent(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
-			Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry})
+		c.admitWithID(x)
 	}
 }
 
+// admit passes a message with a new id to the module.
+func (c *Core) admit(x *exchange.Exchange) {
+	c.applyClass(x)
+	c.byID[x.ID], c.byNumber[x.Number] = x, x
+	c.queueEvent(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
+		Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry})
+}
+
 // ClientDisconnected reports that the client of a message has closed its connection.
 func (c *Core) ClientDisconnected(x *exchange.Exchange) {
 	x.MarkDisconnected()
@@ -470,7 +470,7 @@
 
 // removeIfDone drops an exchange that has its final answer and no open relay.
 func (c *Core) removeIfDone(x *exchange.Exchange) {
-	if x == nil || !x.IsFinished() {
+	if x == nil || !x.IsFinished() || c.byNumber[x.Number] != x {
 		return
 	}
 	for _, r := range x.Relays {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -363,7 +363,7 @@
 	}
 	c.Sync()
 	require.Len(t, c.knownIDs, maxKnownIDs)
-	require.False(t, c.knownIDs["1"])
+	require.False(t, c.isKnownID("1"))
 	require.Empty(t, s.sent)
 }
 
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -21,15 +21,11 @@
 func (c *Core) HandoverState() HandoverState {
 	result := make(chan HandoverState, 1)
 	c.ops <- func() {
-		state := HandoverState{Memory: c.balancer.Memory()}
-		for i := range uint64(maxKnownIDs) {
-			if id := c.recentIDs[(c.lastNumber+1+i)%maxKnownIDs]; id != "" {
-				state.Known = append(state.Known, id)
-			}
-		}
-		result <- state
+		result <- HandoverState{Memory: c.balancer.Memory()}
 	}
-	return <-result
+	state := <-result
+	state.Known, _ = c.KnownIDsAfter(0)
+	return state
 }
 
 // RestoreState continues with the state of a predecessor. The list of workers that it refers to must have been applied
@@ -117,13 +113,13 @@
 		if x.Tenant >= 0 { // the index is the other process's
 			x.Tenant = slices.IndexFunc(c.tenants, func(t topazfall.Tenant) bool { return t.Name == message.Of })
 		}
+		c.endClaim(x.ID, c.claiming[x.ID], true)
 		if c.byID[x.ID] != nil {
 			slog.Warn("moved", "id", x.ID, "error", "already in flight")
 			c.finish(x, exchange.Answer{Result: exchange.Failed})
 			return
 		}
-		c.addKnownID(x.ID)
-		x.Number = c.lastNumber
+		x.Number = c.addKnownID(knownID{id: x.ID})
 		c.byID[x.ID], c.byNumber[x.Number] = x, x
 		for _, saved := range message.Relays {
 			h := c.hosts[saved.Host]
@@ -150,24 +146,6 @@
 	return x
 }
 
-// AddKnownIDs adds the known message ids of another process.
-func (c *Core) AddKnownIDs(ids []string) {
-	c.ops <- func() {
-		for _, id := range ids {
-			if !c.knownIDs[id] {
-				c.addKnownID(id)
-			}
-		}
-	}
-}
-
-func (c *Core) addKnownID(id string) {
-	c.lastNumber++
-	oldest := &c.recentIDs[c.lastNumber%maxKnownIDs]
-	delete(c.knownIDs, *oldest)
-	*oldest, c.knownIDs[id] = id, true
-}
-
 // SetReplaced sets whether a successor accepts the new messages.
 func (c *Core) SetReplaced(replaced bool) {
 	c.ops <- func() {
--- /dev/null
+++ b/internal/dispatch/ids.go
@@ -0,0 +1,140 @@
+package dispatch
+
+// The ids of messages. An id that is known must not be used again: hosts (workers) may still run the job of that id,
+// and a callback could not tell two messages apart. While one process replaces another, both admit messages, and the
+// ids of both count. The oldest of the processes then decides: its successor claims each id there before it admits a
+// message, and is informed of the ids that became known otherwise.
+
+import "topazfall/internal/exchange"
+
+// maxKnownIDs is the number of message ids that are kept: some minutes of them on a busy day, in a few hundred kB.
+const maxKnownIDs = 4096
+
+// knownID is an id in the ring of the known ones.
+type knownID struct {
+	id          string
+	ofSuccessor bool // the present successor has claimed it
+}
+
+// ClaimID claims an id at another process and reports whether it is taken there. It may block.
+type ClaimID func(id string) (taken bool)
+
+// SetClaim sets where the ids of messages are claimed before the messages are admitted. It is nil if this process alone
+// decides.
+func (c *Core) SetClaim(claim ClaimID) {
+	if claim == nil {
+		c.claim.Store(nil)
+		return
+	}
+	c.claim.Store(&claim)
+}
+
+// admitWithID admits a message unless its id is known here or taken in the process where ids are claimed.
+func (c *Core) admitWithID(x *exchange.Exchange) {
+	if c.isKnownID(x.ID) {
+		c.finish(x, exchange.Answer{Result: exchange.Duplicate})
+		return
+	}
+	x.Number = c.addKnownID(knownID{id: x.ID})
+	claim := c.claim.Load()
+	if claim == nil {
+		c.admit(x)
+		return
+	}
+	c.claiming[x.ID] = x
+	go func() {
+		taken := (*claim)(x.ID)
+		c.ops <- func() { c.endClaim(x.ID, x, taken) }
+	}()
+}
+
+// endClaim continues with a message whose id has been claimed. It does nothing if the claim has ended before.
+func (c *Core) endClaim(id string, x *exchange.Exchange, taken bool) {
+	if x == nil || c.claiming[id] != x {
+		return
+	}
+	delete(c.claiming, id)
+	switch {
+	case x.IsFinished(): // the client has disconnected
+	case taken:
+		c.finish(x, exchange.Answer{Result: exchange.Duplicate})
+	default:
+		c.admit(x)
+	}
+}
+
+// ClaimForSuccessor claims an id for a message that the successor is about to admit, and reports whether it is taken.
+func (c *Core) ClaimForSuccessor(id string) (taken bool) {
+	result := make(chan bool, 1)
+	c.ops <- func() {
+		known := c.isKnownID(id)
+		if !known {
+			c.addKnownID(knownID{id: id, ofSuccessor: true})
+		}
+		result <- known
+	}
+	return <-result
+}
+
+// ReleaseClaims forgets which ids a successor has claimed, because it has ended. The ids stay known: hosts may run its
+// jobs.
+func (c *Core) ReleaseClaims() {
+	c.ops <- func() {
+		for i := range c.recentIDs {
+			c.recentIDs[i].ofSuccessor = false
+		}
+	}
+}
+
+// AddKnownIDs adds the known message ids of another process. A message here that is only about to be admitted with one
+// of them comes too late.
+func (c *Core) AddKnownIDs(ids []string) {
+	c.ops <- func() {
+		for _, id := range ids {
+			c.endClaim(id, c.claiming[id], true)
+			if !c.isKnownID(id) {
+				c.addKnownID(knownID{id: id})
+			}
+		}
+	}
+}
+
+// KnownIDsAfter returns the ids that have become known after the given position, the oldest first, and the position of
+// the last one. The first position is 0. Ids that the successor has claimed are left out.
+func (c *Core) KnownIDsAfter(position uint64) (ids []string, last uint64) {
+	done := make(chan struct{})
+	c.ops <- func() {
+		defer close(done)
+		last = c.lastNumber
+		if last > maxKnownIDs {
+			position = max(position, last-maxKnownIDs)
+		}
+		for number := position + 1; number <= last; number++ {
+			if known := c.recentIDs[number%maxKnownIDs]; !known.ofSuccessor {
+				ids = append(ids, known.id)
+			}
+		}
+	}
+	<-done
+	return ids, last
+}
+
+// IDsAdded returns a channel that receives a value after an id has become known. Several ids may share one value.
+func (c *Core) IDsAdded() <-chan struct{} { return c.idsAdded }
+
+func (c *Core) isKnownID(id string) bool { return c.knownIDs[id] != 0 }
+
+// addKnownID adds an id, forgets the oldest one, and returns the number of the new one.
+func (c *Core) addKnownID(known knownID) uint64 {
+	c.lastNumber++
+	place := &c.recentIDs[c.lastNumber%maxKnownIDs]
+	if c.knownIDs[place.id]+maxKnownIDs == c.lastNumber { // the id has not become known again since
+		delete(c.knownIDs, place.id)
+	}
+	*place, c.knownIDs[known.id] = known, c.lastNumber
+	select {
+	case c.idsAdded <- struct{}{}:
+	default:
+	}
+	return c.lastNumber
+}
--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -39,6 +39,7 @@
 	predecessorLimits heldLimits
 	successor         *takeover.Link    // nil if there is none
 	successorReady    bool              // the successor accepts connections
+	ids               *idReporter       // for the successor; nil if there is none
 	successorListener *net.UnixListener // at socketPath
 	maxWait           time.Duration     // the longest wait of a client under any settings so far
 	successorSince    time.Time         // when the successor connected
@@ -81,6 +82,7 @@
 	h.predecessorLimits = heldLimits{Conns: serverLimits.MaxConns / 2, Share: 0.5}
 	h.updateLimits()
 	h.mu.Unlock()
+	h.core.SetClaim(h.claimID)
 	limitsKnown, linkClosed := make(chan struct{}), make(chan struct{})
 	setLimitsKnown := sync.OnceFunc(func() { close(limitsKnown) })
 	go func() {
@@ -92,6 +94,7 @@
 		h.predecessor, h.predecessorLimits = nil, heldLimits{}
 		h.updateLimits()
 		h.mu.Unlock()
+		h.core.SetClaim(nil)
 	}()
 	predecessor.Send(frameReady, nil, nil)
 	select {
@@ -217,12 +220,14 @@
 	state := handoverState{h.watch.HandoverState(), h.core.HandoverState(), h.transport.HandoverState()}
 	err := link.Send(frameState, encode(state), h.listener.(syscall.Conn))
 	if err == nil {
-		err = link.Run(h.handleSuccessorFrame, func(body []byte) bool { return h.answerCallback(body, link) })
+		err = link.Run(h.handleSuccessorFrame, func(body []byte) bool { return h.answerSuccessor(body, link) })
 	}
 	slog.Info("takeover", "young", "gone", "reason", err)
+	h.core.ReleaseClaims()
 	h.mu.Lock()
 	wasReady, successorListener := h.successorReady, h.successorListener
-	h.successor, h.successorReady = nil, false
+	close(h.ids.gone)
+	h.successor, h.successorReady, h.ids = nil, false, nil
 	h.updateLimits()
 	h.mu.Unlock()
 	if !wasReady {
@@ -247,6 +252,7 @@
 		return false
 	}
 	h.successor, h.successorSince = link, time.Now()
+	h.ids = &idReporter{core: h.core, link: link, gone: make(chan struct{})}
 	h.updateLimits()
 	return true
 }
@@ -259,10 +265,12 @@
 		return
 	}
 	h.mu.Lock()
-	link := h.successor
+	link, ids := h.successor, h.ids
 	h.successorReady = true
 	h.mu.Unlock()
 	h.core.SetReplaced(true)
+	ids.report() // before the limits, after which the successor admits messages
+	go ids.run()
 	_, serverLimits := deriveLimits(h.config)
 	h.server.PauseAccepting(serverLimits.MaxConns / 2)
 	h.mu.Lock()
--- a/internal/instance/handover_test.go
+++ b/internal/instance/handover_test.go
@@ -139,14 +139,19 @@
 	require.False(t, isServing(path))
 }
 
+// testSettings returns settings with one class.
+func testSettings() topazfall.Settings {
+	return topazfall.Settings{Dispatchers: 1, Tick: 4000,
+		Classes: []topazfall.Class{{Name: "job", Deadline: 1e6, Aim: 1e6}},
+		Allowed: topazfall.Allowed{Attempts: 4, DialTimeout: 250e3}}
+}
+
 // The predecessor's last connection closes: this process may use its place then.
 func TestPredecessorReportsNoConnections(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
-	s := topazfall.Settings{Dispatchers: 1, Tick: 4000,
-		Classes: []topazfall.Class{{Name: "job", Deadline: 1e6, Aim: 1e6}},
-		Allowed: topazfall.Allowed{Attempts: 4, DialTimeout: 250e3}}
+	s := testSettings()
 	counters := &metrics.Metrics{}
 	core, err := dispatch.New(s, counters)
 	require.NoError(t, err)
--- /dev/null
+++ b/internal/instance/ids_test.go
@@ -0,0 +1,93 @@
+package instance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"topazfall/internal/dispatch"
+	"topazfall/internal/metrics"
+	"topazfall/internal/takeover"
+	"topazfall/internal/upstream"
+)
+
+// linkPair returns both ends of a link.
+func linkPair(t *testing.T) (predecessor, successor *takeover.Link) {
+	path := t.TempDir() + "/s"
+	ln, err := takeover.Listen(path)
+	require.NoError(t, err)
+	defer ln.Close()
+	successor, err = takeover.Dial(path)
+	require.NoError(t, err)
+	conn, err := ln.AcceptUnix()
+	require.NoError(t, err)
+	predecessor = takeover.NewLink(conn)
+	t.Cleanup(func() { predecessor.Close(); successor.Close() })
+	return predecessor, successor
+}
+
+// startCore returns a running core without hosts.
+func startCore(t *testing.T) (*dispatch.Core, *upstream.Transport) {
+	settings := testSettings()
+	counters := &metrics.Metrics{}
+	core, err := dispatch.New(settings, counters)
+	require.NoError(t, err)
+	transport := upstream.New(core, upstream.Options{MaxConns: 1, Metrics: counters})
+	go core.Run(transport, nil)
+	return core, transport
+}
+
+// A process of the version before ids were claimed answers a claim with no, as it does with any question that it cannot
+// read as a callback: it must not take the claim for one, nor close the link.
+func TestOlderPredecessorAnswersClaims(t *testing.T) {
+	core, transport := startCore(t)
+	_, err := transport.HandleCallback(encodeClaim("one"))
+	require.Error(t, err)
+	older, link := linkPair(t)
+	go older.Run(func(takeover.Frame) {}, func(question []byte) bool {
+		handled, err := transport.HandleCallback(question)
+		return err == nil && handled
+	})
+	go link.Run(func(takeover.Frame) {}, func([]byte) bool { return false })
+	h := &handover{core: core, predecessor: link}
+	require.False(t, h.claimID("one"))
+	require.False(t, h.claimID("one"), "the link is still open")
+}
+
+// The ids that a process admits while its successor runs reach the successor in order, each once.
+func TestNewIDsAreReported(t *testing.T) {
+	core, _ := startCore(t)
+	link, successor := linkPair(t)
+	reporter := &idReporter{core: core, link: link, gone: make(chan struct{})}
+	core.AddKnownIDs([]string{"one"})
+	reporter.report()
+	go reporter.run()
+	defer close(reporter.gone)
+	receive := func() (ids []string) {
+		successor.SetReadDeadline(time.Now().Add(testTimeout))
+		frame, err := successor.ReadFrame()
+		require.NoError(t, err)
+		require.Equal(t, frameKnownIDs, frame.Kind)
+		require.NoError(t, decode(frame.Body, &ids))
+		return ids
+	}
+	require.Equal(t, []string{"one"}, receive())
+	require.False(t, core.ClaimForSuccessor("claimed"))
+	core.AddKnownIDs([]string{"two", "three"})
+	require.Equal(t, []string{"two", "three"}, receive())
+	core.AddKnownIDs([]string{"four"})
+	require.Equal(t, []string{"four"}, receive())
+}
+
+// A predecessor that hangs answers no claim. Messages wait for it for a limited time.
+func TestClaimAtHangingPredecessor(t *testing.T) {
+	core, _ := startCore(t)
+	_, link := linkPair(t)
+	go link.Run(func(takeover.Frame) {}, func([]byte) bool { return false })
+	h := &handover{core: core, predecessor: link}
+	asked := time.Now()
+	require.False(t, h.claimID("one"))
+	require.GreaterOrEqual(t, time.Since(asked), claimTimeout)
+	require.False(t, (&handover{core: core}).claimID("one"), "no predecessor")
+}
--- a/internal/instance/leaving.go
+++ b/internal/instance/leaving.go
@@ -44,6 +44,7 @@
 		predecessor, successor := h.linkState()
 		l.advance(since, successor)
 		if l.isDone(since, predecessor) {
+			l.reportIDs()
 			return
 		}
 		time.Sleep(leavePollInterval)
@@ -90,7 +91,7 @@
 	if !ready {
 		return false
 	}
-	link.Send(frameKnownIDs, encode(h.core.HandoverState().Known), nil)
+	h.reportIDs()
 	h.server.StartHandover(func(conn frontend.HandoverConn) error {
 		return link.Send(frameConnection, encode(handoverConnection{conn.Proven, conn.Client, conn.More, conn.Begun}),
 			conn.Conn)
@@ -98,6 +99,16 @@
 	return true
 }
 
+// reportIDs informs the successor, if there is one, of the ids that it does not know yet.
+func (h *handover) reportIDs() {
+	h.mu.Lock()
+	ids, ready := h.ids, h.successorReady
+	h.mu.Unlock()
+	if ready {
+		ids.report()
+	}
+}
+
 // recordDeadlines updates the longest wait of clients for new settings: the longest deadline of any class so far, and
 // at least 3 s, as a process has that time before it is killed in any case.
 func (h *handover) recordDeadlines(settings *topazfall.Settings) {
--- a/internal/instance/transfer.go
+++ b/internal/instance/transfer.go
@@ -17,7 +17,7 @@
 	frameState      byte = 's' // a handoverState, sent with the listening descriptor
 	frameReady      byte = 'r' // from the successor: it accepts connections from now on
 	frameLimits     byte = 'k' // a heldLimits: what the predecessor still uses of the limits
-	frameKnownIDs   byte = 'i' // the known message ids, sent again when the predecessor starts to leave
+	frameKnownIDs   byte = 'i' // message ids that became known in the predecessor
 	frameConnection byte = 'c' // a handoverConnection, sent with the connection's descriptor
 )
 
