Hand messages over unsent from a process that leaves, and cancel in time

Cause: the leaving process sent what it read itself, and a message can be handed over only when its worker has accepted it. Unanswered attempts were cancelled once, 3.2 s after SIGTERM, if 1 s old by then. An attempt made later was never cancelled.

Change: the module of a process whose successor continues its requests holds those without an outstanding attempt (Leaving), first attempts and retries, and they are handed over at once. What is out already is cancelled from 0.5 s before the earliest kill on, at any age from 0.3 s before it.

Ruled out: more frequent cancelling alone. It would fail jobs that must not run twice at workers that are only slow, though the successor has the time to wait for them. The successor's side is not at fault: it continues a message without attempts as any other, also in the version before.

--- a/balancer.go
+++ b/balancer.go
@@ -81,7 +81,7 @@
 		b.handleTimer(e.Token)
 	case ListPatch, ListSnapshot, ListRestored, ListFailed:
 		b.handleList(e)
-	case HandedOver, Resumed, Replaced, NewSettings:
+	case HandedOver, Resumed, Replaced, Leaving, NewSettings:
 		b.handleSuccession(e)
 	}
 	return b.actions
@@ -105,7 +105,7 @@
 func (b *Balancer) handleArrival(e *Event) {
 	switch r := b.openRequest(e); {
 	case r == nil:
-	case r.class.Repeat == Unsafe && b.probeBuddies(int64(b.jobTime)):
+	case r.class.Repeat == Unsafe && !b.isLeaving && b.probeBuddies(int64(b.jobTime)):
 		// The choice of a worker for an unsafe job is final, so it waits for fresh load reports.
 		b.scheduleRecheck(r, float64(b.settings.Tick))
 	default:
@@ -153,8 +153,13 @@
 }
 
 // dispatch sends a request that has no outstanding attempt, rejects it, or holds it for a moment if no
-// worker may take it. A held request always has a timer, so that its answer comes in time.
+// worker may take it or the successor is about to continue it. A held request always has a timer, so that
+// its answer comes in time.
 func (b *Balancer) dispatch(r *request) {
+	if b.isLeaving && b.finalReason(r) == NotRejected {
+		b.scheduleRecheck(r, 4*b.startLag)
+		return
+	}
 	w := b.chooseWorker(r)
 	reason := b.rejectReason(r, w)
 	switch {
@@ -169,6 +174,21 @@
 
 // rejectReason returns why a request is rejected rather than sent to w, or held if w is nil.
 func (b *Balancer) rejectReason(r *request, w *worker) RejectReason {
+	reason := b.finalReason(r)
+	switch {
+	case reason != NotRejected:
+		return reason
+	case w == nil:
+		return b.reasonNotToHold(r)
+	case b.mayRefuse(r):
+		return b.shedReason(r, w)
+	default:
+		return NotRejected
+	}
+}
+
+// finalReason returns why no worker may get a request any more.
+func (b *Balancer) finalReason(r *request) RejectReason {
 	switch {
 	case b.now >= r.due:
 		return DeadlinePassed
@@ -176,10 +196,6 @@
 		return AttemptsExhausted
 	case b.isBarred(r, nil):
 		return RepeatForbidden
-	case w == nil:
-		return b.reasonNotToHold(r)
-	case b.mayRefuse(r):
-		return b.shedReason(r, w)
 	default:
 		return NotRejected
 	}
--- a/cmd/topazfall/script_test.go
+++ b/cmd/topazfall/script_test.go
@@ -114,8 +114,10 @@
 	managementAddr string
 	program        *exec.Cmd
 	predecessor    *exec.Cmd // the process that program has replaced
-	environment    []string  // of the program
-	config         string    // path of the program's configuration
+
+	predecessorManagementAddr string
+	environment               []string // of the program
+	config                    string   // path of the program's configuration
 }
 
 var (
@@ -258,8 +260,11 @@
 }
 
 // getManagement gets a path of the management address and returns the raw answer, or "" if it cannot connect.
-func (p *scriptRunner) getManagement(path string) string {
-	c, err := net.Dial("tcp", p.managementAddr)
+func (p *scriptRunner) getManagement(path string) string { return getRaw(p.managementAddr, path) }
+
+// getRaw gets a path of an address and returns the raw answer, or "" if it cannot connect.
+func getRaw(address, path string) string {
+	c, err := net.Dial("tcp", address)
 	if err != nil {
 		return ""
 	}
@@ -386,11 +391,16 @@
 	case "term": // "term old" is for the predecessor, as with exit
 		p.noError(text, p.selectProcess(&rest).Process.Signal(syscall.SIGTERM))
 	case "replace": // starts a successor and waits until it is ready
+		p.predecessorManagementAddr = p.managementAddr
 		p.managementAddr = p.freeAddresses(strings.Split(p.addr, ":")[0]+":0", 1)[0]
 		p.startProcess()
 		require.Eventually(p,
 			func() bool { return strings.HasPrefix(p.getManagement("/-/ready"), "HTTP/1.1 200") },
 			testTimeout, 5*time.Millisecond)
+	case "leaving": // waits until the predecessor has begun to leave
+		require.Eventually(p, func() bool {
+			return !strings.HasPrefix(getRaw(p.predecessorManagementAddr, "/-/ready"), "HTTP/1.1 200")
+		}, testTimeout, 5*time.Millisecond)
 	case "reload": // replaces text of the configuration, given as pairs, and sends SIGHUP
 		config, err := os.ReadFile(p.config)
 		p.noError(text, err)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -306,8 +306,8 @@
 }
 
 // CancelUnanswered cancels the relays that were sent at least age microseconds ago and that their hosts have not
-// answered. A message that may run again goes to another host, the others fail. It is for a process that is about to be
-// killed: a failure is better for a client than no answer.
+// answered. A message that may run again goes to another host, or to the successor if there is one; the others fail. It
+// is for a process that is about to be killed: a failure is better for a client than no answer.
 func (c *Core) CancelUnanswered(age int64) {
 	c.ops <- func() {
 		for _, x := range c.byNumber {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -339,6 +339,33 @@
 	require.Empty(t, successorUpstream.sent, "it is not sent again")
 }
 
+// A message that a leaving process has admitted goes to its successor before any host has it. The process may be killed
+// before the host answers, and the message would be lost. Without a successor it is sent from here.
+func TestHandOverBeforeFirstRelay(t *testing.T) {
+	for _, successorEnds := range []bool{false, true} {
+		c, s := start(t, "h")
+		c.SetLeaving(true)
+		x := newExchange(c, "1", time.Minute)
+		c.Submit(x)
+		c.Sync()
+		require.Empty(t, s.sent)
+		if successorEnds {
+			require.False(t, c.HandOver(x, func(InFlightMessage) error { return errors.New("it has ended") }))
+			c.SetLeaving(false)
+			require.Equal(t, x, (<-s.sent).Exchange)
+			continue
+		}
+		var state InFlightMessage
+		require.True(t, c.HandOver(x, func(m InFlightMessage) error { state = m; return nil }))
+		require.Empty(t, state.Relays)
+		require.Zero(t, c.InFlight())
+		successor, successorUpstream := start(t, "h")
+		resumed := successor.Resume(state, nil)
+		require.Equal(t, resumed, (<-successorUpstream.sent).Exchange)
+		require.Empty(t, s.sent)
+	}
+}
+
 // A second message with a known id is rejected and does not affect the first, however either of them ends: a callback
 // could not tell the two apart, and a host must not be asked to run the job again.
 func TestKnownID(t *testing.T) {
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -56,8 +56,9 @@
 }
 
 // HandOver hands a message in flight over by calling transfer, and reports whether it did. A message that has its final
-// answer stays, and so does one with a relay that its host has not accepted yet. As transfer is called from the
-// dispatch goroutine, each report about the message is handled either before it or finds the message gone.
+// answer stays, and so does one with a relay that its host has not accepted yet. One without any relay goes. As
+// transfer is called from the dispatch goroutine, each report about the message is handled either before it or finds
+// the message gone.
 func (c *Core) HandOver(x *exchange.Exchange, transfer func(InFlightMessage) error) bool {
 	done := make(chan bool, 1)
 	c.ops <- func() { done <- c.handOver(x, transfer) }
@@ -147,12 +148,17 @@
 }
 
 // SetReplaced sets whether a successor accepts the new messages.
-func (c *Core) SetReplaced(replaced bool) {
-	c.ops <- func() {
-		event := topazfall.Event{Kind: topazfall.Replaced}
-		if replaced {
-			event.Amount = 1
-		}
-		c.queueEvent(event)
+func (c *Core) SetReplaced(replaced bool) { c.setPhase(topazfall.Replaced, replaced) }
+
+// SetLeaving sets whether the successor continues the messages in flight. A message that no host has then waits to be
+// handed over: this process may be killed before a host would answer.
+func (c *Core) SetLeaving(leaving bool) { c.setPhase(topazfall.Leaving, leaving) }
+
+// setPhase passes the begin or the end of a phase of a replacement to the module.
+func (c *Core) setPhase(kind topazfall.EventKind, begins bool) {
+	event := topazfall.Event{Kind: kind}
+	if begins {
+		event.Amount = 1
 	}
+	c.ops <- func() { c.queueEvent(event) }
 }
--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -42,6 +42,7 @@
 	ids               *idReporter       // for the successor; nil if there is none
 	successorListener *net.UnixListener // at socketPath
 	maxWait           time.Duration     // the longest wait of a client under any settings so far
+	longestDeadline   time.Duration     // of the classes in the present settings
 	successorSince    time.Time         // when the successor connected
 }
 
@@ -234,7 +235,7 @@
 		return
 	}
 	h.core.SetReplaced(false)
-	h.server.StopHandover()
+	h.stopHandover()
 	h.server.ResumeAccepting()
 	successorListener.Close() // the successor may have replaced the socket at the path, so listen again
 	go h.listenForSuccessors()
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"topazfall"
 	"topazfall/internal/config"
 )
 
@@ -48,7 +47,7 @@
 		{8 * time.Second, 8 * time.Second},
 		{2 * time.Second, 8 * time.Second}, // messages with the longer deadline may still be in flight
 	} {
-		h.recordDeadlines(&topazfall.Settings{Classes: []topazfall.Class{{Deadline: step.deadline.Microseconds()}}})
+		h.recordDeadlines(withDeadline(step.deadline))
 		require.Equal(t, step.want, h.longestWait())
 	}
 }
--- a/internal/instance/leaving.go
+++ b/internal/instance/leaving.go
@@ -11,19 +11,29 @@
 	acceptPeriod     = 600 * time.Millisecond // new connections arrive for up to 0.4 s after SIGTERM
 	settleTime       = 50 * time.Millisecond  // for requests that were being read when admission stopped
 	idleHandoverTime = time.Second            // for the handover of idle connections
-	// unansweredTimeout is the time for workers to answer attempts after SIGTERM. SIGKILL may come after 3.7 s.
-	unansweredTimeout = 3200 * time.Millisecond
+
 	deadlineMargin    = 500 * time.Millisecond // beyond the longest deadline; a leaving process is killed after that
 	leavePollInterval = 5 * time.Millisecond   // between two checks of the progress
+
+	// SIGKILL comes no sooner after SIGTERM than the longest deadline, of which maxKillWait counts at most, and
+	// killMargin.
+	maxKillWait = 3 * time.Second
+	killMargin  = 700 * time.Millisecond
+	// unansweredLead before SIGKILL, attempts that a worker has left unanswered for unansweredAge are cancelled, and
+	// lastCancelLead before it all others: a message with such an attempt can be neither handed over nor answered.
+	unansweredLead = 500 * time.Millisecond
+	unansweredAge  = time.Second
+	lastCancelLead = 300 * time.Millisecond // a process may be held up for half of that
+	cancelInterval = 50 * time.Millisecond  // between two rounds of cancelling
 )
 
 // leaving is the progress of a process that has received a signal to end.
 type leaving struct {
 	*handover
 	startedAt   time.Time
-	handingOver bool // connections are handed over to the successor
-	stopped     bool // no messages are admitted any more
-	cancelled   bool // attempts that no worker has answered have been cancelled
+	handingOver bool          // connections are handed over to the successor
+	stopped     bool          // no messages are admitted any more
+	cancelledAt time.Duration // since startedAt: when unanswered attempts were last cancelled; 0 if they were not
 }
 
 // leave stops admitting messages and returns when all admitted ones have their answer.
@@ -58,16 +68,31 @@
 	case !l.handingOver && successor:
 		l.handingOver = l.startHandover()
 	case l.handingOver && !successor:
+		l.stopHandover()
 		l.handingOver = false
-	case l.handingOver && !l.cancelled && since > unansweredTimeout:
-		l.cancelled = true
-		l.core.CancelUnanswered(time.Second.Microseconds()) // a message with such an attempt cannot be handed over
+	case l.handingOver && l.isCancelDue(since):
+		l.cancelledAt = since
+		l.core.CancelUnanswered(l.cancelAge(since).Microseconds())
 	case !l.handingOver && !l.stopped && since > acceptPeriod:
 		l.server.StopAdmitting()
 		l.stopped = true
 	}
 }
 
+// isCancelDue reports whether it is time to cancel attempts that no worker has answered. It is time again and again, as
+// further attempts may be made until the end, as copies beside others.
+func (l *leaving) isCancelDue(since time.Duration) bool {
+	return since > l.killDelay()-unansweredLead && since > l.cancelledAt+cancelInterval
+}
+
+// cancelAge returns the age from which on unanswered attempts are cancelled at this time since the signal.
+func (l *leaving) cancelAge(since time.Duration) time.Duration {
+	if since > l.killDelay()-lastCancelLead {
+		return 0
+	}
+	return unansweredAge
+}
+
 // isDone reports whether this process is no longer needed or its time has run out. predecessor is true if this
 // process's predecessor is still running.
 func (l *leaving) isDone(since time.Duration, predecessor bool) bool {
@@ -92,6 +117,7 @@
 		return false
 	}
 	h.reportIDs()
+	h.core.SetLeaving(true)
 	h.server.StartHandover(func(conn frontend.HandoverConn) error {
 		return link.Send(frameConnection, encode(handoverConnection{conn.Proven, conn.Client, conn.More, conn.Begun}),
 			conn.Conn)
@@ -99,6 +125,13 @@
 	return true
 }
 
+// stopHandover ends the handover, because there is no successor any more. The connections and messages that are left
+// stay here.
+func (h *handover) stopHandover() {
+	h.server.StopHandover()
+	h.core.SetLeaving(false)
+}
+
 // reportIDs informs the successor, if there is one, of the ids that it does not know yet.
 func (h *handover) reportIDs() {
 	h.mu.Lock()
@@ -115,9 +148,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.maxWait = max(h.maxWait, 3*time.Second)
+	h.longestDeadline = 0
 	for _, c := range settings.Classes {
-		h.maxWait = max(h.maxWait, time.Duration(c.Deadline)*time.Microsecond)
+		h.longestDeadline = max(h.longestDeadline, time.Duration(c.Deadline)*time.Microsecond)
 	}
+	h.maxWait = max(h.maxWait, h.longestDeadline)
+}
+
+// killDelay returns the time from SIGTERM to the earliest SIGKILL.
+func (h *handover) killDelay() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return min(h.longestDeadline, maxKillWait) + killMargin
 }
 
 func (h *handover) longestWait() time.Duration {
--- a/memory.go
+++ b/memory.go
@@ -1,6 +1,7 @@
 package topazfall
 
 import (
+	"maps"
 	"slices"
 
 	"topazfall/internal/decide/ramp"
@@ -73,11 +74,23 @@
 		b.resumeRequest(e)
 	case Replaced:
 		b.hasSuccessor = e.Amount > 0
+	case Leaving:
+		b.setLeaving(e.Amount > 0)
 	case NewSettings:
 		b.applySettings(*e.Settings)
 	}
 }
 
+// setLeaving holds the requests without an outstanding attempt for the successor, or sends those that were held.
+func (b *Balancer) setLeaving(leaving bool) {
+	b.isLeaving = leaving
+	for _, id := range slices.Sorted(maps.Keys(b.requests)) {
+		if r := b.requests[id]; !leaving && !r.closed && r.outstanding == 0 {
+			b.dispatch(r)
+		}
+	}
+}
+
 // applySettings replaces the settings. A request keeps the class that it arrived with, but a repeat rule that has
 // become stricter applies to its next attempt.
 func (b *Balancer) applySettings(s Settings) {
--- a/memory_test.go
+++ b/memory_test.go
@@ -143,3 +143,61 @@
 		}
 	}
 }
+
+// A balancer whose successor continues its requests begins none itself: it may be ended before the worker answers, and
+// the request would be lost. It holds those without an outstanding attempt, whether they arrive or an attempt of theirs
+// ends, and the successor sends them.
+func TestLeavingBalancerHoldsRequests(t *testing.T) {
+	r, successor := newRig(t, settings(), fleet(6)...), newRig(t, settings(), fleet(6)...)
+	retried, acts := r.arrive(safe)
+	first := r.requireSend(acts).Worker
+	r.handle(Event{Kind: Leaving, Amount: 1})
+	arrived, acts := r.arrive(unsafe)
+	requireHeld(t, acts)
+	requireHeld(t, r.finishAttempt(retried, 0, first, Saturated))
+	for _, held := range []uint64{arrived, retried} {
+		tries := r.b.Tries(held)
+		if acts := r.handle(Event{Kind: HandedOver, Request: held}); len(acts) > 0 {
+			t.Errorf("%+v", acts)
+		}
+		send := successor.requireSend(successor.handle(Event{Kind: Resumed, Request: held, Class: unsafe, Tenant: -1,
+			Due: successor.now + 10e6, Hint: 200e3, Tries: tries}))
+		if held == retried && send.Worker == first {
+			t.Error("sent to the worker that has turned it away")
+		}
+	}
+	if len(r.b.requests) > 0 {
+		t.Errorf("%d requests are left", len(r.b.requests))
+	}
+}
+
+// requireHeld fails the test unless the only action is a timer.
+func requireHeld(t *testing.T, acts []Action) {
+	t.Helper()
+	if len(acts) != 1 || acts[0].Kind != SetTimer {
+		t.Fatalf("not held: %+v", acts)
+	}
+}
+
+// A request that is held for the successor gets its answer in time if nobody takes it: it is sent when the successor
+// has ended, and rejected when its time is over or it may not be sent again.
+func TestHeldRequestIsAnswered(t *testing.T) {
+	r := newRig(t, settings(), fleet(6)...)
+	began, acts := r.arrive(unsafe)
+	first := r.requireSend(acts).Worker
+	r.handle(Event{Kind: Leaving, Amount: 1})
+	if n, _ := countActions(r.finishAttempt(began, 0, first, ConnectionLost), Fail); n != 1 {
+		t.Error("a job that may have run is held")
+	}
+	late, acts := r.arrive(safe)
+	requireHeld(t, acts)
+	r.now += acts[0].After
+	requireHeld(t, r.handle(Event{Kind: TimerDue, Token: acts[0].Token}))
+	r.now += 10e6
+	if n, _ := countActions(r.handle(Event{Kind: TimerDue, Token: acts[0].Token}), Refuse); n != 1 {
+		t.Errorf("request %d is not answered when its time is over", late)
+	}
+	_, acts = r.arrive(safe)
+	requireHeld(t, acts)
+	r.requireSend(r.handle(Event{Kind: Leaving}))
+}
--- a/state.go
+++ b/state.go
@@ -36,6 +36,7 @@
 	listFailed      bool                   // the last query or watch of the worker list failed
 	restoredAt      int64                  // when the memory of another balancer was restored
 	hasSuccessor    bool                   // another process takes the new jobs
+	isLeaving       bool                   // the successor continues the requests that have no outstanding attempt
 	nextTableUpdate int64                  // when the tables are updated next
 	droppedMessages int                    // gossip messages that were dropped
 	meanQueued      float64                // moving average of jobs waiting at a worker; below 0: free slots
--- a/topazfall.go
+++ b/topazfall.go
@@ -190,6 +190,9 @@
 	// Settings: they passed Check, and their Classes and Tenants begin with the earlier ones
 	NewSettings
 	Replaced // Amount: 1 when a successor process begins to take the new jobs, 0 when it has stopped
+	// Amount: 1 when the successor begins to continue the requests in progress, 0 when it has stopped. A request
+	// without an outstanding attempt is held for it.
+	Leaving
 )
 
 // Event is something that happened at the dispatcher. The balancer keeps no reference to it or its list.
