Hand a message over with the class that it was admitted with

What callers saw: a job that must not run twice was sent to a second worker after the first had begun it.

Cause: HandOver sent the class that the settings had under the name by then, and Resume took the class of that name in the successor's settings. The module, which holds the class of each request, was not asked.

Change: the class of the module (Balancer.ClassOf) is handed over, and the successor's module uses it (Event.OwnClass). Only a stricter repeat rule of the successor's settings applies, as after a reload.

Ruled out: the reloads alone. One process keeps the class, as its module holds it. The fields of the handover format are unchanged.

--- a/balancer.go
+++ b/balancer.go
@@ -119,7 +119,7 @@
 	if b.requests[e.Request] != nil || e.Class < 0 || e.Class >= len(b.settings.Classes) {
 		return nil
 	}
-	c := &b.settings.Classes[e.Class]
+	c := cmp.Or(e.OwnClass, &b.settings.Classes[e.Class])
 	r := &request{id: e.Request, class: c, due: e.Due, key: e.Key, hint: b.expectedWork(c, e.Hint)}
 	r.work, r.value = r.hint, b.countTenantRequest(e.Tenant)
 	b.smallJobWork = min(b.smallJobWork+b.smallJobWork/16, r.work) // the minimum of recent jobs
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -174,10 +174,11 @@
 
 // admit passes a message with a new id to the module.
 func (c *Core) admit(x *exchange.Exchange) {
-	c.applyClass(x)
+	class := c.classOf(x)
+	c.applyClass(x, class)
 	c.byID[x.ID], c.byNumber[x.Number] = x, x
-	c.queueEvent(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
-		Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry})
+	c.queueEvent(topazfall.Event{Kind: topazfall.Arrival, Request: x.Number, Class: x.Class, OwnClass: class,
+		Tenant: x.Tenant, Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry})
 }
 
 // ClientDisconnected reports that the client of a message has closed its connection.
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -40,7 +40,7 @@
 // the embedded Message, are part of the handover format.
 type InFlightMessage struct {
 	exchange.Message
-	ClassIs topazfall.Class // the message's class, which may have been removed from the settings
+	ClassIs topazfall.Class // the message's own class, whatever the settings tell of that name by now
 	Of      string          // the tenant's name, empty if the message has none
 	Relays  []InFlightRelay // all relays of the message, in the order they were made
 	Tries   []topazfall.Try // the module's record of the same relays
@@ -69,7 +69,11 @@
 	if x.IsFinished() || c.byNumber[x.Number] != x {
 		return false
 	}
-	message := InFlightMessage{Message: x.Message, ClassIs: c.classes[x.Class], Tries: c.balancer.Tries(x.Number)}
+	class, known := c.balancer.ClassOf(x.Number)
+	if !known {
+		return false
+	}
+	message := InFlightMessage{Message: x.Message, ClassIs: class, Tries: c.balancer.Tries(x.Number)}
 	if x.Tenant >= 0 {
 		message.Of = c.tenants[x.Tenant].Name
 	}
@@ -105,12 +109,9 @@
 	c.inFlight.Add(1)
 	c.metrics.Outstanding.Add(1)
 	c.ops <- func() {
-		hasName := func(k topazfall.Class) bool { return k.Name == message.ClassIs.Name }
-		if !slices.ContainsFunc(c.classes, hasName) {
-			c.addClasses([]topazfall.Class{message.ClassIs})
-		}
-		x.Class = slices.IndexFunc(c.classes, hasName)
-		c.applyClass(x)
+		class := c.resumedClass(&message)
+		x.Class = c.indexOf(class)
+		c.applyClass(x, class)
 		if x.Tenant >= 0 { // the index is the other process's
 			x.Tenant = slices.IndexFunc(c.tenants, func(t topazfall.Tenant) bool { return t.Name == message.Of })
 		}
@@ -140,8 +141,9 @@
 			c.inFlight.Add(1)
 			c.scheduleTimeout(r)
 		}
-		c.queueEvent(topazfall.Event{Kind: topazfall.Resumed, Request: x.Number, Class: x.Class, Tenant: x.Tenant,
-			Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry, Tries: message.Tries})
+		c.queueEvent(topazfall.Event{Kind: topazfall.Resumed, Request: x.Number, Class: x.Class, OwnClass: class,
+			Tenant: x.Tenant, Due: x.Due, Hint: x.Hint, Key: x.Key, Slots: x.Slots, Retry: x.Retry,
+			Tries: message.Tries})
 		slog.Info("moved", "id", x.ID, "from", "old", "relays", len(message.Relays))
 	}
 	return x
--- a/internal/dispatch/ids_test.go
+++ b/internal/dispatch/ids_test.go
@@ -36,13 +36,13 @@
 		require.Equal(t, "1", <-other.asked)
 		again := newExchange(c, "1", time.Minute)
 		c.Submit(again)
-		require.Equal(t, exchange.Duplicate, (<-again.Answer()).Result, "the id is about to be admitted here")
+		require.Equal(t, exchange.Duplicate, awaitAnswer(t, again).Result, "the id is about to be admitted here")
 		c.Sync()
 		require.Empty(t, s.sent)
 		require.False(t, c.HandOver(x, func(InFlightMessage) error { return nil }), "it is not admitted yet")
 		other.answers <- taken
 		if taken {
-			require.Equal(t, exchange.Duplicate, (<-x.Answer()).Result)
+			require.Equal(t, exchange.Duplicate, awaitAnswer(t, x).Result)
 			require.Zero(t, c.InFlight())
 			continue
 		}
@@ -68,7 +68,7 @@
 			c.Sync()
 			require.False(t, resumed.IsFinished(), "the message that was handed over goes on")
 		}
-		require.Equal(t, exchange.Duplicate, (<-x.Answer()).Result, way)
+		require.Equal(t, exchange.Duplicate, awaitAnswer(t, x).Result, way)
 		other.answers <- false
 		c.ClientDisconnected(x)
 		c.Sync()
@@ -84,7 +84,7 @@
 	c.Submit(x)
 	<-other.asked
 	c.ClientDisconnected(x)
-	require.Equal(t, exchange.Failed, (<-x.Answer()).Result)
+	require.Equal(t, exchange.Failed, awaitAnswer(t, x).Result)
 	other.answers <- false
 	require.Eventually(t, func() bool { c.Sync(); return len(c.claiming) == 0 }, time.Minute, time.Millisecond)
 	require.Zero(t, c.InFlight())
@@ -103,7 +103,7 @@
 	require.True(t, c.ClaimForSuccessor("1"))
 	x := newExchange(c, "1", time.Minute)
 	c.Submit(x)
-	require.Equal(t, exchange.Duplicate, (<-x.Answer()).Result)
+	require.Equal(t, exchange.Duplicate, awaitAnswer(t, x).Result)
 	ids, last := c.KnownIDsAfter(0)
 	require.Equal(t, []string{"own"}, ids)
 	c.AddKnownIDs([]string{"2", "own"})
@@ -127,7 +127,7 @@
 	}
 	x := newExchange(c, "1", time.Minute)
 	c.Submit(x)
-	require.Equal(t, exchange.Duplicate, (<-x.Answer()).Result)
+	require.Equal(t, exchange.Duplicate, awaitAnswer(t, x).Result)
 	c.AddKnownIDs([]string{"last"})
 	c.Sync()
 	require.False(t, c.isKnownID("1"))
--- a/memory.go
+++ b/memory.go
@@ -104,9 +104,8 @@
 	for _, r := range b.requests {
 		for _, c := range s.Classes {
 			if c.Name == r.class.Name && c.Repeat > r.class.Repeat {
-				stricter := *r.class
-				stricter.Repeat, stricter.Group, stricter.Window = c.Repeat, c.Group, c.Window
-				r.class = &stricter
+				tightened := r.class.Tightened(c)
+				r.class = &tightened
 			}
 		}
 	}
@@ -118,6 +117,16 @@
 	b.listFailed = listFailed
 }
 
+// ClassOf returns the class of a request in progress, which may differ from the one of its name in the settings. known
+// is false if there is no such request.
+func (b *Balancer) ClassOf(request uint64) (class Class, known bool) {
+	r := b.requests[request]
+	if r == nil {
+		return Class{}, false
+	}
+	return *r.class, true
+}
+
 // Tries returns the state of the attempts of a request, for the balancer that continues it.
 func (b *Balancer) Tries(request uint64) (tries []Try) {
 	if r := b.requests[request]; r != nil {
--- a/memory_test.go
+++ b/memory_test.go
@@ -171,6 +171,34 @@
 	}
 }
 
+// A request goes on with the class that it had at the balancer that began it. By the class of its name in the settings
+// here, a job that must not run twice would be sent again after an attempt that may have run, or be refused.
+func TestResumedRequestKeepsItsClass(t *testing.T) {
+	s := settings()
+	own := s.Classes[unsafe]
+	s.Classes[unsafe].Repeat = Safe
+	for name, tries := range map[string][]Try{
+		"the attempt is lost here": {{Worker: "w1", Sent: 99e6}},
+		"it was lost there":        {{Worker: "w1", Sent: 99e6, Done: true}},
+	} {
+		r := newRig(t, s, fleet(6)...)
+		acts := r.handle(Event{Kind: Resumed, Request: 7, Class: unsafe, OwnClass: &own, Tenant: -1, Due: r.now + 10e6,
+			Hint: 200e3, Tries: tries})
+		if class, known := r.b.ClassOf(7); known && class != own {
+			t.Errorf("%s: the class is %+v", name, class)
+		}
+		if !tries[0].Done {
+			acts = r.finishAttempt(7, 0, "w1", ConnectionLost)
+		}
+		if n, _ := countActions(acts, Fail); n != 1 {
+			t.Errorf("%s: %+v", name, acts)
+		}
+	}
+	if _, known := newRig(t, s).b.ClassOf(7); known {
+		t.Error("a request that is not in progress has a class")
+	}
+}
+
 // requireHeld fails the test unless the only action is a timer.
 func requireHeld(t *testing.T, acts []Action) {
 	t.Helper()
--- a/topazfall.go
+++ b/topazfall.go
@@ -54,6 +54,15 @@
 	Priority  int
 }
 
+// Tightened returns the class of a request in progress when its class has a newer definition: it stays as it is, but a
+// stricter repeat rule applies.
+func (c Class) Tightened(newer Class) Class {
+	if newer.Repeat > c.Repeat {
+		c.Repeat, c.Group, c.Window = newer.Repeat, newer.Group, newer.Window
+	}
+	return c
+}
+
 // Tenant is one of the parties that share the service.
 type Tenant struct {
 	Name  string
@@ -172,7 +181,7 @@
 
 // The kinds of events, with the fields of Event that each one uses.
 const (
-	Arrival       EventKind = iota // Request, Class, Tenant, Due, Hint, Key, Slots, Retry
+	Arrival       EventKind = iota // Request, Class, OwnClass, Tenant, Due, Hint, Key, Slots, Retry
 	AttemptDone                    // Request, Attempt, Worker, Outcome, Elapsed, Final, Load
 	JobStarted                     // Request, Attempt, Worker
 	JobProgress                    // Request, Attempt, Worker, Amount
@@ -201,23 +210,26 @@
 	Request uint64
 	Attempt int
 	Worker  string
-	Class   int    // index into Settings.Classes
-	Tenant  int    // index into Settings.Tenants, or -1
-	Due     int64  // clock time at which the client gives up
-	Hint    int64  // expected work on a standard core; 0 if not known
-	Key     uint64 // identifies the data that the job needs; a worker keeps the data of a few keys; 0 for none
-	Slots   float64
-	Retry   bool // the client has sent the request before
-	Outcome Outcome
-	Elapsed int64
-	Final   bool // the request has its final answer
-	Amount  float64
-	Load    Load
-	Token   uint64
-	List    []Worker
-	From    int
-	Data    []byte
-	Tries   []Try
+	Class   int // index into Settings.Classes
+	// OwnClass is the request's class if that may differ from the one in Settings, else nil. Class is then its index by
+	// name.
+	OwnClass *Class
+	Tenant   int    // index into Settings.Tenants, or -1
+	Due      int64  // clock time at which the client gives up
+	Hint     int64  // expected work on a standard core; 0 if not known
+	Key      uint64 // identifies the data that the job needs; a worker keeps the data of a few keys; 0 for none
+	Slots    float64
+	Retry    bool // the client has sent the request before
+	Outcome  Outcome
+	Elapsed  int64
+	Final    bool // the request has its final answer
+	Amount   float64
+	Load     Load
+	Token    uint64
+	List     []Worker
+	From     int
+	Data     []byte
+	Tries    []Try
 
 	Settings *Settings
 }
