Report new ids to the successor at once unless some were just sent

The report of the first id after the successor's yes waited 20 ms: the loop paused even when it had nothing to send.

--- a/internal/instance/ids.go
+++ b/internal/instance/ids.go
@@ -15,7 +15,7 @@
 
 const (
 	claimTimeout     = 500 * time.Millisecond // for the predecessor to answer a claim
-	idReportInterval = 20 * time.Millisecond  // between two reports of new ids
+	idReportInterval = 5 * time.Millisecond   // between two reports of new ids
 
 	// claimPrefix begins the question whether an id is taken. No callback begins like this, and an earlier version of
 	// the program answers no to a question that it cannot read as a callback.
@@ -64,15 +64,16 @@
 	position uint64 // of the last id that was reported
 }
 
-// report sends the ids that were not reported yet.
-func (r *idReporter) report() {
+// report sends the ids that were not reported yet, and reports whether there were any.
+func (r *idReporter) report() (sent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ids, last := r.core.KnownIDsAfter(r.position)
 	if len(ids) > 0 && r.link.Send(frameKnownIDs, encode(ids), nil) != nil {
-		return
+		return false
 	}
 	r.position = last
+	return len(ids) > 0
 }
 
 // run reports new ids until the successor has ended.
@@ -82,8 +83,9 @@
 		case <-r.gone:
 			return
 		case <-r.core.IDsAdded():
-			r.report()
+			if r.report() {
+				time.Sleep(idReportInterval)
+			}
 		}
-		time.Sleep(idReportInterval)
 	}
 }
