Tell the successor what cold workers were sent until it serves

What callers saw: nothing yet. Two replacements in a row could send a cold worker more than it can take.

Cause: the account of what cold workers were sent goes to the successor at its hello, and the predecessor goes on sending until the successor serves. What it sent in between was known to it alone.

Change: when the successor serves, its predecessor, which sends nothing to cold workers from then on, sends the account once more, in a frame of its own before the limits. A process of an older version ignores the frame.

Ruled out: to leave the share to the successor from its hello on. A successor that hangs would keep a dispatcher with only cold workers from sending anything.

--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"topazfall"
+	"topazfall/internal/decide/ramp"
 	"topazfall/internal/exchange"
 )
 
@@ -36,6 +37,19 @@
 	c.ops <- func() { c.balancer.Restore(c.Now(), state.Memory) }
 }
 
+// ColdWork returns the work that was recently sent to the cold workers, by worker.
+func (c *Core) ColdWork() map[string]ramp.Log {
+	result := make(chan map[string]ramp.Log, 1)
+	c.ops <- func() { result <- c.balancer.ColdWork() }
+	return <-result
+}
+
+// RestoreColdWork continues with what a predecessor has sent to the cold workers. This process must not have sent
+// anything.
+func (c *Core) RestoreColdWork(sent map[string]ramp.Log) {
+	c.ops <- func() { c.balancer.RestoreColdWork(sent) }
+}
+
 // InFlightMessage is a message in flight that is handed over to another process. Its field names, and the type name of
 // the embedded Message, are part of the handover format.
 type InFlightMessage struct {
--- a/internal/instance/format_test.go
+++ b/internal/instance/format_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"topazfall/internal/decide/ramp"
 )
 
 // gobFields lists the exported fields below t, each with its path and its type, as gob sends them. Gob matches fields
@@ -54,6 +56,7 @@
 		{"connection", handoverConnection{}, keptConnectionFields},
 		{"limits", heldLimits{}, ".Conns int\n.Share float64"},
 		{"ids", []string{}, "[] string"},
+		{"cold work", map[string]ramp.Log{}, "[string][].At int64\n[string][].Work float64\n[string][].Own bool"},
 	} {
 		t.Run(frame.name, func(t *testing.T) {
 			got := gobFields("", reflect.TypeOf(frame.value))
--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"topazfall/internal/config"
+	"topazfall/internal/decide/ramp"
 	"topazfall/internal/discovery"
 	"topazfall/internal/dispatch"
 	"topazfall/internal/frontend"
@@ -143,6 +144,11 @@
 			h.mu.Unlock()
 		}
 		setLimitsKnown()
+	case frameColdWork:
+		var sent map[string]ramp.Log
+		if decode(frame.Body, &sent) == nil {
+			h.core.RestoreColdWork(sent)
+		}
 	case frameKnownIDs:
 		var ids []string
 		if decode(frame.Body, &ids) == nil {
@@ -270,7 +276,9 @@
 	h.successorReady = true
 	h.mu.Unlock()
 	h.core.SetReplaced(true)
-	ids.report() // before the limits, after which the successor admits messages
+	// Before the limits, after which the successor admits messages:
+	link.Send(frameColdWork, encode(h.core.ColdWork()), nil)
+	ids.report()
 	go ids.run()
 	_, serverLimits := deriveLimits(h.config)
 	h.server.PauseAccepting(serverLimits.MaxConns / 2)
--- a/internal/instance/handover_test.go
+++ b/internal/instance/handover_test.go
@@ -14,7 +14,6 @@
 	"topazfall/internal/dispatch"
 	"topazfall/internal/exchange"
 	"topazfall/internal/frontend"
-	"topazfall/internal/metrics"
 	"topazfall/internal/takeover"
 	"topazfall/internal/upstream"
 )
@@ -62,8 +61,8 @@
 		roundTrip[firstVersionLimits](t, heldLimits{Conns: 3, Share: 0.5}))
 	require.Equal(t, heldLimits{Conns: 3, Share: 0.5},
 		roundTrip[heldLimits](t, firstVersionLimits{Conns: 3, Share: 0.5}))
-	kinds := []byte{frameHello, frameState, frameReady, frameLimits, frameKnownIDs, frameConnection}
-	require.Equal(t, "hsrkic", string(kinds))
+	kinds := []byte{frameHello, frameState, frameReady, frameLimits, frameColdWork, frameKnownIDs, frameConnection}
+	require.Equal(t, "hsrkwic", string(kinds))
 }
 
 // faultyListener is a listener that returns its errors before it accepts conn.
@@ -139,6 +138,43 @@
 	require.False(t, isServing(path))
 }
 
+// newHandover returns the handover of a process whose parts are assembled and whose core runs.
+func newHandover(t *testing.T) *handover {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	core, workers := startCore(t)
+	settings := testSettings()
+	c := &config.Config{Sockets: 256, Settings: settings}
+	_, in := deriveLimits(c)
+	return &handover{config: c, core: core, transport: workers, listener: ln,
+		server: frontend.New(ln, core, workers, &settings, in)}
+}
+
+// A successor must know which ids are in hand, and what cold workers have been sent, before it admits a message, which
+// it does from the limits on.
+func TestSuccessorLearnsOfTheLastMomentsFirst(t *testing.T) {
+	h := newHandover(t)
+	link, successor := linkPair(t)
+	require.True(t, h.registerSuccessor(link))
+	h.core.HandoverState()
+	h.core.AddKnownIDs([]string{"since the state"})
+	go h.handleSuccessorFrame(takeover.Frame{Kind: frameReady})
+	var kinds []byte
+	for len(kinds) < 3 {
+		successor.SetReadDeadline(time.Now().Add(testTimeout))
+		frame, err := successor.ReadFrame()
+		require.NoError(t, err)
+		kinds = append(kinds, frame.Kind)
+		if frame.Kind == frameKnownIDs {
+			var ids []string
+			require.NoError(t, decode(frame.Body, &ids))
+			require.Equal(t, []string{"since the state"}, ids)
+		}
+	}
+	require.Equal(t, []byte{frameColdWork, frameKnownIDs, frameLimits}, kinds)
+}
+
 // testSettings returns settings with one class.
 func testSettings() topazfall.Settings {
 	return topazfall.Settings{Dispatchers: 1, Tick: 4000,
@@ -148,18 +184,8 @@
 
 // The predecessor's last connection closes: this process may use its place then.
 func TestPredecessorReportsNoConnections(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer ln.Close()
-	s := testSettings()
-	counters := &metrics.Metrics{}
-	core, err := dispatch.New(s, counters)
-	require.NoError(t, err)
-	c := &config.Config{Sockets: 256, Settings: s}
-	out, in := deriveLimits(c)
-	workers := upstream.New(core, upstream.Options{MaxConns: out, Metrics: counters})
-	clients := frontend.New(ln, core, workers, &s, in)
-	h := &handover{config: c, transport: workers, server: clients, predecessor: &takeover.Link{}}
+	h := newHandover(t)
+	h.predecessor = &takeover.Link{}
 	for _, limits := range []heldLimits{{Conns: 3, Share: 0.5}, {Share: 0.5}} {
 		h.handlePredecessorFrame(takeover.Frame{Kind: frameLimits, Body: encode(limits)}, func() {})
 		require.Equal(t, limits, h.predecessorLimits)
--- a/internal/instance/transfer.go
+++ b/internal/instance/transfer.go
@@ -17,6 +17,7 @@
 	frameState      byte = 's' // a handoverState, sent with the listening descriptor
 	frameReady      byte = 'r' // from the successor: it accepts connections from now on
 	frameLimits     byte = 'k' // a heldLimits: what the predecessor still uses of the limits
+	frameColdWork   byte = 'w' // a map of ramp.Log by worker: the work that the predecessor has sent to cold workers
 	frameKnownIDs   byte = 'i' // message ids that became known in the predecessor
 	frameConnection byte = 'c' // a handoverConnection, sent with the connection's descriptor
 )
--- a/memory.go
+++ b/memory.go
@@ -65,6 +65,31 @@
 	return memory
 }
 
+// ColdWork returns the work that was recently sent to the cold workers, by worker, for a successor that has the memory
+// already. After the Replaced event it does not grow any more by this balancer.
+func (b *Balancer) ColdWork() map[string]ramp.Log {
+	sent := map[string]ramp.Log{}
+	for _, w := range b.ranked {
+		if b.isCold(w) && len(w.sentWork) > 0 {
+			sent[w.ID] = slices.Clone(w.sentWork)
+		}
+	}
+	return sent
+}
+
+// RestoreColdWork replaces the work that was sent to cold workers as it was when the memory was taken. It is for a
+// balancer that has sent none itself.
+func (b *Balancer) RestoreColdWork(sent map[string]ramp.Log) {
+	for id, log := range sent {
+		if w := b.workers[id]; w != nil {
+			w.sentWork = nil
+			for _, part := range log {
+				w.sentWork.Add(part, b.settings.Contract.FallTime)
+			}
+		}
+	}
+}
+
 // handleSuccession processes the events of a handover from a predecessor or to a successor, and new settings.
 func (b *Balancer) handleSuccession(e *Event) {
 	switch e.Kind {
@@ -201,9 +226,7 @@
 	for _, w := range b.ranked {
 		if learned, ok := memory.Workers[w.ID]; ok && learned.Pace > 0 {
 			w.queued, w.pace, w.evidenceAt = learned.Held, learned.Pace, learned.HeardAt
-			for _, sent := range learned.Sent {
-				w.sentWork.Add(sent, b.settings.Contract.FallTime)
-			}
+			b.RestoreColdWork(map[string]ramp.Log{w.ID: learned.Sent})
 			w.silentSince, w.lastSentAt, w.ejectedUntil = learned.Silent, learned.LastTry, learned.DownUntil
 			w.ejections, w.consecutiveErrors = learned.Failures, learned.Errors
 			w.lastFaultAt = now // the time of the last fault is not handed over
--- a/memory_test.go
+++ b/memory_test.go
@@ -96,6 +96,36 @@
 	}
 }
 
+// Between the moment at which a successor gets the memory and the one from which on it serves, its predecessor goes on
+// sending to a cold worker. A successor that did not count this would send as much again: after two replacements in a
+// row, three dispatchers' shares would reach the worker within the fall time, more than it can take.
+func TestColdWorkSinceTheMemoryCounts(t *testing.T) {
+	s := settings()
+	s.Dispatchers = 1
+	workers := fleet(1)
+	workers[0].StartedAt = newRig(t, s).now - 1
+	limit, total, serving := 0.0, 0.0, newRig(t, s, workers...)
+	for range 3 {
+		successor := newRig(t, s, workers...)
+		successor.b.Restore(successor.now, serving.b.Memory())
+		for budget := serving.b.coldBudget(serving.b.workers["w0"]); budget > 0; {
+			id, acts := serving.arrive(safe)
+			if n, _ := countActions(acts, Send); n == 0 {
+				break
+			}
+			total += serving.b.requests[id].work
+			serving.handle(Event{Kind: JobStarted, Request: id, Worker: "w0"})
+		}
+		_, limit, _ = serving.b.coldTurn(serving.b.workers["w0"])
+		serving.handle(Event{Kind: Replaced, Amount: 1})
+		successor.b.RestoreColdWork(serving.b.ColdWork())
+		serving = successor
+	}
+	if total == 0 || total > limit {
+		t.Errorf("%v of work in the fall time, want up to %v", total, limit)
+	}
+}
+
 // New settings apply to every later attempt. A request in progress otherwise keeps its class, and classes keep their
 // indexes.
 func TestNewSettings(t *testing.T) {
