Wait for a predecessor that answers no claims only once

A predecessor that hangs held each message of its successor up for 0.5 s, the time for a claim of its id, for as long as it hung. It admits nothing meanwhile, so that only the claims under way wait now; later ones are sent and not waited for until it answers again.

--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"topazfall/internal/config"
@@ -24,6 +25,8 @@
 	watch      *discovery.Watch
 	settings   tenantSettings
 
+	predecessorSilent atomic.Bool // the predecessor does not answer claims of ids
+
 	mu                sync.Mutex
 	predecessor       *takeover.Link // nil if there is none, or no longer
 	predecessorLimits heldLimits
--- a/internal/instance/ids.go
+++ b/internal/instance/ids.go
@@ -31,17 +31,28 @@
 }
 
 // claimID claims an id at the predecessor and reports whether it is taken there. A predecessor that does not answer
-// admits no messages either, so the ones here do not wait for it any longer.
+// admits no messages either: only the first claims wait for it, the later ones until it answers again do not.
 func (h *handover) claimID(id string) (taken bool) {
 	h.mu.Lock()
 	link := h.predecessor
 	h.mu.Unlock()
-	if link == nil {
+	switch {
+	case link == nil:
 		return false
+	case h.predecessorSilent.Load():
+		go h.askClaim(link, id) // the predecessor reads it when it goes on
+		return false
+	default:
+		return h.askClaim(link, id)
 	}
+}
+
+// askClaim asks the predecessor whether an id is taken, and records whether it answers.
+func (h *handover) askClaim(link *takeover.Link, id string) (taken bool) {
 	taken, err := link.Ask(encodeClaim(id), claimTimeout)
-	if err == takeover.ErrNoReply {
-		slog.Warn("takeover", "id", id, "error", err)
+	silent := err == takeover.ErrNoReply
+	if h.predecessorSilent.Swap(silent) != silent {
+		slog.Warn("takeover", "old", "claims", "silent", silent)
 	}
 	return taken
 }
--- a/internal/instance/ids_test.go
+++ b/internal/instance/ids_test.go
@@ -80,14 +80,21 @@
 	require.Equal(t, []string{"four"}, receive())
 }
 
-// A predecessor that hangs answers no claim. Messages wait for it for a limited time.
+// A predecessor that hangs answers no claim. The first message waits for it for a limited time, and the others go on at
+// once: otherwise each would lose that time for as long as the predecessor hangs. When it goes on its answers count.
 func TestClaimAtHangingPredecessor(t *testing.T) {
 	core, _ := startCore(t)
-	_, link := linkPair(t)
+	predecessor, link := linkPair(t)
 	go link.Run(func(takeover.Frame) {}, func([]byte) bool { return false })
 	h := &handover{core: core, predecessor: link}
 	asked := time.Now()
 	require.False(t, h.claimID("one"))
 	require.GreaterOrEqual(t, time.Since(asked), claimTimeout)
+	for range 100 {
+		require.False(t, h.claimID("two"))
+	}
+	require.Less(t, time.Since(asked), 50*claimTimeout, "a hundred messages have not waited")
+	go predecessor.Run(func(takeover.Frame) {}, func([]byte) bool { return true })
+	require.Eventually(t, func() bool { return h.claimID("three") }, testTimeout, time.Millisecond)
 	require.False(t, (&handover{core: core}).claimID("one"), "no predecessor")
 }
