--- /dev/null
+++ b/review/stand2/worker.go
@@ -0,0 +1,174 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// attempt is one attempt of a request at a worker.
+type attempt struct {
+	id, class string
+	number    int // of the attempts of this id here, from 0
+	body      []byte
+	at        time.Time
+	ended     bool // it was told how it ended, or given up
+	beside    int  // how many earlier ones of this id were open here when it came
+	gaveUp    chan struct{}
+}
+
+// worker is a stand-in for a worker. It takes each job with a 202 and then plays it.
+type worker struct {
+	bench   *bench
+	name    string
+	address string
+	report  func() string // the address for its call-backs
+	play    func(w *worker, a *attempt)
+	client  *http.Client
+
+	mu       sync.Mutex
+	attempts []*attempt
+}
+
+// startWorker starts a worker at an address, which may leave the port free.
+func (b *bench) startWorker(name, address string, report func() string, play func(*worker, *attempt)) (*worker, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	w := &worker{bench: b, name: name, address: ln.Addr().String(), report: report, play: play,
+		client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api", w.take)
+	mux.HandleFunc("DELETE /jobs/{id}", w.drop)
+	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /status/load", func(out http.ResponseWriter, _ *http.Request) {
+		out.Write([]byte(`{"pending":0,"x0":3}`))
+	})
+	go http.Serve(ln, mux)
+	return w, nil
+}
+
+// take takes a job.
+func (w *worker) take(out http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	a := &attempt{id: r.Header.Get("X-Request-ID"), class: r.Header.Get("X-Priority-Class"), body: body, at: time.Now(),
+		gaveUp: make(chan struct{})}
+	if a.id == "" {
+		out.WriteHeader(http.StatusNotFound)
+		return
+	}
+	w.mu.Lock()
+	for _, other := range w.attempts {
+		if other.id == a.id {
+			a.number++
+			if !other.ended {
+				a.beside++
+			}
+		}
+	}
+	w.attempts = append(w.attempts, a)
+	w.mu.Unlock()
+	w.bench.note("%s got attempt %d of %s (%s), while %d of its attempts here had neither ended nor been given up",
+		w.name, a.number+1, a.id, a.class, a.beside)
+	out.WriteHeader(http.StatusAccepted)
+	go w.play(w, a)
+}
+
+// drop gives up the open attempts of an id.
+func (w *worker) drop(out http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("id")
+	w.mu.Lock()
+	for _, a := range w.attempts {
+		if a.id == id && !a.ended {
+			a.ended = true
+			close(a.gaveUp)
+		}
+	}
+	w.mu.Unlock()
+	w.bench.note("%s was told to drop %s", w.name, id)
+	out.WriteHeader(http.StatusNoContent)
+}
+
+// end marks an attempt as ended, from the moment that the worker tells of it. It reports whether it was still open.
+func (w *worker) end(a *attempt) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a.ended {
+		return false
+	}
+	a.ended = true
+	return true
+}
+
+// count returns how many attempts came of an id (of all, if it is empty) after a time.
+func (w *worker) count(id string, after time.Time) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.attempts {
+		if (id == "" || a.id == id) && a.at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
+// tell makes a call-back, up to ten times until it is answered with 200 or 204, and returns how often it tried.
+func (w *worker) tell(address string, a *attempt, state string, more map[string]any) (tries int, taken bool) {
+	call := map[string]any{"id": a.id, "from": w.name, "state": state}
+	for k, v := range more {
+		call[k] = v
+	}
+	text, _ := json.Marshal(call)
+	for tries = 1; tries <= 10; tries++ {
+		if tries > 1 {
+			address = w.report()
+			time.Sleep(200 * time.Millisecond)
+		}
+		answer, err := w.client.Post("http://"+address+"/v1/job-events", "application/json", bytes.NewReader(text))
+		if err != nil {
+			w.bench.note("%s told %s of %s, attempt %d, try %d: no answer (%v)", w.name, state, a.id, a.number+1, tries,
+				err)
+			continue
+		}
+		io.Copy(io.Discard, answer.Body)
+		answer.Body.Close()
+		if answer.StatusCode == http.StatusOK || answer.StatusCode == http.StatusNoContent {
+			w.bench.note("%s told %s of %s, attempt %d, try %d: %d", w.name, state, a.id, a.number+1, tries,
+				answer.StatusCode)
+			return tries, true
+		}
+		w.bench.note("%s told %s of %s, attempt %d, try %d: %d", w.name, state, a.id, a.number+1, tries,
+			answer.StatusCode)
+	}
+	return tries - 1, false
+}
+
+// run plays a job that starts at once, runs for a time and is done.
+func run(duration time.Duration, result func(a *attempt) string) func(*worker, *attempt) {
+	return func(w *worker, a *attempt) {
+		w.tell(w.report(), a, "started", nil)
+		end := time.After(duration)
+		for {
+			select {
+			case <-a.gaveUp:
+				return
+			case <-time.After(2 * time.Second):
+				w.tell(w.report(), a, "running", map[string]any{"share": 0.5})
+				continue
+			case <-end:
+			}
+			break
+		}
+		if w.end(a) {
+			w.tell(w.report(), a, "done", map[string]any{"result": result(a)})
+		}
+	}
+}
