--- /dev/null
+++ b/review/stand2/removed.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"topazfall/internal/lab/resolver"
+)
+
+const (
+	srvName   = "_jobs._tcp.workers.test"
+	loadEvery = 50 * time.Millisecond // between two lookups
+	grace     = 550 * time.Millisecond
+)
+
+// removedHost is the case of a worker that the roster removes while DNS still lists it, and of a replacement of the
+// process after that.
+func removedHost(b *bench) (ruleBroken bool, err error) {
+	listen := freeAddress()
+	result := func(a *attempt) string { return fmt.Sprintf("records of %s", a.body) }
+	var workers []*worker
+	var hosts []host
+	var targets []resolver.Target
+	for i := range 3 {
+		name := fmt.Sprintf("w%d.workers.test", i+1)
+		w, err := b.startWorker(name, "127.0.0.1:0", func() string { return listen },
+			run(100*time.Millisecond, result))
+		if err != nil {
+			return false, err
+		}
+		var port uint16
+		fmt.Sscanf(w.address, "127.0.0.1:%d", &port)
+		workers, hosts = append(workers, w), append(hosts, newHost(name, w.address))
+		targets = append(targets, resolver.Target{Host: name, Port: port, Weight: 100, A: []string{"127.0.0.1"}})
+	}
+	dns, err := resolver.Start()
+	if err != nil {
+		return false, err
+	}
+	defer dns.Close()
+	dns.SetRecords(srvName, 2, targets...)
+	d, err := b.startDiscovery(hosts)
+	if err != nil {
+		return false, err
+	}
+	agent := dispatcherOptions{run: "exec bin/topazfall agent --state " + filepath.Join(b.folder, "state"), name: "n0",
+		listen: listen, management: freeAddress(),
+		config: b.writeConfig("n0", d.address, object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, hosts, nil)}
+	old, err := b.startDispatcher(agent)
+	if err != nil {
+		return false, err
+	}
+	if err := b.applySources(dns.Address()); err != nil {
+		return false, err
+	}
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		b.load(listen, stop)
+	}()
+	time.Sleep(3 * time.Second)
+	gone := hosts[2]
+	gone.Health = "removed"
+	d.set(gone)
+	toldAt := time.Now()
+	b.note("discovery tells that %s is removed; DNS lists it all the same", gone.Host)
+	time.Sleep(4 * time.Second)
+	b.noteHosts()
+	if b.trouble {
+		agent.management = freeAddress()
+		if _, err := b.startDispatcher(agent); err != nil {
+			return false, err
+		}
+		b.note("SIGTERM to the old process %d", old.Process.Pid)
+		old.Process.Signal(syscall.SIGTERM)
+	}
+	time.Sleep(8 * time.Second)
+	b.noteHosts()
+	close(stop)
+	<-ended
+	for _, p := range b.processes {
+		b.copyLog(p, "at=takeover", "at=main", "at=sources", "at=inventory")
+	}
+	late := workers[2].count("", toldAt.Add(grace))
+	b.note("attempts at %s later than %v after it was told as removed: %d", gone.Host, grace, late)
+	if workers[0].count("", toldAt) == 0 {
+		return false, fmt.Errorf("no lookup reached a worker that is listed as up")
+	}
+	if late > 0 {
+		b.note("BROKEN: a removed worker got new work")
+	}
+	return late > 0, nil
+}
+
+// applySources gives the agent the resolver and the SRV name, by the operators' tool.
+func (b *bench) applySources(resolverAddress string) error {
+	document := filepath.Join(b.folder, "settings.json")
+	text := fmt.Sprintf(`{"sources": {"resolvers": [%q], "srv": [{"name": %q, "zone": "hall-a", "kind": "large"}]}}`,
+		resolverAddress, srvName)
+	if err := os.WriteFile(document, []byte(text), 0o600); err != nil {
+		return err
+	}
+	tool := exec.Command("bin/topazctl", "--control", "unix:"+filepath.Join(b.folder, "state", "control.sock"),
+		"settings", "apply", document)
+	out, err := tool.CombinedOutput()
+	b.note("topazctl settings apply: %s", strings.TrimSpace(string(out)))
+	return err
+}
+
+// noteHosts records the agent's list of hosts, as the operators' tool shows it.
+func (b *bench) noteHosts() {
+	tool := exec.Command("bin/topazctl", "--control", "unix:"+filepath.Join(b.folder, "state", "control.sock"), "hosts")
+	out, err := tool.CombinedOutput()
+	b.note("topazctl hosts (%v):\n%s", err, out)
+}
+
+// load sends lookups until stop is closed.
+func (b *bench) load(listen string, stop <-chan struct{}) {
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	clients := make(chan *http.Client, 64)
+	for n := 1; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(loadEvery):
+		}
+		wait.Go(func() {
+			client := newClient()
+			select {
+			case client = <-clients:
+			default:
+			}
+			j := job{id: fmt.Sprintf("a%015x", n), class: "lookup", tenant: "delta-mobile", timeout: 5 * time.Second,
+				body: []byte("subscriber")}
+			a := b.send(client, listen, j)
+			b.note("client got %d %q for %s (%v)", a.status, a.body, j.id, a.err)
+			select {
+			case clients <- client:
+			default:
+			}
+		})
+	}
+}
