--- a/review/stand2/bench.go
+++ b/review/stand2/bench.go
@@ -87,7 +87,7 @@
 type dispatcherOptions struct {
 	run                      string // the line that the shell runs
 	name, listen, management string
-	config, folder           string
+	config                   string
 }
 
 // startDispatcher starts a dispatcher as the platform does: by the shell, from the root, with its private TMPDIR.
--- a/review/stand2/discovery.go
+++ b/review/stand2/discovery.go
@@ -37,6 +37,8 @@
 type discovery struct {
 	bench   *bench
 	address string
+	// intercept answers a call in place of the list, and reports whether it did; nil for none.
+	intercept func(http.ResponseWriter, *http.Request) bool
 
 	mu      sync.Mutex
 	seq     int64
@@ -89,6 +91,9 @@
 
 // serve answers one call.
 func (d *discovery) serve(w http.ResponseWriter, r *http.Request) {
+	if d.intercept != nil && d.intercept(w, r) {
+		return
+	}
 	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	whole := err != nil
 	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
--- a/review/stand2/lost.go
+++ b/review/stand2/lost.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"time"
 )
 
@@ -47,9 +46,9 @@
 	if err != nil {
 		return false, err
 	}
+	config := b.writeConfig("n0", d.address, object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, hosts, nil)
 	p, err := b.startDispatcher(dispatcherOptions{run: "exec bin/topazfall", name: "n0", listen: listen,
-		management: freeAddress(),
-		config:     b.writeConfig("n0", d.address, object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, hosts, nil)})
+		management: freeAddress(), config: config})
 	if err != nil {
 		return false, err
 	}
@@ -65,8 +64,8 @@
 	defer w1.mu.Unlock()
 	for _, a := range w1.attempts {
 		if a.beside > 0 {
-			b.note("BROKEN: w1 got attempt %d of %s while an earlier one had neither ended nor been given up", a.number+1,
-				a.id)
+			b.note("BROKEN: w1 got attempt %d of %s while an earlier one had neither ended nor been given up",
+				a.number+1, a.id)
 			ruleBroken = true
 		}
 	}
@@ -103,5 +102,3 @@
 	}()
 	return ln.Addr().String(), nil
 }
-
-var _ = http.StatusOK
