--- /dev/null
+++ b/review/stand2/asked.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const (
+	askedDispatchers = 20 // of the 60 that the settings name
+	askedLoadEvery   = 100 * time.Millisecond
+	boundAfterYes    = 2 * time.Second // what discovery reports becomes binding then
+)
+
+// askedList is the case of a replacement where lists have to be asked for.
+func askedList(b *bench) (ruleBroken bool, err error) {
+	var options [askedDispatchers]dispatcherOptions
+	report := func(id string) string {
+		var n int
+		fmt.Sscanf(id, "a%02d", &n)
+		return options[n%askedDispatchers].listen
+	}
+	workers, hosts, err := b.startWorkers(5, report, run(20*time.Millisecond, recordsOf))
+	if err != nil {
+		return false, err
+	}
+	d, err := b.startDiscovery(hosts)
+	if err != nil {
+		return false, err
+	}
+	var old []*process
+	for n := range options {
+		name := fmt.Sprintf("n%d", n)
+		config := b.writeConfig(name, d.address, object{"cores": 1.0, "memory_mb": 96, "sockets": 512}, hosts,
+			func(settings object) {
+				settings["discovery"], settings["replicas_of_me"], settings["me"] = "subscribe", 60, n*3
+			})
+		options[n] = dispatcherOptions{run: "exec bin/topazfall", name: name, listen: freeAddress(),
+			management: freeAddress(), config: config}
+		p, err := b.startDispatcher(options[n])
+		if err != nil {
+			return false, err
+		}
+		old = append(old, p)
+	}
+	time.Sleep(7 * time.Second) // each has read the list, and watches it
+	stop := make(chan struct{})
+	for n := range options {
+		go b.quietLoad(options[n].listen, fmt.Sprintf("a%02d", n), stop)
+	}
+	time.Sleep(2 * time.Second)
+	if b.trouble {
+		if err := b.startSuccessors(options[:]); err != nil {
+			return false, err
+		}
+	}
+	yes := time.Now()
+	first, second := hosts[3], hosts[4]
+	first.Health, second.Health = "draining", "draining"
+	d.set(first, second)
+	b.note("discovery tells all who watch that %s and %s drain, the old processes among them", first.Host, second.Host)
+	time.Sleep(100 * time.Millisecond)
+	for _, p := range old {
+		if b.trouble {
+			b.note("SIGTERM to the old process %d", p.Process.Pid)
+			p.Process.Signal(syscall.SIGTERM)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	close(stop)
+	time.Sleep(200 * time.Millisecond)
+	for _, p := range b.processes {
+		b.copyLog(p, "at=inventory", "at=takeover", "at=main")
+	}
+	late := 0
+	for _, w := range workers[3:] {
+		n := w.count("", yes.Add(boundAfterYes+grace))
+		b.note("attempts at %s: %d before the last yes, %d later than 2 s and %v after it", w.name,
+			w.count("", time.Time{})-w.count("", yes), n, grace)
+		late += n
+	}
+	if late > 0 {
+		b.note("BROKEN: a draining worker got new work")
+	}
+	return late > 0, nil
+}
+
+// startSuccessors starts a new process beside each, and waits until all of them say yes.
+func (b *bench) startSuccessors(options []dispatcherOptions) error {
+	for n := range options {
+		options[n].management = freeAddress()
+		if _, err := b.startDispatcher(options[n]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// quietLoad sends lookups, one after the other, and records those that get no result.
+func (b *bench) quietLoad(listen, prefix string, stop <-chan struct{}) {
+	client, results := newClient(), 0
+	defer func() { b.note("client %s got %d results", prefix, results) }()
+	for n := 1; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(askedLoadEvery):
+		}
+		j := job{id: fmt.Sprintf("%s%013x", prefix, n), class: "lookup", tenant: "delta-mobile",
+			timeout: 5 * time.Second, body: []byte("subscriber")}
+		if a := b.send(client, listen, j); a.status != http.StatusOK {
+			b.note("client got %d %q for %s (%v)", a.status, strings.TrimSpace(a.body), j.id, a.err)
+		} else {
+			results++
+		}
+	}
+}
--- a/review/stand2/discovery.go
+++ b/review/stand2/discovery.go
@@ -37,6 +37,9 @@
 type discovery struct {
 	bench   *bench
 	address string
+
+	listener net.Listener
+	server   *http.Server
 	// intercept answers a call in place of the list, and reports whether it did; nil for none.
 	intercept func(http.ResponseWriter, *http.Request) bool
 
@@ -60,10 +63,16 @@
 		d.hosts[h.Host] = h
 		d.order = append(d.order, h.Host)
 	}
+	d.listener, d.server = ln, &http.Server{Handler: d.handler()}
+	go d.server.Serve(ln)
+	return d, nil
+}
+
+// handler serves the list.
+func (d *discovery) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/v1/endpoints", d.serve)
-	go http.Serve(ln, mux)
-	return d, nil
+	return mux
 }
 
 // set makes changes, all under one new version.
--- a/review/stand2/lost.go
+++ b/review/stand2/lost.go
@@ -17,7 +17,7 @@
 	}
 	result := func(a *attempt) string { return fmt.Sprintf("records of %s", a.body) }
 	id := "9b1f03aa5c7e2d41"
-	w1, err := b.startWorker("w1", "127.0.0.1:0", func() string { return listen }, func(w *worker, a *attempt) {
+	w1, err := b.startWorker("w1", "127.0.0.1:0", func(string) string { return listen }, func(w *worker, a *attempt) {
 		if a.id != id || a.number > 0 {
 			run(1500*time.Millisecond, result)(w, a)
 			return
@@ -35,7 +35,7 @@
 	if err != nil {
 		return false, err
 	}
-	w2, err := b.startWorker("w2", "127.0.0.1:0", func() string { return listen }, run(time.Second, result))
+	w2, err := b.startWorker("w2", "127.0.0.1:0", func(string) string { return listen }, run(time.Second, result))
 	if err != nil {
 		return false, err
 	}
--- a/review/stand2/refused.go
+++ b/review/stand2/refused.go
@@ -17,7 +17,7 @@
 	var hosts []host
 	for i := range 3 {
 		name := fmt.Sprintf("w%d", i+1)
-		w, err := b.startWorker(name, "127.0.0.1:0", func() string { return listen },
+		w, err := b.startWorker(name, "127.0.0.1:0", func(string) string { return listen },
 			run(100*time.Millisecond, result))
 		if err != nil {
 			return false, err
--- a/review/stand2/reusedid.go
+++ b/review/stand2/reusedid.go
@@ -20,7 +20,7 @@
 // time, as soon as it is turned away. Then another bad client sends the id of the open job.
 func reusedID(b *bench) (ruleBroken bool, err error) {
 	listen := freeAddress()
-	report := func() string { return listen }
+	report := func(string) string { return listen }
 	result := func(a *attempt) string { return fmt.Sprintf("extract of %s", a.body) }
 	var workers []*worker
 	var hosts []host
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,7 +27,7 @@
 	bench   *bench
 	name    string
 	address string
-	report  func() string // the address for its call-backs
+	report  func(id string) string // the address for the call-backs of a job
 	play    func(w *worker, a *attempt)
 	client  *http.Client
 
@@ -35,7 +36,8 @@
 }
 
 // startWorker starts a worker at an address, which may leave the port free.
-func (b *bench) startWorker(name, address string, report func() string, play func(*worker, *attempt)) (*worker, error) {
+func (b *bench) startWorker(name, address string, report func(string) string,
+	play func(*worker, *attempt)) (*worker, error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -82,6 +84,22 @@
 	go w.play(w, a)
 }
 
+// recordsOf is the result of a lookup.
+func recordsOf(a *attempt) string { return fmt.Sprintf("records of %s", a.body) }
+
+// startWorkers starts n workers on free ports, and returns their entries for the list too.
+func (b *bench) startWorkers(n int, report func(string) string, play func(*worker, *attempt)) (
+	workers []*worker, hosts []host, err error) {
+	for i := range n {
+		w, err := b.startWorker(fmt.Sprintf("w%d", i+1), "127.0.0.1:0", report, play)
+		if err != nil {
+			return nil, nil, err
+		}
+		workers, hosts = append(workers, w), append(hosts, newHost(w.name, w.address))
+	}
+	return workers, hosts, nil
+}
+
 // drop gives up the open attempts of an id.
 func (w *worker) drop(out http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("id")
@@ -129,7 +147,7 @@
 	text, _ := json.Marshal(call)
 	for tries = 1; tries <= 10; tries++ {
 		if tries > 1 {
-			address = w.report()
+			address = w.report(a.id)
 			time.Sleep(200 * time.Millisecond)
 		}
 		answer, err := w.client.Post("http://"+address+"/v1/job-events", "application/json", bytes.NewReader(text))
@@ -154,21 +172,21 @@
 // run plays a job that starts at once, runs for a time and is done.
 func run(duration time.Duration, result func(a *attempt) string) func(*worker, *attempt) {
 	return func(w *worker, a *attempt) {
-		w.tell(w.report(), a, "started", nil)
+		w.tell(w.report(a.id), a, "started", nil)
 		end := time.After(duration)
 		for {
 			select {
 			case <-a.gaveUp:
 				return
 			case <-time.After(2 * time.Second):
-				w.tell(w.report(), a, "running", map[string]any{"share": 0.5})
+				w.tell(w.report(a.id), a, "running", map[string]any{"share": 0.5})
 				continue
 			case <-end:
 			}
 			break
 		}
 		if w.end(a) {
-			w.tell(w.report(), a, "done", map[string]any{"result": result(a)})
+			w.tell(w.report(a.id), a, "done", map[string]any{"result": result(a)})
 		}
 	}
 }
