--- a/review/stand2/asked.go
+++ b/review/stand2/asked.go
@@ -12,6 +12,7 @@
 	askedDispatchers = 20 // of the 60 that the settings name
 	askedLoadEvery   = 100 * time.Millisecond
 	boundAfterYes    = 2 * time.Second // what discovery reports becomes binding then
+	endAfterYes      = 4 * time.Second // when the draining workers, which have long done what they had, end
 )
 
 // askedList is the case of a replacement where lists have to be asked for.
@@ -22,7 +23,7 @@
 		fmt.Sscanf(id, "a%02d", &n)
 		return options[n%askedDispatchers].listen
 	}
-	workers, hosts, err := b.startWorkers(5, report, run(20*time.Millisecond, recordsOf))
+	workers, hosts, err := b.startWorkers(5, report, byClass(20*time.Millisecond, 1200*time.Millisecond))
 	if err != nil {
 		return false, err
 	}
@@ -48,7 +49,8 @@
 	time.Sleep(7 * time.Second) // each has read the list, and watches it
 	stop := make(chan struct{})
 	for n := range options {
-		go b.quietLoad(options[n].listen, fmt.Sprintf("a%02d", n), stop)
+		go b.quietLoad(options[n].listen, fmt.Sprintf("a%02d", n), "lookup", stop)
+		go b.quietLoad(options[n].listen, fmt.Sprintf("a%02dd", n), "dispute-extract", stop)
 	}
 	time.Sleep(2 * time.Second)
 	if b.trouble {
@@ -68,19 +70,23 @@
 			p.Process.Signal(syscall.SIGTERM)
 		}
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(time.Until(yes.Add(endAfterYes)))
+	bound, lost := yes.Add(boundAfterYes+grace), 0
+	for _, w := range workers[3:] {
+		lost += w.shutDown(bound)
+	}
+	time.Sleep(4 * time.Second)
 	close(stop)
 	time.Sleep(200 * time.Millisecond)
-	for _, p := range b.processes {
-		b.copyLog(p, "at=inventory", "at=takeover", "at=main")
-	}
+	b.copyLogs("at=inventory", "at=takeover", "at=main")
 	late := 0
 	for _, w := range workers[3:] {
-		n := w.count("", yes.Add(boundAfterYes+grace))
+		n := w.count("", bound)
 		b.note("attempts at %s: %d before the last yes, %d later than 2 s and %v after it", w.name,
 			w.count("", time.Time{})-w.count("", yes), n, grace)
 		late += n
 	}
+	b.note("jobs among these that were lost when their worker ended: %d", lost)
 	if late > 0 {
 		b.note("BROKEN: a draining worker got new work")
 	}
@@ -98,8 +104,11 @@
 	return nil
 }
 
-// quietLoad sends lookups, one after the other, and records those that get no result.
-func (b *bench) quietLoad(listen, prefix string, stop <-chan struct{}) {
+// deadlines are the whole times that clients wait, by class.
+var deadlines = map[string]time.Duration{"lookup": 5 * time.Second, "dispute-extract": 25 * time.Second}
+
+// quietLoad sends jobs of a class, one after the other, and records those that get no result.
+func (b *bench) quietLoad(listen, prefix, class string, stop <-chan struct{}) {
 	client, results := newClient(), 0
 	defer func() { b.note("client %s got %d results", prefix, results) }()
 	for n := 1; ; n++ {
@@ -108,8 +117,8 @@
 			return
 		case <-time.After(askedLoadEvery):
 		}
-		j := job{id: fmt.Sprintf("%s%013x", prefix, n), class: "lookup", tenant: "delta-mobile",
-			timeout: 5 * time.Second, body: []byte("subscriber")}
+		j := job{id: fmt.Sprintf("%s%012x", prefix, n), class: class, tenant: "delta-mobile",
+			timeout: deadlines[class], body: []byte("subscriber")}
 		if a := b.send(client, listen, j); a.status != http.StatusOK {
 			b.note("client got %d %q for %s (%v)", a.status, strings.TrimSpace(a.body), j.id, a.err)
 		} else {
--- a/review/stand2/bench.go
+++ b/review/stand2/bench.go
@@ -153,6 +153,13 @@
 	}
 }
 
+// copyLogs does the same for all processes.
+func (b *bench) copyLogs(words ...string) {
+	for _, p := range b.processes {
+		b.copyLog(p, words...)
+	}
+}
+
 // freeAddress returns an address of 127.0.0.1 with a free port.
 func freeAddress() string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -7,7 +7,7 @@
 
 // cases are the cases by number. Each returns whether the rule was broken.
 var cases = map[string]func(*bench) (bool, error){
-	"6": reusedID, "7": removedHost, "8": askedList, "9": refusedOnce, "10": lostTwice,
+	"6": reusedID, "7": removedHost, "8": askedList, "9": refusedOnce, "10": replacedWorkers,
 }
 
 func main() {
--- a/review/stand2/refused.go
+++ b/review/stand2/refused.go
@@ -12,17 +12,10 @@
 // refusedOnce is the case of a discovery that refuses one call for want of room and answers all others at once.
 func refusedOnce(b *bench) (ruleBroken bool, err error) {
 	listen := freeAddress()
-	result := func(a *attempt) string { return fmt.Sprintf("records of %s", a.body) }
-	var workers []*worker
-	var hosts []host
-	for i := range 3 {
-		name := fmt.Sprintf("w%d", i+1)
-		w, err := b.startWorker(name, "127.0.0.1:0", func(string) string { return listen },
-			run(100*time.Millisecond, result))
-		if err != nil {
-			return false, err
-		}
-		workers, hosts = append(workers, w), append(hosts, newHost(name, w.address))
+	workers, hosts, err := b.startWorkers(3, func(string) string { return listen },
+		byClass(100*time.Millisecond, 1200*time.Millisecond))
+	if err != nil {
+		return false, err
 	}
 	d, err := b.startDiscovery(hosts)
 	if err != nil {
@@ -68,12 +61,15 @@
 	hadAt := time.Now()
 	told := hadAt.Add(6 * time.Second)
 	b.note("discovery has it that %s drains, and can be reached: it counts as told in 6 s", drains.Host)
-	time.Sleep(14 * time.Second)
+	time.Sleep(time.Until(told.Add(grace + 1500*time.Millisecond)))
+	lost := workers[2].shutDown(told.Add(grace))
+	time.Sleep(5 * time.Second)
 	close(stop)
 	<-ended
 	b.copyLog(p, "at=inventory", "at=main")
 	late := workers[2].count("", told.Add(grace))
 	b.note("attempts at %s later than 6 s and %v after discovery had its drain: %d", drains.Host, grace, late)
+	b.note("jobs among these that were lost when %s ended: %d", drains.Host, lost)
 	if workers[2].count("", time.Time{}) == 0 {
 		return false, fmt.Errorf("%s got nothing at all", drains.Host)
 	}
--- a/review/stand2/removed.go
+++ b/review/stand2/removed.go
@@ -16,7 +16,7 @@
 
 const (
 	srvName   = "_jobs._tcp.workers.test"
-	loadEvery = 50 * time.Millisecond // between two lookups
+	loadEvery = 80 * time.Millisecond // between two lookups
 	grace     = 550 * time.Millisecond
 )
 
@@ -24,14 +24,13 @@
 // process after that.
 func removedHost(b *bench) (ruleBroken bool, err error) {
 	listen := freeAddress()
-	result := func(a *attempt) string { return fmt.Sprintf("records of %s", a.body) }
 	var workers []*worker
 	var hosts []host
 	var targets []resolver.Target
 	for i := range 3 {
 		name := fmt.Sprintf("w%d.workers.test", i+1)
 		w, err := b.startWorker(name, "127.0.0.1:0", func(string) string { return listen },
-			run(100*time.Millisecond, result))
+			byClass(100*time.Millisecond, 1200*time.Millisecond))
 		if err != nil {
 			return false, err
 		}
@@ -81,15 +80,16 @@
 		b.note("SIGTERM to the old process %d", old.Process.Pid)
 		old.Process.Signal(syscall.SIGTERM)
 	}
-	time.Sleep(8 * time.Second)
+	time.Sleep(4 * time.Second)
 	b.noteHosts()
+	lost := workers[2].shutDown(toldAt.Add(grace))
+	time.Sleep(4 * time.Second)
 	close(stop)
 	<-ended
-	for _, p := range b.processes {
-		b.copyLog(p, "at=takeover", "at=main", "at=sources", "at=inventory")
-	}
+	b.copyLogs("at=takeover", "at=main", "at=sources", "at=inventory")
 	late := workers[2].count("", toldAt.Add(grace))
 	b.note("attempts at %s later than %v after it was told as removed: %d", gone.Host, grace, late)
+	b.note("jobs among these that were lost when %s ended: %d", gone.Host, lost)
 	if workers[0].count("", toldAt) == 0 {
 		return false, fmt.Errorf("no lookup reached a worker that is listed as up")
 	}
@@ -121,7 +121,7 @@
 	b.note("topazctl hosts (%v):\n%s", err, out)
 }
 
-// load sends lookups until stop is closed.
+// load sends lookups, and a dispute after every two of them, until stop is closed.
 func (b *bench) load(listen string, stop <-chan struct{}) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
@@ -138,10 +138,14 @@
 			case client = <-clients:
 			default:
 			}
-			j := job{id: fmt.Sprintf("a%015x", n), class: "lookup", tenant: "delta-mobile", timeout: 5 * time.Second,
+			class := "lookup"
+			if n%3 == 0 {
+				class = "dispute-extract"
+			}
+			j := job{id: fmt.Sprintf("a%015x", n), class: class, tenant: "delta-mobile", timeout: deadlines[class],
 				body: []byte("subscriber")}
 			a := b.send(client, listen, j)
-			b.note("client got %d %q for %s (%v)", a.status, a.body, j.id, a.err)
+			b.note("client got %d %q for %s, a %s (%v)", a.status, a.body, j.id, j.class, a.err)
 			select {
 			case clients <- client:
 			default:
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -30,6 +30,7 @@
 	report  func(id string) string // the address for the call-backs of a job
 	play    func(w *worker, a *attempt)
 	client  *http.Client
+	server  *http.Server
 
 	mu       sync.Mutex
 	attempts []*attempt
@@ -51,7 +52,8 @@
 	mux.HandleFunc("GET /status/load", func(out http.ResponseWriter, _ *http.Request) {
 		out.Write([]byte(`{"pending":0,"x0":3}`))
 	})
-	go http.Serve(ln, mux)
+	w.server = &http.Server{Handler: mux}
+	go w.server.Serve(ln)
 	return w, nil
 }
 
@@ -126,6 +128,31 @@
 	return true
 }
 
+// shutDown ends the worker: its connections are reset, new ones are refused, and the machine's agent tells of each job
+// that it still had that it is lost. It returns how many of these had come after a time.
+func (w *worker) shutDown(after time.Time) (late int) {
+	w.server.Close()
+	w.mu.Lock()
+	var open []*attempt
+	for _, a := range w.attempts {
+		if !a.ended {
+			a.ended = true
+			close(a.gaveUp)
+			open = append(open, a)
+		}
+	}
+	w.mu.Unlock()
+	w.bench.note("%s has ended, with %d jobs", w.name, len(open))
+	for _, a := range open {
+		if a.at.After(after) {
+			late++
+			w.bench.note("%s (%s) had come to %s when nothing new was to come, and is lost", a.id, a.class, w.name)
+		}
+		go w.tell(w.report(a.id), a, "lost", nil)
+	}
+	return late
+}
+
 // count returns how many attempts came of an id (of all, if it is empty) after a time.
 func (w *worker) count(id string, after time.Time) (n int) {
 	w.mu.Lock()
@@ -169,6 +196,20 @@
 	return tries - 1, false
 }
 
+// byClass plays lookups and disputes with their own running times.
+func byClass(lookup, dispute time.Duration) func(*worker, *attempt) {
+	return func(w *worker, a *attempt) {
+		duration := lookup
+		if a.class == "dispute-extract" {
+			duration = dispute
+		}
+		run(duration, recordsOf)(w, a)
+	}
+}
+
+// freeLoad is the load report of a worker with free slots.
+var freeLoad = map[string]any{"pending": 0, "x0": 5}
+
 // run plays a job that starts at once, runs for a time and is done.
 func run(duration time.Duration, result func(a *attempt) string) func(*worker, *attempt) {
 	return func(w *worker, a *attempt) {
@@ -186,7 +227,7 @@
 			break
 		}
 		if w.end(a) {
-			w.tell(w.report(a.id), a, "done", map[string]any{"result": result(a)})
+			w.tell(w.report(a.id), a, "done", map[string]any{"result": result(a), "load": freeLoad})
 		}
 	}
 }
