Review case 6: less time for the flood, and a check on the lost result

Changed: the refused requests have 1 ms left, two quiet seconds follow, and a job that was told as done must reach its client.

--- a/review/stand2/reusedid.go
+++ b/review/stand2/reusedid.go
@@ -13,7 +13,8 @@
 	floodClients  = 60               // connections of the client that asks again as soon as it is turned away
 	floodAsks     = 5000             // that it makes in all
 	floodTime     = 8 * time.Second  // after which it stops
-	floodPatience = 2 * time.Millisecond
+	afterFlood    = 2 * time.Second  // of quiet, before the id is used again
+	floodPatience = 1 * time.Millisecond
 )
 
 // reusedID is case 6. A job that must not run twice is open. A bad client asks again and again, with a new id each
@@ -56,6 +57,7 @@
 	if b.trouble {
 		b.flood(listen)
 	}
+	time.Sleep(afterFlood)
 	// The bad client's request is its own: another body under the id of client 1's open request.
 	bad := open
 	bad.body = []byte("invoice 2")
@@ -69,9 +71,14 @@
 		b.note("BROKEN: client 1 got what no worker made for its request")
 		ruleBroken = true
 	}
-	sent := 0
+	sent, done := 0, 0
 	for _, w := range workers {
 		sent += w.count(open.id, time.Time{})
+		done += w.countDone(open.id, "invoice 1")
+	}
+	if done > 0 && a.status != http.StatusOK {
+		b.note("BROKEN: the dispatcher took the call that client 1's job is done, and client 1 has no result")
+		ruleBroken = true
 	}
 	b.note("attempts of %s, which must not run twice, at all workers: %d", open.id, sent)
 	if sent == 0 {
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -18,6 +18,7 @@
 	body      []byte
 	at        time.Time
 	ended     bool // it was told how it ended, or given up
+	done      bool // the dispatcher took the call that it is done
 	beside    int  // how many earlier ones of this id were open here when it came
 	gaveUp    chan struct{}
 }
@@ -165,6 +166,18 @@
 	return n
 }
 
+// countDone returns how many attempts of an id with a body were done, as far as the dispatcher took the calls.
+func (w *worker) countDone(id, body string) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range w.attempts {
+		if a.id == id && string(a.body) == body && a.done {
+			n++
+		}
+	}
+	return n
+}
+
 // tell makes a call-back, up to ten times until it is answered with 200 or 204, and returns how often it tried.
 func (w *worker) tell(address string, a *attempt, state string, more map[string]any) (tries int, taken bool) {
 	call := map[string]any{"id": a.id, "from": w.name, "state": state}
@@ -207,6 +220,14 @@
 	}
 }
 
+// finish tells that a job is done.
+func (w *worker) finish(a *attempt, result string) {
+	_, taken := w.tell(w.report(a.id), a, "done", map[string]any{"result": result, "load": freeLoad})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	a.done = taken
+}
+
 // freeLoad is the load report of a worker with free slots.
 var freeLoad = map[string]any{"pending": 0, "x0": 5}
 
@@ -227,7 +248,7 @@
 			break
 		}
 		if w.end(a) {
-			w.tell(w.report(a.id), a, "done", map[string]any{"result": result(a), "load": freeLoad})
+			w.finish(a, result(a))
 		}
 	}
 }
