--- a/review/stand2/asked.go
+++ b/review/stand2/asked.go
@@ -31,20 +31,9 @@
 	if err != nil {
 		return false, err
 	}
-	var old []*process
-	for n := range options {
-		name := fmt.Sprintf("n%d", n)
-		config := b.writeConfig(name, d.address, object{"cores": 1.0, "memory_mb": 96, "sockets": 512}, hosts,
-			func(settings object) {
-				settings["discovery"], settings["replicas_of_me"], settings["me"] = "subscribe", 60, n*3
-			})
-		options[n] = dispatcherOptions{run: "exec bin/topazfall", name: name, listen: freeAddress(),
-			management: freeAddress(), config: config}
-		p, err := b.startDispatcher(options[n])
-		if err != nil {
-			return false, err
-		}
-		old = append(old, p)
+	old, err := b.startAsking(options[:], d.address, hosts)
+	if err != nil {
+		return false, err
 	}
 	time.Sleep(7 * time.Second) // each has read the list, and watches it
 	stop := make(chan struct{})
@@ -53,6 +42,10 @@
 		go b.quietLoad(options[n].listen, fmt.Sprintf("a%02dd", n), "dispute-extract", stop)
 	}
 	time.Sleep(2 * time.Second)
+	watching := d.watching()
+	if len(watching) != askedDispatchers {
+		return false, fmt.Errorf("%d of %d watch the list", len(watching), askedDispatchers)
+	}
 	if b.trouble {
 		if err := b.startSuccessors(options[:]); err != nil {
 			return false, err
@@ -64,6 +57,10 @@
 	d.set(first, second)
 	b.note("discovery tells all who watch that %s and %s drain, the old processes among them", first.Host, second.Host)
 	time.Sleep(100 * time.Millisecond)
+	if !d.told(watching) {
+		return false, fmt.Errorf("the drain was not written to each of the old processes")
+	}
+	b.note("discovery has written it to all %d old processes", len(watching))
 	for _, p := range old {
 		if b.trouble {
 			b.note("SIGTERM to the old process %d", p.Process.Pid)
@@ -93,6 +90,25 @@
 	return late > 0, nil
 }
 
+// startAsking starts the dispatchers, which ask for their lists, and fills in how each is started.
+func (b *bench) startAsking(options []dispatcherOptions, discovery string, hosts []host) (old []*process, err error) {
+	for n := range options {
+		name := fmt.Sprintf("n%d", n)
+		config := b.writeConfig(name, discovery, object{"cores": 1.0, "memory_mb": 96, "sockets": 512}, hosts,
+			func(settings object) {
+				settings["discovery"], settings["replicas_of_me"], settings["me"] = "subscribe", 60, n*3
+			})
+		options[n] = dispatcherOptions{run: "exec bin/topazfall", name: name, listen: freeAddress(),
+			management: freeAddress(), config: config}
+		p, err := b.startDispatcher(options[n])
+		if err != nil {
+			return nil, err
+		}
+		old = append(old, p)
+	}
+	return old, nil
+}
+
 // startSuccessors starts a new process beside each, and waits until all of them say yes.
 func (b *bench) startSuccessors(options []dispatcherOptions) error {
 	for n := range options {
--- a/review/stand2/discovery.go
+++ b/review/stand2/discovery.go
@@ -49,6 +49,13 @@
 	order   []string
 	changes []change
 	changed chan struct{}
+	callers map[string]caller // by address
+}
+
+// caller is what was last asked from an address, and told there.
+type caller struct {
+	at  time.Time
+	seq int64
 }
 
 // startDiscovery serves a list, whose version is 1.
@@ -58,7 +65,7 @@
 		return nil, err
 	}
 	d := &discovery{bench: b, address: ln.Addr().String(), seq: 1, hosts: map[string]host{},
-		changed: make(chan struct{})}
+		changed: make(chan struct{}), callers: map[string]caller{}}
 	for _, h := range hosts {
 		d.hosts[h.Host] = h
 		d.order = append(d.order, h.Host)
@@ -103,6 +110,9 @@
 	if d.intercept != nil && d.intercept(w, r) {
 		return
 	}
+	d.mu.Lock()
+	d.callers[r.RemoteAddr] = caller{time.Now(), d.callers[r.RemoteAddr].seq}
+	d.mu.Unlock()
 	after, err := strconv.ParseInt(r.FormValue("after"), 10, 64)
 	whole := err != nil
 	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
@@ -127,7 +137,40 @@
 		}
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Write(d.answer(after, whole))
+	d.mu.Lock()
+	seq := d.seq
+	d.mu.Unlock()
+	if _, err := w.Write(d.answer(after, whole)); err != nil {
+		return
+	}
+	http.NewResponseController(w).Flush()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.callers[r.RemoteAddr] = caller{d.callers[r.RemoteAddr].at, seq}
+}
+
+// watching returns the addresses that have called within the last 1.5 s: a watch is called again at least as often.
+func (d *discovery) watching() (addresses []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for address, c := range d.callers {
+		if time.Since(c.at) < 1500*time.Millisecond {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// told reports whether the present version was written to all of these addresses.
+func (d *discovery) told(addresses []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, address := range addresses {
+		if d.callers[address].seq < d.seq {
+			return false
+		}
+	}
+	return true
 }
 
 // answer returns the whole list or the changes after a version.
--- a/review/stand2/removed.go
+++ b/review/stand2/removed.go
@@ -72,30 +72,30 @@
 	b.note("discovery tells that %s is removed; DNS lists it all the same", gone.Host)
 	time.Sleep(4 * time.Second)
 	b.noteHosts()
+	bound := toldAt.Add(grace)
 	if b.trouble {
 		agent.management = freeAddress()
 		if _, err := b.startDispatcher(agent); err != nil {
 			return false, err
 		}
+		bound = time.Now().Add(boundAfterYes + grace) // what discovery reports binds the new process 2 s after its yes
 		b.note("SIGTERM to the old process %d", old.Process.Pid)
 		old.Process.Signal(syscall.SIGTERM)
 	}
-	time.Sleep(4 * time.Second)
+	time.Sleep(5 * time.Second)
 	b.noteHosts()
-	lost := workers[2].shutDown(toldAt.Add(grace))
+	lost := workers[2].shutDown(bound)
 	time.Sleep(4 * time.Second)
 	close(stop)
 	<-ended
 	b.copyLogs("at=takeover", "at=main", "at=sources", "at=inventory")
-	late := workers[2].count("", toldAt.Add(grace))
-	b.note("attempts at %s later than %v after it was told as removed: %d", gone.Host, grace, late)
+	late := workers[2].count("", bound)
+	b.note("attempts at %s later than %v after it was told as removed: %d; later than 2.55 s after the yes too: %d",
+		gone.Host, grace, workers[2].count("", toldAt.Add(grace)), late)
 	b.note("jobs among these that were lost when %s ended: %d", gone.Host, lost)
 	if workers[0].count("", toldAt) == 0 {
 		return false, fmt.Errorf("no lookup reached a worker that is listed as up")
 	}
-	if late > 0 {
-		b.note("BROKEN: a removed worker got new work")
-	}
 	return late > 0, nil
 }
 
--- a/review/stand2/replaced.go
+++ b/review/stand2/replaced.go
@@ -37,7 +37,8 @@
 	}
 	p, err := b.startDispatcher(dispatcherOptions{run: "exec bin/topazfall", name: "n0", listen: freeAddress(),
 		management: freeAddress(), config: b.writeConfig("n0", d.address,
-			object{"cores": 1.0, "memory_mb": memoryMB, "sockets": 1024}, fleetOf(0), nil)})
+			object{"cores": 1.0, "memory_mb": memoryMB, "sockets": 1024}, fleetOf(0),
+			func(settings object) { settings["replicas_of_me"] = 900 })})
 	if err != nil {
 		return false, err
 	}
--- a/review/stand2/reusedid.go
+++ b/review/stand2/reusedid.go
@@ -52,6 +52,7 @@
 		body: []byte("invoice 1")}
 	first := make(chan answer, 1)
 	b.note("client 1 sends %s, a dispute-extract", open.id)
+	due := time.Now().Add(open.timeout)
 	go func() { first <- b.send(newClient(), listen, open) }()
 	time.Sleep(2 * time.Second)
 	if b.trouble {
@@ -64,7 +65,6 @@
 	b.note("a bad client sends %s too, the id of client 1's open request", open.id)
 	second := make(chan answer, 1)
 	go func() { second <- b.send(newClient(), listen, bad) }()
-	ruleBroken = !b.judgeBad(second)
 	a := <-first
 	b.note("client 1 got %d %q after %v (%v)", a.status, a.body, a.took.Round(time.Millisecond), a.err)
 	if a.status == http.StatusOK && a.body != "extract of invoice 1" {
@@ -74,12 +74,13 @@
 	sent, done := 0, 0
 	for _, w := range workers {
 		sent += w.count(open.id, time.Time{})
-		done += w.countDone(open.id, "invoice 1")
+		done += w.countDone(open.id, "invoice 1", due)
 	}
 	if done > 0 && a.status != http.StatusOK {
 		b.note("BROKEN: the dispatcher took the call that client 1's job is done, and client 1 has no result")
 		ruleBroken = true
 	}
+	ruleBroken = b.judgeBad(<-second) || ruleBroken
 	b.note("attempts of %s, which must not run twice, at all workers: %d", open.id, sent)
 	if sent == 0 {
 		return false, fmt.Errorf("the open job reached no worker: %d", a.status)
@@ -91,16 +92,14 @@
 	return ruleBroken, nil
 }
 
-// judgeBad reports whether the bad client got what it is owed: an error or a close within 3 s.
-func (b *bench) judgeBad(second <-chan answer) bool {
-	select {
-	case a := <-second:
-		b.note("the bad client got %d %q (%v) after %v", a.status, a.body, a.err, a.took.Round(time.Millisecond))
-		return a.status >= 400 || a.err != nil
-	case <-time.After(3 * time.Second):
-		b.note("BROKEN: the bad client got neither an error nor a close within 3 s")
-		return false
+// judgeBad reports whether the bad client was served as if its request had run, which breaks the rule. That it is owed
+// an error or a close within 3 s has a price only, and is recorded.
+func (b *bench) judgeBad(a answer) bool {
+	b.note("the bad client got %d %q (%v) after %v", a.status, a.body, a.err, a.took.Round(time.Millisecond))
+	if a.status == http.StatusOK {
+		b.note("BROKEN: the bad client was served in place of an error")
 	}
+	return a.status == http.StatusOK
 }
 
 // flood lets a client hand in lookups with very little time left, each again under a new id as soon as it is turned
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -17,9 +17,9 @@
 	number    int // of the attempts of this id here, from 0
 	body      []byte
 	at        time.Time
-	ended     bool // it was told how it ended, or given up
-	done      bool // the dispatcher took the call that it is done
-	beside    int  // how many earlier ones of this id were open here when it came
+	ended     bool      // it was told how it ended, or given up
+	done      time.Time // when the dispatcher took the call that it is done; zero if it did not
+	beside    int       // how many earlier ones of this id were open here when it came
 	gaveUp    chan struct{}
 }
 
@@ -60,11 +60,12 @@
 
 // take takes a job.
 func (w *worker) take(out http.ResponseWriter, r *http.Request) {
+	at := time.Now() // for drains the time of a send counts from its first byte
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
-	a := &attempt{id: r.Header.Get("X-Request-ID"), class: r.Header.Get("X-Priority-Class"), body: body, at: time.Now(),
+	a := &attempt{id: r.Header.Get("X-Request-ID"), class: r.Header.Get("X-Priority-Class"), body: body, at: at,
 		gaveUp: make(chan struct{})}
 	if a.id == "" {
 		out.WriteHeader(http.StatusNotFound)
@@ -166,12 +167,13 @@
 	return n
 }
 
-// countDone returns how many attempts of an id with a body were done, as far as the dispatcher took the calls.
-func (w *worker) countDone(id, body string) (n int) {
+// countDone returns how many attempts of an id with a body were done before a time, as far as the dispatcher took the
+// calls.
+func (w *worker) countDone(id, body string, before time.Time) (n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, a := range w.attempts {
-		if a.id == id && string(a.body) == body && a.done {
+		if a.id == id && string(a.body) == body && !a.done.IsZero() && a.done.Before(before) {
 			n++
 		}
 	}
@@ -225,7 +227,9 @@
 	_, taken := w.tell(w.report(a.id), a, "done", map[string]any{"result": result, "load": freeLoad})
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	a.done = taken
+	if taken {
+		a.done = time.Now()
+	}
 }
 
 // freeLoad is the load report of a worker with free slots.
