Look an id up among the messages in flight, not among recent ids alone

What callers saw: while a dispute-extract ran, a second client's request with the same id was sent to a second worker. The first client got 504 though its job had been done in time; its result was dropped.

Cause: an id was taken only while it was among the last 4,096 that became known.

Change: isKnownID looks at byID and claiming too. Both have a message until it has its answer and no open relay, so that no number of others can push it out.

TestIDInFlightIsNeverForgotten fails before, with no answer for the second message, and passes now.

TestIDKnownTwice asserted that an id is forgotten while its message is in flight, which is this fault. It now ends the message first and asserts the same of the id.

Ruled out: a lost call-back (both were answered with 200), and the rest of workers (the first message had its relay throughout).

--- a/internal/dispatch/ids.go
+++ b/internal/dispatch/ids.go
@@ -4,10 +4,14 @@
 // and a callback could not tell two messages apart. While one process replaces another, both admit messages, and the
 // ids of both count. The oldest of the processes then decides: its successor claims each id there before it admits a
 // message, and is informed of the ids that became known otherwise.
+//
+// An id stays known at least until its message has its final answer and no open relay. Of the other ids, the last
+// maxKnownIDs are known.
 
 import "topazfall/internal/exchange"
 
-// maxKnownIDs is the number of message ids that are kept: some minutes of them on a busy day, in a few hundred kB.
+// maxKnownIDs is the number of recent message ids that are kept, of messages in flight or not: some minutes of them on a
+// busy day, in a few hundred kB.
 const maxKnownIDs = 4096
 
 // knownID is an id in the ring of the known ones.
@@ -122,9 +126,13 @@
 // IDsAdded returns a channel that receives a value after an id has become known. Several ids may share one value.
 func (c *Core) IDsAdded() <-chan struct{} { return c.idsAdded }
 
-func (c *Core) isKnownID(id string) bool { return c.knownIDs[id] != 0 }
+// isKnownID reports whether an id is taken. Other messages come at any rate and push an id out of the recent ones soon,
+// so that a message in flight is looked up itself.
+func (c *Core) isKnownID(id string) bool {
+	return c.knownIDs[id] != 0 || c.byID[id] != nil || c.claiming[id] != nil
+}
 
-// addKnownID adds an id, forgets the oldest one, and returns the number of the new one.
+// addKnownID adds an id to the recent ones in the place of the oldest, and returns the number of the new one.
 func (c *Core) addKnownID(known knownID) uint64 {
 	c.lastNumber++
 	place := &c.recentIDs[c.lastNumber%maxKnownIDs]
--- a/internal/dispatch/ids_test.go
+++ b/internal/dispatch/ids_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -115,6 +116,46 @@
 	require.Equal(t, []string{"own", "1", "2"}, c.HandoverState().Known)
 }
 
+// otherIDs returns as many ids as the recent ones are.
+func otherIDs() (ids []string) {
+	for i := range maxKnownIDs {
+		ids = append(ids, "other"+strconv.Itoa(i))
+	}
+	return ids
+}
+
+// Guards against an id being forgotten while its message is in flight or about to be admitted, because enough other
+// messages came: the job of a second message with the id would run beside the first one's, and take its callbacks.
+func TestIDInFlightIsNeverForgotten(t *testing.T) {
+	c, s := start(t, "h")
+	first := newExchange(c, "1", time.Minute)
+	c.Submit(first)
+	<-s.sent
+	for _, id := range otherIDs() {
+		c.Submit(newExchange(c, id, 0)) // refused at once
+	}
+	second := newExchange(c, "1", time.Minute)
+	c.Submit(second)
+	require.Equal(t, exchange.Duplicate, awaitAnswer(t, second).Result)
+	require.True(t, c.ClaimForSuccessor("1"), "the successor may not use it either")
+	require.Empty(t, s.sent)
+	require.True(t, c.HandleCallback(Callback{ID: "1", From: "h", State: Finished, Outcome: topazfall.Completed,
+		Result: []byte("result"), Load: topazfall.NoLoad}))
+	require.Equal(t, exchange.Answer{Result: exchange.Served, Body: []byte("result")}, awaitAnswer(t, first))
+
+	c, s, other := startWithClaims(t)
+	first = newExchange(c, "1", time.Minute)
+	c.Submit(first)
+	<-other.asked
+	c.AddKnownIDs(otherIDs())
+	second = newExchange(c, "1", time.Minute)
+	c.Submit(second)
+	require.Equal(t, exchange.Duplicate, awaitAnswer(t, second).Result)
+	other.answers <- false
+	require.Equal(t, first, (<-s.sent).Exchange)
+	require.Empty(t, other.asked)
+}
+
 // An id that becomes known a second time stays known as long as any id from then on.
 func TestIDKnownTwice(t *testing.T) {
 	c, s := start(t, "h")
@@ -122,6 +163,8 @@
 	c.AddKnownIDs([]string{"1"})
 	c.Resume(InFlightMessage{Message: m, ClassIs: testSettings(nil).Classes[0]}, nil)
 	<-s.sent
+	require.True(t, c.HandleCallback(Callback{ID: "1", From: "h", State: Finished, Outcome: topazfall.Completed,
+		Load: topazfall.NoLoad}), "the message is not in flight any more")
 	for i := range maxKnownIDs - 1 {
 		c.AddKnownIDs([]string{string(rune('a' + i))})
 	}
