Ask the successor for the messages in flight there before admitting one

What callers saw: during a replacement, 5,000 requests at the new process made the old one forget which ids the new one has in flight. A message with such an id on a connection that the old one still has ran a second time, also a job that must not run twice.

Cause: the oldest process decides which ids are taken and kept those that its successor claims among its last 4,096. It cannot look up messages of another process, so these were forgotten while in flight.

Change: a process that has a successor asks it over the link whether the message is in flight there, and that one asks its own successor. The questions about ids of both directions go through one type, which also keeps the rule that only the first ones wait for a process that hangs.

Ruled out: a message that is being handed over while its id is used again. Its frame is on the link before any answer to a claim, and Resume ends the claim. An older successor answers no, so nothing changes with it.

--- a/cmd/topazfall/restart_test.go
+++ b/cmd/topazfall/restart_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"testing"
@@ -39,6 +40,7 @@
 		{"ReadyOnceTheAddressIsFree", testReadyOnceTheAddressIsFree},
 		{"ReadyThoughThePredecessorIsLeaving", testReadyThoughThePredecessorIsLeaving},
 		{"ManyRestartedAtOnce", testManyRestartedAtOnce},
+		{"IDInFlightAtTheSuccessor", testIDInFlightAtTheSuccessor},
 	} {
 		t.Run(play.name, func(t *testing.T) {
 			t.Parallel()
@@ -387,3 +389,62 @@
 
 // maxStartTime is the longest time that the platform waits for a started process.
 const maxStartTime = 30 * time.Second
+
+// floodSize is more than the number of recent ids that a process knows.
+const floodSize = 5000
+
+// flood sends messages that have very little time left, each with an id of its own.
+func flood(address string) {
+	c := client.New(address, "flood")
+	var wait sync.WaitGroup
+	const clients = 30
+	for range clients {
+		wait.Go(func() {
+			for range floodSize / clients {
+				c.Do(client.Message{ID: c.NextID(), Class: "lookup", Tenant: "sinai-tel", Timeout: time.Millisecond})
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against the predecessor forgetting what its successors have in flight, because enough other messages came: it
+// would admit a message with such an id on a connection that it still has, and the job would run twice. With two
+// replacements in a row the id is in flight at the third process.
+func testIDInFlightAtTheSuccessor(t *testing.T) {
+	for _, replacements := range []int{1, 2} {
+		t.Run(strconv.Itoa(replacements), func(t *testing.T) {
+			t.Parallel()
+			list := startDiscovery(t)
+			first := launchProgram(t, program.Options{Discovery: list.Address()})
+			_, err := first.AwaitReady(testTimeout)
+			require.NoError(t, err)
+			const openTime = 4 * time.Second
+			worker, err := host.Start(host.Options{Name: "s-0", SocketDir: t.TempDir(), JobDuration: openTime},
+				first.SendCallback, listenAddresses...)
+			require.NoError(t, err)
+			t.Cleanup(worker.Close)
+			list.Update(listEntry(worker))
+			kept := client.New(first.Address(), "kept") // its connection stays with the first process
+			refused := client.Message{ID: "refused", Class: "lookup", Tenant: "sinai-tel", Timeout: time.Millisecond}
+			require.Equal(t, 503, kept.Do(refused).Status)
+			for range replacements {
+				next := launchProgram(t, program.Options{Dir: first.Dir(), Listen: first.Address(),
+					Discovery: list.Address()})
+				_, err := next.AwaitReady(testTimeout)
+				require.NoError(t, err)
+			}
+			open := client.Message{ID: "open", Class: "usage-report", Tenant: "delta-mobile", Timeout: 8 * time.Second}
+			answer := make(chan client.Answer, 1)
+			go func() { answer <- client.New(first.Address(), "open").Do(open) }()
+			require.Eventually(t, func() bool { return worker.RunCount("open") == 1 }, testTimeout, time.Millisecond)
+			flood(first.Address())
+			require.Equal(t, 409, kept.Do(open).Status)
+			a := <-answer
+			require.NoError(t, a.Err)
+			require.Equal(t, 200, a.Status, a.Body)
+			require.Equal(t, worker.Result("open"), a.Body)
+			require.Equal(t, 1, worker.RunCount("open"))
+		})
+	}
+}
--- a/internal/dispatch/ids.go
+++ b/internal/dispatch/ids.go
@@ -80,6 +80,13 @@
 	return <-result
 }
 
+// IsInFlight reports whether the message with an id is in flight here.
+func (c *Core) IsInFlight(id string) bool {
+	result := make(chan bool, 1)
+	c.ops <- func() { result <- c.byID[id] != nil }
+	return <-result
+}
+
 // ReleaseClaims forgets which ids a successor has claimed, because it has ended. The ids stay known: hosts may run its
 // jobs.
 func (c *Core) ReleaseClaims() {
--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -3,7 +3,6 @@
 import (
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"topazfall/internal/config"
@@ -25,7 +24,7 @@
 	watch      *discovery.Watch
 	settings   tenantSettings
 
-	predecessorSilent atomic.Bool // the predecessor does not answer claims of ids
+	predecessorIDs, successorIDs idQuestions
 
 	mu                sync.Mutex
 	predecessor       *takeover.Link // nil if there is none, or no longer
--- a/internal/instance/ids.go
+++ b/internal/instance/ids.go
@@ -1,12 +1,15 @@
 package instance
 
 // The ids of messages while one process replaces another. The predecessor decides which ids are taken: this process
-// claims each id there before it admits a message, and the predecessor reports the ids that it admits itself.
+// claims each id there before it admits a message, and the predecessor reports the ids that it admits itself. As the
+// predecessor keeps only a number of the claimed ids, it asks its successor for the messages in flight there before it
+// admits one.
 
 import (
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"topazfall/internal/dispatch"
@@ -14,12 +17,14 @@
 )
 
 const (
-	claimTimeout     = 500 * time.Millisecond // for the predecessor to answer a claim
+	claimTimeout     = 500 * time.Millisecond // for another process to answer a question about an id
 	idReportInterval = 5 * time.Millisecond   // between two reports of new ids
 
-	// claimPrefix begins the question whether an id is taken. No callback begins like this, and an earlier version of
-	// the program answers no to a question that it cannot read as a callback.
-	claimPrefix = "\x00id "
+	// claimPrefix begins the question whether an id is taken, and inFlightPrefix the one whether its message is in
+	// flight. No callback begins like this, and an earlier version of the program answers no to a question that it
+	// cannot read as a callback.
+	claimPrefix    = "\x00id "
+	inFlightPrefix = "\x00in flight "
 )
 
 // encodeClaim returns the question that claims an id.
@@ -30,31 +35,45 @@
 	return strings.CutPrefix(string(question), claimPrefix)
 }
 
+// encodeInFlight returns the question whether the message with an id is in flight.
+func encodeInFlight(id string) []byte { return []byte(inFlightPrefix + id) }
+
+// decodeInFlight returns the id of a question whether a message is in flight, if it is one.
+func decodeInFlight(question []byte) (id string, ok bool) {
+	return strings.CutPrefix(string(question), inFlightPrefix)
+}
+
+// updateClaim sets where the core claims ids: at the other processes as long as there are any. The caller holds h.mu.
+func (h *handover) updateClaim() {
+	if h.predecessor == nil && !h.successorReady {
+		h.core.SetClaim(nil)
+		return
+	}
+	h.core.SetClaim(h.isTaken)
+}
+
+// isTaken claims an id of a message of this process and reports whether another process has taken it.
+func (h *handover) isTaken(id string) bool { return h.claimID(id) || h.isInFlightAtSuccessor(id) }
+
 // claimID claims an id at the predecessor and reports whether it is taken there. A predecessor that does not answer
-// admits no messages either: only the first claims wait for it, the later ones until it answers again do not.
+// admits no messages either.
 func (h *handover) claimID(id string) (taken bool) {
 	h.mu.Lock()
 	link := h.predecessor
 	h.mu.Unlock()
-	switch {
-	case link == nil:
-		return false
-	case h.predecessorSilent.Load():
-		go h.askClaim(link, id) // the predecessor reads it when it goes on
-		return false
-	default:
-		return h.askClaim(link, id)
-	}
+	return h.predecessorIDs.ask(link, encodeClaim(id))
 }
 
-// askClaim asks the predecessor whether an id is taken, and records whether it answers.
-func (h *handover) askClaim(link *takeover.Link, id string) (taken bool) {
-	taken, err := link.Ask(encodeClaim(id), claimTimeout)
-	silent := err == takeover.ErrNoReply
-	if h.predecessorSilent.Swap(silent) != silent {
-		slog.Warn("takeover", "old", "claims", "silent", silent)
+// isInFlightAtSuccessor reports whether the successor, or one of its own successors, has the message with an id in
+// flight. A message that is only about to be admitted there does not count: its id is being claimed here.
+func (h *handover) isInFlightAtSuccessor(id string) bool {
+	h.mu.Lock()
+	link := h.successor
+	if !h.successorReady {
+		link = nil
 	}
-	return taken
+	h.mu.Unlock()
+	return h.successorIDs.ask(link, encodeInFlight(id))
 }
 
 // answerSuccessor answers a question of the successor: the claim of an id, or else a callback.
@@ -65,6 +84,44 @@
 	return h.answerCallback(question, successor)
 }
 
+// answerPredecessor answers a question of the predecessor: whether a message is in flight, or else a callback.
+func (h *handover) answerPredecessor(question []byte, predecessor *takeover.Link) bool {
+	if id, ok := decodeInFlight(question); ok {
+		return h.core.IsInFlight(id) || h.isInFlightAtSuccessor(id)
+	}
+	return h.answerCallback(question, predecessor)
+}
+
+// idQuestions asks another process questions about ids. Only the first questions wait for a process that does not
+// answer; the later ones do not until it answers again.
+type idQuestions struct {
+	process string // as the log names it
+	silent  atomic.Bool
+}
+
+// ask asks a question over a link, and reports whether the answer is yes. Without a link it is no.
+func (q *idQuestions) ask(link *takeover.Link, question []byte) (yes bool) {
+	switch {
+	case link == nil:
+		return false
+	case q.silent.Load():
+		go q.askAndWait(link, question) // the process reads it when it goes on
+		return false
+	default:
+		return q.askAndWait(link, question)
+	}
+}
+
+// askAndWait asks a question, waits for its answer, and records whether there was one.
+func (q *idQuestions) askAndWait(link *takeover.Link, question []byte) (yes bool) {
+	yes, err := link.Ask(question, claimTimeout)
+	silent := err == takeover.ErrNoReply
+	if q.silent.Swap(silent) != silent {
+		slog.Warn("takeover", q.process, "claims", "silent", silent)
+	}
+	return yes
+}
+
 // idReporter informs the successor of the ids that become known in this process.
 type idReporter struct {
 	core *dispatch.Core
--- a/internal/instance/ids_test.go
+++ b/internal/instance/ids_test.go
@@ -39,11 +39,14 @@
 }
 
 // A process of the version before ids were claimed answers a claim with no, as it does with any question that it cannot
-// read as a callback: it must not take the claim for one, nor close the link.
-func TestOlderPredecessorAnswersClaims(t *testing.T) {
+// read as a callback: it must not take the claim for one, nor close the link. The same goes for a successor that is asked
+// for a message in flight.
+func TestOlderProcessAnswersQuestionsAboutIDs(t *testing.T) {
 	core, transport := startCore(t)
-	_, err := transport.HandleCallback(encodeClaim("one"))
-	require.Error(t, err)
+	for _, question := range [][]byte{encodeClaim("one"), encodeInFlight("one")} {
+		_, err := transport.HandleCallback(question)
+		require.Error(t, err)
+	}
 	older, link := linkPair(t)
 	go older.Run(func(takeover.Frame) {}, func(question []byte) bool {
 		handled, err := transport.HandleCallback(question)
@@ -53,6 +56,10 @@
 	h := &handover{core: core, predecessor: link}
 	require.False(t, h.claimID("one"))
 	require.False(t, h.claimID("one"), "the link is still open")
+	h = &handover{core: core, successor: link, successorReady: true}
+	require.False(t, h.isTaken("one"))
+	require.False(t, h.isTaken("one"), "the link is still open")
+	require.False(t, h.predecessorIDs.silent.Load() || h.successorIDs.silent.Load())
 }
 
 // The ids that a process admits while its successor runs reach the successor in order, each once.
--- a/internal/instance/predecessor.go
+++ b/internal/instance/predecessor.go
@@ -27,20 +27,20 @@
 	_, serverLimits := deriveLimits(h.config)
 	h.predecessorLimits = heldLimits{Conns: serverLimits.MaxConns / 2, Share: 0.5}
 	h.updateLimits()
+	h.updateClaim()
 	h.mu.Unlock()
-	h.core.SetClaim(h.claimID)
 	limitsKnown, linkClosed := make(chan struct{}), make(chan struct{})
 	setLimitsKnown := sync.OnceFunc(func() { close(limitsKnown) })
 	go func() {
 		defer close(linkClosed)
 		err := predecessor.Run(func(f takeover.Frame) { h.handlePredecessorFrame(f, setLimitsKnown) },
-			func(body []byte) bool { return h.answerCallback(body, predecessor) })
+			func(body []byte) bool { return h.answerPredecessor(body, predecessor) })
 		slog.Info("takeover", "old", "gone", "reason", err)
 		h.mu.Lock()
 		h.predecessor, h.predecessorLimits = nil, heldLimits{}
 		h.updateLimits()
+		h.updateClaim()
 		h.mu.Unlock()
-		h.core.SetClaim(nil)
 	}()
 	predecessor.Send(frameReady, nil, nil)
 	select {
--- a/internal/instance/successor.go
+++ b/internal/instance/successor.go
@@ -73,6 +73,7 @@
 	wasReady, successorListener := h.successorReady, h.successorListener
 	close(h.ids.gone)
 	h.successor, h.successorReady, h.ids = nil, false, nil
+	h.updateClaim()
 	h.updateLimits()
 	h.mu.Unlock()
 	if !wasReady {
@@ -98,6 +99,7 @@
 	}
 	h.successor, h.successorSince = link, time.Now()
 	h.ids = &idReporter{core: h.core, link: link, gone: make(chan struct{})}
+	h.successorIDs.silent.Store(false)
 	h.updateLimits()
 	return true
 }
@@ -121,6 +123,7 @@
 	h.server.PauseAccepting(serverLimits.MaxConns / 2)
 	h.mu.Lock()
 	h.successorReady = true
+	h.updateClaim() // also before the limits
 	h.updateLimits()
 	h.mu.Unlock()
 	go h.reportLimits(link)
