Log after a failed call for how long the list may still be used

Of a pause the log told its length, but not whether the list would become stale in it, which is what a late send to a draining worker depends on.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -220,7 +220,8 @@
 }
 
 // endCall records the result of a call and returns the pause before the next one. Where discovery is polled, each
-// failed call is logged: its duration distinguishes a service without free capacity from one that is down.
+// failed call is logged: its duration distinguishes a service without free capacity from one that is down, and the
+// time for which the list may still be used shows whether a hold begins before the next call.
 func (w *Watch) endCall(err error) time.Duration {
 	var refused refusedError
 	errors.As(err, &refused)
@@ -229,8 +230,8 @@
 	now := w.now()
 	took := now - w.schedule.CallStart()
 	pause := w.schedule.End(now, classifyError(err), refused.retryAfter)
-	if err != nil && w.schedule.Settings().Polled {
-		slog.Info("inventory", "call", "failed", "took", took, "next", pause, "error", err)
+	if staleAt, bounded := w.schedule.StaleAt(); err != nil && bounded {
+		slog.Info("inventory", "call", "failed", "took", took, "next", pause, "stale_in", staleAt-now, "error", err)
 	}
 	return pause
 }
