Call discovery again within the staleness bound of a refused call

What callers saw: with 300 dispatchers, one call that was refused after 0.6 s led to a pause of 8 to 11 s. A worker that began to drain meanwhile got work up to 1.5 s after the drain counted as told, and disputes were lost when it ended.

Cause, in internal/decide/refresh: Schedule.End took the refusal for a discovery without capacity and doubled the spacing to 10 s, and moved unreadSince to the end of that pause, so that no hold was due in it: a pause of its own choice counted as if discovery could not be reached.

TestFleetReadsInTimeAfterRefusals and TestCallStartsWithinTheBoundOfARefusal fail before.

Change: unreadSince is the time of the refusal. The next call starts in time for a slow answer after a first refusal (the mechanism for calls without an answer), and 5.9 s after the last call's start at the latest after several in a row. With hold_on_refusal the longer pause stays, as the list is on hold in it. Retry-After is now kept after a broken watch too, as far as the bound lets it.

Ruled out: a second refusal pause of 5 s from the refusal, which recovers at N/10 more often, but reads up to 0.45 s late after a call that spans the return of discovery; a hold in the excess of a doubled pause, which stops all sends while discovery is down (TestRefusalsHoldNothingByDefault).

--- a/internal/decide/refresh/fleet_test.go
+++ b/internal/decide/refresh/fleet_test.go
@@ -355,6 +355,40 @@
 	}
 }
 
+// Guards against pauses of dispatchers' own choice after refusals in which they send to draining workers. With default
+// settings discovery breaks the watches, refuses all calls for a while, at once or after a wait, and then answers each
+// call: nothing is sent to a worker whose drain counts as told since discovery answers, and no dispatcher has stopped
+// sending. The calls a second are logged.
+func TestFleetReadsInTimeAfterRefusals(t *testing.T) {
+	const from = 10 * second
+	for _, dispatchers := range []int{60, 300} {
+		for _, refusing := range []time.Duration{100 * time.Millisecond, 8 * second, 25 * second} {
+			for _, refusalDelay := range []time.Duration{0, 600 * time.Millisecond, 2 * second} {
+				settings := polledSettings(dispatchers)
+				settings.HoldOnRefusal = false
+				f := newFleet(t, 10)
+				f.refusalDelay, f.brokenAt = refusalDelay, from
+				f.refuses = func(now time.Duration) bool { return now >= from && now < from+refusing }
+				f.isUnreachable = f.refuses
+				end := from + refusing + 12*second
+				for at := second / 4; at < end; at += second / 2 { // none ends the watches before they break
+					f.drains = append(f.drains, at)
+				}
+				for range settings.Dispatchers {
+					f.addDispatcher(time.Duration(f.random.Int64N(int64(600*time.Millisecond))), settings)
+				}
+				f.checkSends(end)
+				f.run(end)
+				f.report(fmt.Sprintf("%d dispatchers, refused for %v after %v", dispatchers, refusing, refusalDelay),
+					float64(settings.Dispatchers))
+				for _, d := range f.dispatchers {
+					require.Zero(t, d.heldFor)
+				}
+			}
+		}
+	}
+}
+
 // Discovery has the capacity that the contract requires, and all dispatchers start at the same moment, as after a
 // restart of the fleet: no call is refused, and no list becomes stale.
 func TestFleetStartsWithinTheContract(t *testing.T) {
--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -18,9 +18,10 @@
 // could not be reached, the start of the last of these. Any answer except a refusal shows that discovery could be
 // reached; unreadSince then stays until a list is read. Timeouts, failed connections and refusals are what a service
 // that is down shows, and the list stays in use while they last: after a call without an answer the next call starts so
-// early that its failure moves StaleAt on in time, and after a refusal the next call decides. From StaleAt until the
-// next list is read, nothing new may be sent to any worker; this period is called a hold. The grace period of a drain
-// begins at StaleAt and is left to the requests that are in progress then.
+// early that its failure moves StaleAt on in time. A refusal shows that discovery could not be reached up to then, but
+// not that it cannot be reached from then on: unreadSince is the time of the refusal, and the next call starts within
+// the staleness bound. From StaleAt until the next list is read, nothing new may be sent to any worker; this period is
+// called a hold. The grace period of a drain begins at StaleAt and is left to the requests that are in progress then.
 //
 // A refusal for lack of capacity, as when calls queue and fail after waiting too long, cannot be distinguished from a
 // refusal by a service that is down. Holding new requests after such a refusal would leave clients without service
@@ -34,9 +35,11 @@
 // all the same, so calls beyond its capacity bring fewer lists. Continuing a watch costs discovery nothing. Apart from
 // that, a dispatcher starts a call every [Settings.Spacing] on average, so that all dispatchers together start at most
 // [Settings.Budget] calls a second: in a large fleet each starts one in every [Settings.Interval], and half as many
-// once discovery has refused calls after a wait. Random delays spread the calls: a first call, and the first one after
-// a watch broke, over one spacing, each further one by a sixth of it either way. Calls follow sooner only while
-// discovery does not answer.
+// once discovery has refused calls after a wait and the list is on hold. Random delays spread the calls: a first call,
+// and the first one after a watch broke, over one spacing, each further one by a sixth of it either way. Calls follow
+// sooner where the staleness bound requires it: while discovery does not answer, and after a first refusal. So a list
+// that stays in use is asked for once in at most the staleness bound, whatever the load on discovery: one that serves
+// fewer calls than that, and whose capacity is used up by those that it refuses, recovers only with HoldOnRefusal.
 //
 // Where lists are pushed, the agent on the dispatcher's own machine answers at once and at no cost: no budget applies,
 // and the list never becomes stale.
@@ -66,6 +69,7 @@
 	minQueueWait         = 500 * time.Millisecond // a refusal after this time came from a queue at full capacity
 	timerSlack           = 100 * time.Millisecond // by which a call starts earlier than the bound requires
 	minPause             = 5 * time.Millisecond   // between a failed call and the next
+	refusedSpread        = 20                     // of the delay after a refusal, the last 20th is random
 	agentCallsPerGrace   = 4                      // to an unresponsive agent within the grace period of a drain
 	minAgentCallInterval = 10 * time.Millisecond  // between calls to such an agent, however short the grace period is
 )
@@ -249,36 +253,55 @@
 	case s.reachable:
 	case result == UnusableAnswer || refusedAfterWait && s.settings.HoldOnRefusal:
 		s.reachable = true
+	case result == Refused && !s.settings.HoldOnRefusal: // discovery could not be reached up to now
+		s.unreadSince = now
 	case s.isNewWatch: // discovery could not be reached when this call started
 		s.unreadSince = s.callStart
 	}
-	if s.reachable || !s.settings.Polled || result != Refused || s.settings.HoldOnRefusal {
-		return s.retryDelay(now, result, retryAfter)
+	switch {
+	case !s.settings.Polled:
+		longest := min(retrySpacing*3/2*spacingFactor(s.failures), s.settings.AgentRetryInterval())
+		return s.randomBetween(longest/2, longest)
+	case s.reachable:
+		return s.budgetedDelay(now, retryAfter)
+	case result == Refused:
+		return s.refusedDelay(now, retryAfter)
+	default: // the next call must show before StaleAt whether it is answered
+		return s.randomBetween(minPause, min(s.settings.Spacing(s.failures, s.overloaded), s.latestStart()-now))
 	}
-	// The call was answered, so the next one may wait and keeps to the call budget. A refusal does not show whether
-	// discovery could be reached, which the next call may show. Until that starts, no change counts as missed, so that
-	// the list does not become stale during the pause.
-	pause := s.budgetedDelay(now, retryAfter)
-	s.unreadSince = max(s.unreadSince, now+pause)
-	return pause
 }
 
-// retryDelay returns the delay after a failed call.
-func (s *Schedule) retryDelay(now time.Duration, result Result, retryAfter time.Duration) time.Duration {
-	if !s.settings.Polled {
-		longest := min(retrySpacing*3/2*spacingFactor(s.failures), s.settings.AgentRetryInterval())
-		return s.randomBetween(longest/2, longest)
+// latestStart returns the latest start of a call that ends before the list becomes stale, however it ends.
+func (s *Schedule) latestStart() time.Duration {
+	staleAt, _ := s.StaleAt()
+	return staleAt - s.settings.CallTimeout() - timerSlack
+}
+
+// keepFreshForCall puts off StaleAt as far as a call that starts then needs it to end before.
+func (s *Schedule) keepFreshForCall(start time.Duration) {
+	s.unreadSince = max(s.unreadSince, s.unreadSince+start-s.latestStart())
+}
+
+// refusedDelay returns the delay after a refusal that does not show whether discovery could be reached. Discovery has
+// answered, so there is no need for haste. But it may have been reachable since the call started, so that even an
+// overloaded one is called again within the staleness bound: early enough for a slow answer after a first refusal, and
+// for a prompt one after several in a row, which calls for as few calls as possible.
+func (s *Schedule) refusedDelay(now, retryAfter time.Duration) time.Duration {
+	spacing := s.settings.Spacing(s.failures, s.overloaded)
+	latest := s.latestStart()
+	if s.failures > 1 && !s.settings.HoldOnRefusal {
+		latest = max(latest, s.callStart+s.settings.StalenessBound()-timerSlack)
+	}
+	longest := min(spacing, latest-now)
+	shortest := longest - longest/refusedSpread
+	if !s.isNewWatch { // all watches may break at the same moment
+		shortest = minPause
 	}
-	if !s.reachable { // the next call must show before StaleAt whether it is answered
-		spacing := s.settings.Spacing(s.failures, s.overloaded)
-		staleAt, _ := s.StaleAt()
-		longest := min(spacing, staleAt-s.settings.CallTimeout()-timerSlack-now)
-		if result == Refused && s.isNewWatch { // discovery has answered: there is no need for haste
-			return max(s.randomBetween(longest*5/6, longest), min(s.retryAfterDelay(now, retryAfter, spacing), longest))
-		}
-		return s.randomBetween(minPause, longest)
+	pause := max(s.randomBetween(shortest, longest), min(s.retryAfterDelay(now, retryAfter, spacing), longest))
+	if !s.settings.HoldOnRefusal {
+		s.keepFreshForCall(now + pause)
 	}
-	return s.budgetedDelay(now, retryAfter)
+	return pause
 }
 
 // budgetedDelay returns the delay that keeps to the call budget of the fleet.
--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -368,3 +368,50 @@
 		}
 	}
 }
+
+// Guards against a pause after refused calls in which the list is used beyond the bound although discovery can be
+// reached. Discovery refuses one call, or several in a row, each after some wait, and can be reached from any moment of
+// the last of these calls on: the next call then starts within the bound of that moment, or the list is stale by then.
+// After a first refusal even a call that is abandoned ends within the bound of the refusal.
+func TestCallStartsWithinTheBoundOfARefusal(t *testing.T) {
+	type refusalCase struct {
+		dispatchers, refusals int
+		wait, retryAfter      time.Duration
+		watching, hold        bool
+	}
+	var cases []refusalCase
+	for _, dispatchers := range []int{1, 4, 8, 20, 52, 80, 300, 900, 5000} {
+		for _, wait := range []time.Duration{0, second / 4, minQueueWait, 600 * time.Millisecond, second, 2 * second,
+			callTimeout - time.Millisecond} {
+			for _, retryAfter := range []time.Duration{0, second, 60 * second} {
+				for _, refusals := range []int{1, 2, 3, 9} {
+					for _, watching := range []bool{true, false} {
+						cases = append(cases, refusalCase{dispatchers, refusals, wait, retryAfter, watching, false},
+							refusalCase{dispatchers, refusals, wait, retryAfter, watching, true})
+					}
+				}
+			}
+		}
+	}
+	for seed := range uint64(5) {
+		for _, c := range cases {
+			settings := polledSettings(c.dispatchers)
+			settings.HoldOnRefusal = c.hold
+			s, now, start := New(0, settings, seeded(seed)), time.Duration(0), time.Duration(0)
+			if c.watching {
+				now = simulateCall(s, now, now, Read, 0)
+			}
+			for range c.refusals {
+				start = now
+				now = simulateCall(s, start, start+c.wait, Refused, c.retryAfter)
+			}
+			bound := settings.StalenessBound()
+			require.True(t, now < start+bound || s.IsStale(start+bound), "%+v: %v after the last call", c, now-start)
+			require.True(t, now < start+bound || c.hold, "%+v: calls after %v", c, now-start)
+			if c.refusals == 1 && !c.hold {
+				require.LessOrEqual(t, now+settings.CallTimeout(), start+c.wait+bound, "%+v", c)
+				requireStaleAt(t, s, start+c.wait+bound)
+			}
+		}
+	}
+}
