Count the wait before a first call as time in which a list may be old

What was seen: in virtual time, 300 dispatchers and discovery moved 1 s after the start, the list became stale at 11.5 s in place of 6 s. Work could go to a draining worker for as long, if the first call was left without an answer or discovery moved again.

Each change also drew a new wait of up to 5 s, so that several put the call off for good.

Change: the wait leaves unreadSince alone and ends within an Interval of it. By default a call that opens a watch ends before the list becomes stale, which Begin now sees to for every such call, so that the pause after refusals need not.

TestFirstCallStartsWithinTheBound fails before.

--- a/internal/decide/refresh/fleet_test.go
+++ b/internal/decide/refresh/fleet_test.go
@@ -93,7 +93,7 @@
 	f.schedule(at, func() {
 		d := &dispatcher{Schedule: New(f.now, settings, rand.New(rand.NewPCG(f.random.Uint64(), 1))), started: f.now}
 		f.dispatchers = append(f.dispatchers, d)
-		f.schedule(f.now+d.FirstDelay(true), func() { f.call(d) })
+		f.schedule(f.now+d.FirstDelay(f.now, true), func() { f.call(d) })
 	})
 }
 
--- a/internal/decide/refresh/refresh.go
+++ b/internal/decide/refresh/refresh.go
@@ -211,28 +211,33 @@
 	s.unreadSince, s.reachable = s.unreadSince-max(unread.For, 0), unread.Reachable
 }
 
-// FirstDelay returns how long to wait before the first call, also after discovery's address has changed. A dispatcher
-// without a list calls at once, and so does one with an agent on its own machine, as it counts as notified by the agent
-// from the start. Otherwise the delay is random, because all dispatchers may be starting together.
-func (s *Schedule) FirstDelay(listKnown bool) time.Duration {
+// FirstDelay returns how long to wait from now on before the first call, also after discovery's address has changed. A
+// dispatcher without a list calls at once, and so does one with an agent on its own machine, as it counts as notified
+// by the agent from the start. Otherwise the delay is random, because all dispatchers may be starting together, and
+// leaves a prompt answer time within the staleness bound, however often the address changes meanwhile.
+func (s *Schedule) FirstDelay(now time.Duration, listKnown bool) time.Duration {
 	if !listKnown || !s.settings.Polled || s.settings.Dispatchers < 2*maxSmallFleet {
 		return 0
 	}
-	wait := s.randomBetween(0, s.settings.Spacing(maxSpacingFactor, false))
-	if !s.settings.HoldOnRefusal { // the list must not become stale before the first call can be refused
-		s.unreadSince += wait
+	longest := s.settings.Spacing(maxSpacingFactor, false)
+	if !s.IsStale(now) {
+		longest = min(longest, s.unreadSince+s.settings.Interval()-now)
 	}
-	return wait
+	return s.randomBetween(0, longest)
 }
 
 // Begin records the start of a call and returns how long it may wait for changes. Only a call that continues a watch
-// waits: any other must show at once whether discovery answers.
+// waits: any other must show at once whether discovery answers. By default the list does not become stale before such a
+// call has ended.
 func (s *Schedule) Begin(now time.Duration, listKnown bool) (wait time.Duration) {
 	s.callStart, s.isNewWatch = now, !s.watching || !listKnown
-	if s.isNewWatch {
-		return 0
+	if !s.isNewWatch {
+		return s.settings.WatchWait()
+	}
+	if !s.settings.HoldOnRefusal && !s.reachable && !s.IsStale(now) { // it may show that discovery cannot be reached
+		s.unreadSince += max(now-s.latestStart(), 0)
 	}
-	return s.settings.WatchWait()
+	return 0
 }
 
 // AddressChanged records that discovery's address has changed. Changes that were unread stay unread.
@@ -277,11 +282,6 @@
 	return staleAt - s.settings.CallTimeout() - timerSlack
 }
 
-// keepFreshForCall puts off StaleAt as far as a call that starts then needs it to end before.
-func (s *Schedule) keepFreshForCall(start time.Duration) {
-	s.unreadSince = max(s.unreadSince, s.unreadSince+start-s.latestStart())
-}
-
 // refusedDelay returns the delay after a refusal that does not show whether discovery could be reached. Discovery has
 // answered, so there is no need for haste. But it may have been reachable since the call started, so that even an
 // overloaded one is called again within the staleness bound: early enough for a slow answer after a first refusal, and
@@ -297,11 +297,7 @@
 	if !s.isNewWatch { // all watches may break at the same moment
 		shortest = minPause
 	}
-	pause := max(s.randomBetween(shortest, longest), min(s.retryAfterDelay(now, retryAfter, spacing), longest))
-	if !s.settings.HoldOnRefusal {
-		s.keepFreshForCall(now + pause)
-	}
-	return pause
+	return max(s.randomBetween(shortest, longest), min(s.retryAfterDelay(now, retryAfter, spacing), longest))
 }
 
 // budgetedDelay returns the delay that keeps to the call budget of the fleet.
--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -80,7 +80,7 @@
 		for seed := range uint64(200) {
 			s := New(100*second, polledSettings(dispatchers), seeded(seed))
 			spacing := s.settings.Spacing(9, false)
-			first := 100*second + s.FirstDelay(true)
+			first := 100*second + s.FirstDelay(100*second, true)
 			next := simulateCall(s, first, first+10*time.Millisecond, UnusableAnswer, 0)
 			requireStaleAt(t, s, 106*second)
 			require.LessOrEqual(t, next-first, spacing*7/6)
@@ -175,7 +175,7 @@
 	settings := polledSettings(300)
 	settings.Polled = false
 	s = New(0, settings, seeded(1))
-	require.Zero(t, s.FirstDelay(true))
+	require.Zero(t, s.FirstDelay(0, true))
 	for now := time.Duration(0); now < 100*second; {
 		s.Begin(now, true)
 		now += time.Millisecond
@@ -225,7 +225,7 @@
 		for seed := range uint64(20) {
 			random := seeded(seed)
 			s := New(0, polledSettings(dispatchers), random)
-			now, calls := s.FirstDelay(true), 0
+			now, calls := s.FirstDelay(0, true), 0
 			for ; now < 1000*second; calls++ {
 				start, result := now, Result(1+random.IntN(3))
 				s.Begin(now, true)
@@ -289,9 +289,9 @@
 			settings := polledSettings(dispatchers)
 			settings.Polled, settings.DrainGrace = polled, 500*time.Millisecond
 			s, longest, calls := New(0, settings, seeded(4)), time.Duration(0), map[time.Duration]int{}
-			require.Zero(t, s.FirstDelay(false), "a dispatcher without a list calls at once")
+			require.Zero(t, s.FirstDelay(0, false), "a dispatcher without a list calls at once")
 			for range dispatchers * 100 { // a hundred starts of the whole fleet
-				first := s.FirstDelay(true)
+				first := s.FirstDelay(0, true)
 				longest = max(longest, first)
 				calls[first.Truncate(second)]++
 			}
@@ -342,7 +342,7 @@
 		for seed := range uint64(50) {
 			random := seeded(seed)
 			s := New(0, settings, random)
-			now, refusals := s.FirstDelay(true), 0
+			now, refusals := s.FirstDelay(0, true), 0
 			for now < 300*second {
 				start := now
 				result := []Result{Refused, Refused, TimedOut, ConnectionFailed}[random.IntN(4)]
@@ -415,3 +415,45 @@
 		}
 	}
 }
+
+// Guards against a pause before the first call, after a start, a handover or a change of discovery's address, in which
+// the list is used beyond the bound: the call starts so early that a prompt answer comes within the bound, or the list
+// is stale by then. Changes of the address in quick succession put neither the call nor the bound off, and what
+// discovery is known to have had stays bounded as it was.
+func TestFirstCallStartsWithinTheBound(t *testing.T) {
+	for _, dispatchers := range []int{1, 8, 80, 300, 900, 5000} {
+		for _, hold := range []bool{false, true} {
+			for _, unread := range []Unread{{}, {For: 2 * second}, {For: 4 * second}, {For: 2 * second, Reachable: true},
+				{For: 9 * second, Reachable: true}} {
+				for moves := range 12 {
+					for seed := range uint64(20) {
+						settings := polledSettings(dispatchers)
+						settings.HoldOnRefusal = hold
+						s := New(100*second, settings, seeded(seed))
+						s.Inherit(unread)
+						bound, _ := s.StaleAt()
+						now := 100 * second
+						call := now + s.FirstDelay(now, true)
+						for range moves {
+							if now+second > call {
+								break
+							}
+							now += second
+							s.AddressChanged()
+							call = now + s.FirstDelay(now, true)
+						}
+						require.True(t, call <= bound-second || s.IsStale(bound), "%d %v %+v: %v, %d moves", dispatchers,
+							hold, unread, call, moves)
+						requireStaleAt(t, s, bound)
+						s.Begin(call, true)
+						if hold || unread.Reachable {
+							requireStaleAt(t, s, bound)
+							continue
+						}
+						requireStaleAt(t, s, max(bound, call+settings.CallTimeout()+timerSlack))
+					}
+				}
+			}
+		}
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -204,7 +204,7 @@
 func (w *Watch) firstCallDelay() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.schedule.FirstDelay(len(w.state.Hosts) > 0)
+	return w.schedule.FirstDelay(w.now(), len(w.state.Hosts) > 0)
 }
 
 // logState logs when calls begin to fail and when they succeed again. It reports the former to the receiver too.
