Run functions on the dispatch goroutine and await their result in one place

HandoverState asks the goroutine once where it asked twice, so that ids and memory are of the same moment. What the methods do is as before: the tests of dispatch (also with -race), instance, upstream and frontend pass.

--- a/internal/dispatch/callbacks.go
+++ b/internal/dispatch/callbacks.go
@@ -34,12 +34,11 @@
 
 // HandleCallback applies a callback like PostCallback, waits for it, and reports whether the message is in flight here.
 func (c *Core) HandleCallback(callback Callback) bool {
-	taken := make(chan bool, 1)
-	c.ops <- func() {
-		taken <- c.byID[callback.ID] != nil
+	return await(c, func() (taken bool) {
+		taken = c.byID[callback.ID] != nil
 		c.applyCallback(callback)
-	}
-	return <-taken
+		return taken
+	})
 }
 
 func (c *Core) applyCallback(callback Callback) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -322,13 +322,16 @@
 	}
 }
 
-// Sync waits until all operations queued before it have been executed.
-func (c *Core) Sync() {
-	done := make(chan struct{})
-	c.ops <- func() { close(done) }
-	<-done
+// await runs a function on the dispatch goroutine and returns its result.
+func await[T any](c *Core, run func() T) T {
+	result := make(chan T, 1)
+	c.ops <- func() { result <- run() }
+	return <-result
 }
 
+// Sync waits until all operations queued before it have been executed.
+func (c *Core) Sync() { await(c, func() struct{} { return struct{}{} }) }
+
 // queueEvent queues an event for the module. An event caused by an action must not reach the module before the other
 // actions of the same batch have been executed.
 func (c *Core) queueEvent(e topazfall.Event) { c.events = append(c.events, e) }
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -20,13 +20,9 @@
 
 // HandoverState returns the current state for a successor.
 func (c *Core) HandoverState() HandoverState {
-	result := make(chan HandoverState, 1)
-	c.ops <- func() {
-		result <- HandoverState{Memory: c.balancer.Memory()}
-	}
-	state := <-result
-	state.Known, _ = c.KnownIDsAfter(0)
-	return state
+	return await(c, func() HandoverState {
+		return HandoverState{Known: c.recentIDsAfter(0), Memory: c.balancer.Memory()}
+	})
 }
 
 // RestoreState continues with the state of a predecessor. The list of workers that it refers to must have been applied
@@ -39,9 +35,7 @@
 
 // ColdWork returns the work that was recently sent to the cold workers, by worker.
 func (c *Core) ColdWork() map[string]ramp.Log {
-	result := make(chan map[string]ramp.Log, 1)
-	c.ops <- func() { result <- c.balancer.ColdWork() }
-	return <-result
+	return await(c, c.balancer.ColdWork)
 }
 
 // RestoreColdWork continues with what a predecessor has sent to the cold workers. This process must not have sent
@@ -74,9 +68,7 @@
 // transfer is called from the dispatch goroutine, each report about the message is handled either before it or finds
 // the message gone.
 func (c *Core) HandOver(x *exchange.Exchange, transfer func(InFlightMessage) error) bool {
-	done := make(chan bool, 1)
-	c.ops <- func() { done <- c.handOver(x, transfer) }
-	return <-done
+	return await(c, func() bool { return c.handOver(x, transfer) })
 }
 
 func (c *Core) handOver(x *exchange.Exchange, transfer func(InFlightMessage) error) bool {
--- a/internal/dispatch/ids.go
+++ b/internal/dispatch/ids.go
@@ -69,22 +69,18 @@
 
 // ClaimForSuccessor claims an id for a message that the successor is about to admit, and reports whether it is taken.
 func (c *Core) ClaimForSuccessor(id string) (taken bool) {
-	result := make(chan bool, 1)
-	c.ops <- func() {
-		known := c.isKnownID(id)
-		if !known {
+	return await(c, func() (taken bool) {
+		taken = c.isKnownID(id)
+		if !taken {
 			c.addKnownID(knownID{id: id, ofSuccessor: true})
 		}
-		result <- known
-	}
-	return <-result
+		return taken
+	})
 }
 
 // IsInFlight reports whether the message with an id is in flight here.
 func (c *Core) IsInFlight(id string) bool {
-	result := make(chan bool, 1)
-	c.ops <- func() { result <- c.byID[id] != nil }
-	return <-result
+	return await(c, func() bool { return c.byID[id] != nil })
 }
 
 // ReleaseClaims forgets which ids a successor has claimed, because it has ended. The ids stay known: hosts may run its
@@ -113,21 +109,24 @@
 // KnownIDsAfter returns the ids that have become known after the given position, the oldest first, and the position of
 // the last one. The first position is 0. Ids that the successor has claimed are left out.
 func (c *Core) KnownIDsAfter(position uint64) (ids []string, last uint64) {
-	done := make(chan struct{})
-	c.ops <- func() {
-		defer close(done)
-		last = c.lastNumber
-		if last > maxKnownIDs {
-			position = max(position, last-maxKnownIDs)
-		}
-		for number := position + 1; number <= last; number++ {
-			if known := c.recentIDs[number%maxKnownIDs]; !known.ofSuccessor {
-				ids = append(ids, known.id)
-			}
+	last = await(c, func() uint64 {
+		ids = c.recentIDsAfter(position)
+		return c.lastNumber
+	})
+	return ids, last
+}
+
+// recentIDsAfter returns the recent ids after a position that the successor has not claimed, the oldest first.
+func (c *Core) recentIDsAfter(position uint64) (ids []string) {
+	if c.lastNumber > maxKnownIDs {
+		position = max(position, c.lastNumber-maxKnownIDs)
+	}
+	for number := position + 1; number <= c.lastNumber; number++ {
+		if known := c.recentIDs[number%maxKnownIDs]; !known.ofSuccessor {
+			ids = append(ids, known.id)
 		}
 	}
-	<-done
-	return ids, last
+	return ids
 }
 
 // IDsAdded returns a channel that receives a value after an id has become known. Several ids may share one value.
--- a/internal/dispatch/settings.go
+++ b/internal/dispatch/settings.go
@@ -87,14 +87,12 @@
 
 // UpdateSettings replaces the settings and returns the indices of all classes and tenants known so far.
 func (c *Core) UpdateSettings(settings topazfall.Settings) Indices {
-	done := make(chan Indices)
-	c.ops <- func() {
+	return await(c, func() Indices {
 		c.settings, c.tenants = settings, topazfall.MergeTenants(c.tenants, settings.Tenants)
 		c.addClasses(settings.Classes)
 		c.tightenRepeats()
-		done <- newIndices(c.classes, c.tenants)
-	}
-	return <-done
+		return newIndices(c.classes, c.tenants)
+	})
 }
 
 // tightenRepeats applies stricter repeat rules of new settings to the messages in flight. An attempt that was decided
