Keep the Retry-After of a refusal beyond the spacing of a small fleet

It is bounded by the latest start of the call now, as it was meant. TestRetryAfterIsKept has the case and fails before: 100.1 s of virtual time in place of 102 s.

--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -108,6 +108,15 @@
 		next := simulateCall(s, 100*second, 100*second, UnusableAnswer, 2*second)
 		require.GreaterOrEqual(t, next, 102*second)
 		require.LessOrEqual(t, next, 100*second+NotifiedAfter-callTimeout)
+		for _, hold := range []bool{false, true} { // after a watch that broke, too
+			settings := polledSettings(4)
+			settings.HoldOnRefusal = hold
+			s = New(100*second, settings, seeded(seed))
+			simulateCall(s, 100*second, 100*second, Read, 0)
+			next = simulateCall(s, 100*second, 100*second, Refused, 2*second)
+			require.GreaterOrEqual(t, next, 102*second)
+			require.LessOrEqual(t, next, 100*second+NotifiedAfter-callTimeout)
+		}
 	}
 }
 
--- a/internal/decide/refresh/schedule.go
+++ b/internal/decide/refresh/schedule.go
@@ -199,7 +199,7 @@
 	if !s.isNewWatch { // all watches may break at the same moment
 		shortest = minPause
 	}
-	return max(s.randomBetween(shortest, longest), min(s.retryAfterDelay(now, retryAfter, spacing), longest))
+	return max(s.randomBetween(shortest, longest), min(s.retryAfterDelay(now, retryAfter, spacing), latest-now))
 }
 
 // budgetedDelay returns the delay that keeps to the call budget of the fleet.
