Keep with each link whether its process answers questions about ids

Whether the successor is silent was kept beside the link and reset when the next one registered; a mutation that left the reset out was caught by no test. It is made anew with each link now, so that there is nothing to reset, and says by itself whether there is a process to ask.

--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -432,7 +432,7 @@
 func TestFirstCallStartsWithinTheBound(t *testing.T) {
 	for _, dispatchers := range []int{1, 8, 80, 300, 900, 5000} {
 		for _, unread := range []Unread{{}, {For: 2 * second}, {For: 4 * second}, {For: 2 * second, Reachable: true},
-			{For: 9 * second, Reachable: true}} {
+			{For: 9 * second, Reachable: true}, {For: 9 * second}} {
 			settings := polledSettings(dispatchers)
 			for moves := range 12 {
 				for seed := range uint64(20) {
@@ -461,7 +461,7 @@
 	require.True(t, isStale || call <= bound-second, "%+v, %+v: calls at %v", settings, unread, call)
 	requireStaleAt(t, s, bound)
 	s.Begin(call, true)
-	if !settings.HoldOnRefusal && !unread.Reachable && settings.spreadsCalls() {
+	if !settings.HoldOnRefusal && !unread.Reachable && settings.spreadsCalls() && !isStale {
 		bound = max(bound, call+settings.CallTimeout()+timerSlack)
 	}
 	requireStaleAt(t, s, bound)
--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -24,13 +24,13 @@
 	watch      *discovery.Watch
 	settings   tenantSettings
 
-	predecessorIDs, successorIDs idQuestions
-
 	mu                sync.Mutex
 	predecessor       *takeover.Link // nil if there is none, or no longer
+	predecessorIDs    *idQuestions   // to the predecessor; nil if there is none, or no longer
 	predecessorLimits heldLimits
 	successor         *takeover.Link    // nil if there is none
 	successorReady    bool              // the successor accepts connections
+	successorIDs      *idQuestions      // to the successor; nil unless it accepts connections
 	ids               *idReporter       // for the successor; nil if there is none
 	successorListener *net.UnixListener // at socketPath
 	maxWait           time.Duration     // the longest wait of a client under any settings so far
--- a/internal/instance/ids.go
+++ b/internal/instance/ids.go
@@ -45,7 +45,7 @@
 
 // updateClaim sets where the core claims ids: at the other processes as long as there are any. The caller holds h.mu.
 func (h *handover) updateClaim() {
-	if h.predecessor == nil && !h.successorReady {
+	if h.predecessorIDs == nil && h.successorIDs == nil {
 		h.core.SetClaim(nil)
 		return
 	}
@@ -59,21 +59,18 @@
 // admits no messages either.
 func (h *handover) claimID(id string) (taken bool) {
 	h.mu.Lock()
-	link := h.predecessor
+	questions := h.predecessorIDs
 	h.mu.Unlock()
-	return h.predecessorIDs.ask(link, encodeClaim(id))
+	return questions.ask(encodeClaim(id))
 }
 
 // isInFlightAtSuccessor reports whether the successor, or one of its own successors, has the message with an id in
 // flight. A message that is only about to be admitted there does not count: its id is being claimed here.
 func (h *handover) isInFlightAtSuccessor(id string) bool {
 	h.mu.Lock()
-	link := h.successor
-	if !h.successorReady {
-		link = nil
-	}
+	questions := h.successorIDs
 	h.mu.Unlock()
-	return h.successorIDs.ask(link, encodeInFlight(id))
+	return questions.ask(encodeInFlight(id))
 }
 
 // answerSuccessor answers a question of the successor: the claim of an id, or else a callback.
@@ -95,26 +92,27 @@
 // idQuestions asks another process questions about ids. Only the first questions wait for a process that does not
 // answer; the later ones do not until it answers again.
 type idQuestions struct {
+	link    *takeover.Link
 	process string // as the log names it
 	silent  atomic.Bool
 }
 
-// ask asks a question over a link, and reports whether the answer is yes. Without a link it is no.
-func (q *idQuestions) ask(link *takeover.Link, question []byte) (yes bool) {
+// ask asks a question, and reports whether the answer is yes. It is no where q is nil, as there is no such process.
+func (q *idQuestions) ask(question []byte) (yes bool) {
 	switch {
-	case link == nil:
+	case q == nil:
 		return false
 	case q.silent.Load():
-		go q.askAndWait(link, question) // the process reads it when it goes on
+		go q.askAndWait(question) // the process reads it when it goes on
 		return false
 	default:
-		return q.askAndWait(link, question)
+		return q.askAndWait(question)
 	}
 }
 
 // askAndWait asks a question, waits for its answer, and records whether there was one.
-func (q *idQuestions) askAndWait(link *takeover.Link, question []byte) (yes bool) {
-	yes, err := link.Ask(question, claimTimeout)
+func (q *idQuestions) askAndWait(question []byte) (yes bool) {
+	yes, err := q.link.Ask(question, claimTimeout)
 	silent := err == takeover.ErrNoReply
 	if q.silent.Swap(silent) != silent {
 		slog.Warn("takeover", q.process, "claims", "silent", silent)
--- a/internal/instance/ids_test.go
+++ b/internal/instance/ids_test.go
@@ -53,13 +53,14 @@
 		return err == nil && handled
 	})
 	go link.Run(func(takeover.Frame) {}, func([]byte) bool { return false })
-	h := &handover{core: core, predecessor: link}
+	h := &handover{core: core, predecessorIDs: &idQuestions{link: link}}
 	require.False(t, h.claimID("one"))
 	require.False(t, h.claimID("one"), "the link is still open")
-	h = &handover{core: core, successor: link, successorReady: true}
+	require.False(t, h.predecessorIDs.silent.Load())
+	h = &handover{core: core, successorIDs: &idQuestions{link: link}}
 	require.False(t, h.isTaken("one"))
 	require.False(t, h.isTaken("one"), "the link is still open")
-	require.False(t, h.predecessorIDs.silent.Load() || h.successorIDs.silent.Load())
+	require.False(t, h.successorIDs.silent.Load())
 }
 
 // The ids that a process admits while its successor runs reach the successor in order, each once.
@@ -93,7 +94,7 @@
 	core, _ := startCore(t)
 	predecessor, link := linkPair(t)
 	go link.Run(func(takeover.Frame) {}, func([]byte) bool { return false })
-	h := &handover{core: core, predecessor: link}
+	h := &handover{core: core, predecessorIDs: &idQuestions{link: link}}
 	asked := time.Now()
 	require.False(t, h.claimID("one"))
 	require.GreaterOrEqual(t, time.Since(asked), claimTimeout)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -195,7 +195,6 @@
 	d.watch.SetHoldReceiver(d.core)
 	d.handover = &handover{config: &d.config, socketPath: takeover.SocketPath(d.config.Name, d.config.Listen),
 		listener: d.listener, core: d.core, transport: d.transport, server: d.server, watch: d.watch}
-	d.handover.predecessorIDs.process, d.handover.successorIDs.process = "old", "young"
 	d.handover.settings.configured = *settings
 	d.handover.recordDeadlines(settings)
 	d.server.SetCallbackForwarder(d.handover.forwardCallback)
--- a/internal/instance/predecessor.go
+++ b/internal/instance/predecessor.go
@@ -23,7 +23,7 @@
 // process was too late and must not accept.
 func (h *handover) replacePredecessor(predecessor *takeover.Link) error {
 	h.mu.Lock()
-	h.predecessor = predecessor
+	h.predecessor, h.predecessorIDs = predecessor, &idQuestions{link: predecessor, process: "old"}
 	_, serverLimits := deriveLimits(h.config)
 	h.predecessorLimits = heldLimits{Conns: serverLimits.MaxConns / 2, Share: 0.5}
 	h.updateLimits()
@@ -37,7 +37,7 @@
 			func(body []byte) bool { return h.answerPredecessor(body, predecessor) })
 		slog.Info("takeover", "old", "gone", "reason", err)
 		h.mu.Lock()
-		h.predecessor, h.predecessorLimits = nil, heldLimits{}
+		h.predecessor, h.predecessorIDs, h.predecessorLimits = nil, nil, heldLimits{}
 		h.updateLimits()
 		h.updateClaim()
 		h.mu.Unlock()
--- a/internal/instance/successor.go
+++ b/internal/instance/successor.go
@@ -72,7 +72,7 @@
 	h.mu.Lock()
 	wasReady, successorListener := h.successorReady, h.successorListener
 	close(h.ids.gone)
-	h.successor, h.successorReady, h.ids = nil, false, nil
+	h.successor, h.successorReady, h.successorIDs, h.ids = nil, false, nil, nil
 	h.updateClaim()
 	h.updateLimits()
 	h.mu.Unlock()
@@ -99,7 +99,6 @@
 	}
 	h.successor, h.successorSince = link, time.Now()
 	h.ids = &idReporter{core: h.core, link: link, gone: make(chan struct{})}
-	h.successorIDs.silent.Store(false)
 	h.updateLimits()
 	return true
 }
@@ -122,7 +121,7 @@
 	_, serverLimits := deriveLimits(h.config)
 	h.server.PauseAccepting(serverLimits.MaxConns / 2)
 	h.mu.Lock()
-	h.successorReady = true
+	h.successorReady, h.successorIDs = true, &idQuestions{link: link, process: "young"}
 	h.updateClaim() // also before the limits
 	h.updateLimits()
 	h.mu.Unlock()
