--- a/cmd/topazfall/restart_test.go
+++ b/cmd/topazfall/restart_test.go
@@ -438,8 +438,11 @@
 			go func() { answer <- client.New(first.Address(), "open").Do(open) }()
 			require.Eventually(t, func() bool { return worker.RunCount("open") == 1 }, testTimeout, time.Millisecond)
 			flood(first.Address())
-			require.Equal(t, 409, kept.Do(open).Status)
-			require.NoError(t, first.SendCallback([]byte(`{"id":"open","from":"s-0","state":"done","result":"report"}`)))
+			again := open
+			again.Timeout = testTimeout
+			require.Equal(t, 409, kept.Do(again).Status)
+			callback := `{"id":"open","from":"s-0","state":"done","result":"report"}`
+			require.NoError(t, first.SendCallback([]byte(callback)))
 			a := <-answer
 			require.NoError(t, a.Err)
 			require.Equal(t, 200, a.Status)
