Read the claims in their test on the goroutine that owns them

With -race TestClientDisconnectsDuringClaim failed once: it read the map of claims itself after a Sync, while the core might write to it.

--- a/internal/dispatch/ids_test.go
+++ b/internal/dispatch/ids_test.go
@@ -87,7 +87,8 @@
 	c.ClientDisconnected(x)
 	require.Equal(t, exchange.Failed, awaitAnswer(t, x).Result)
 	other.answers <- false
-	require.Eventually(t, func() bool { c.Sync(); return len(c.claiming) == 0 }, time.Minute, time.Millisecond)
+	claimsEnded := func() bool { return await(c, func() bool { return len(c.claiming) == 0 }) }
+	require.Eventually(t, claimsEnded, time.Minute, time.Millisecond)
 	require.Zero(t, c.InFlight())
 	require.Empty(t, s.sent)
 	require.Empty(t, c.byID)
