Let both processes of a replacement know what either has read from discovery

All processes are replaced, and right after the new ones are ready two workers begin to drain. The old processes read that at once and end; the new ones go on sending to both workers for up to 5 s, and a dispute is lost when they end (502).

The list was handed over once, with the first state, and what the predecessor read after that stayed with it. And the successor's first call waits for a random part of 5 s, which kept to the 6 s after which a list is stale, but not to the 2 s after the new process is ready, nor to the 4 s after a reload has moved discovery.

Change: each process sends the other what it reads (frame l), each update with the version it starts from. Where calls are spread one process of a dispatcher calls discovery; the successor asks for the watch when it is ready (frame f), and the predecessor passes it on between two calls after SIGTERM. A follower calls itself if the link ends or no sign comes in time (FollowTimeout, from the grace period of a drain). What discovery has counts as told 2 s after a successor is ready and 4 s after a move, by one function (Schedule.CountsWithin), for the first call's delay and for the hold.

Tests changed: AddressChanged takes the time and refresh_test.go expects its bound: stricter, since a move at 108 s now makes the list stale at 112 s and the first call after a move is due before both bounds.

Ruled out: a slow discovery (it answers at once), a state lost in the link (known=5).

--- a/internal/decide/refresh/fleet_test.go
+++ b/internal/decide/refresh/fleet_test.go
@@ -56,6 +56,7 @@
 	dispatchers   []*dispatcher
 	ages          []time.Duration       // of the lists of all dispatchers that may send, at every step
 	opened        map[time.Duration]int // calls that open a watch, per second
+	late          map[*dispatcher]bool  // successors that lacked what discovery had told
 }
 
 // dispatcher is one simulated dispatcher.
@@ -66,7 +67,9 @@
 	firstRead        time.Duration // time from its start to the first list
 	readAt           time.Duration // when the call that brought the list started
 	heldFor          time.Duration
-	callNumber       int // number of the call in progress; an answer to another call is dropped
+	callNumber       int         // number of the call in progress; an answer to another call is dropped
+	follower         *dispatcher // the process that replaces this one; nil for none
+	leaving          bool        // it passes its watch on when its call in progress has ended
 }
 
 func (f *fleet) schedule(at time.Duration, do func()) {
@@ -86,7 +89,7 @@
 func newFleet(t *testing.T, seed uint64) *fleet {
 	never := func(time.Duration) bool { return false }
 	return &fleet{t: t, random: seeded(seed), capacity: 1e6, maxQueueWait: 2 * second, isSilent: never, refuses: never,
-		isUnreachable: never, opened: map[time.Duration]int{}}
+		isUnreachable: never, opened: map[time.Duration]int{}, late: map[*dispatcher]bool{}}
 }
 
 // addDispatcher starts a dispatcher that has a list of version 0.
@@ -111,7 +114,7 @@
 	d.callNumber++
 	number := d.callNumber
 	end := func(result Result, version int) {
-		if d.callNumber != number {
+		if d.callNumber != number || d.stopped > 0 {
 			return
 		}
 		d.callNumber++
@@ -122,7 +125,12 @@
 			}
 		}
 		pause := d.End(f.now, result, map[bool]time.Duration{true: f.retryAfter}[result == Refused])
-		f.schedule(f.now+pause, func() { f.call(d) })
+		if d.follower != nil {
+			f.share(d)
+		}
+		if d.stopped == 0 {
+			f.schedule(f.now+pause, func() { f.call(d) })
+		}
 	}
 	f.schedule(f.now+callTimeout, func() { end(TimedOut, 0) })
 	if wait == 0 {
@@ -166,6 +174,22 @@
 	}
 }
 
+// share sends what a dispatcher has read to its successor, and passes its watch on if it leaves.
+func (f *fleet) share(d *dispatcher) {
+	version, readAt, unread, passed := d.version, d.readAt, d.Unread(f.now), d.leaving && d.IsWatching()
+	if passed {
+		d.stopped = f.now
+	}
+	f.schedule(f.now+linkDelay, func() {
+		d.follower.version, d.follower.readAt = version, readAt
+		d.follower.Adopt(f.now, unread)
+		if passed {
+			d.follower.Continue()
+			f.call(d.follower)
+		}
+	})
+}
+
 // checkSends checks every 20 ms that each dispatcher that may send has read every drain of which it counts as notified:
 // those that discovery had a staleness bound ago, if this dispatcher could reach discovery then. The grace period of
 // the drain is not used.
--- a/internal/decide/refresh/refresh_test.go
+++ b/internal/decide/refresh/refresh_test.go
@@ -201,13 +201,14 @@
 func TestAddressChangeKeepsTheBound(t *testing.T) {
 	s := startedSchedule()
 	simulateCall(s, 101*second, 101*second, UnusableAnswer, 0)
-	s.AddressChanged()
+	s.AddressChanged(102 * second)
 	requireStaleAt(t, s, 106*second)
 	simulateCall(s, 103*second, 103*second, ConnectionFailed, 0)
 	requireStaleAt(t, s, 106*second)
 	simulateCall(s, 107*second, 107*second, Read, 0)
 	requireStaleAt(t, s, 113*second)
-	s.AddressChanged()
+	s.AddressChanged(108 * second)
+	requireStaleAt(t, s, 112*second)
 	require.Zero(t, s.Begin(108*second, true))
 }
 
@@ -455,7 +456,8 @@
 	call := now + s.FirstDelay(now, true)
 	for ; moves > 0 && now+second <= call; moves-- {
 		now += second
-		s.AddressChanged()
+		s.AddressChanged(now)
+		bound = min(bound, now+MoveBound)
 		call = now + s.FirstDelay(now, true)
 	}
 	require.True(t, isStale || call <= bound-second, "%+v, %+v: calls at %v", settings, unread, call)
--- a/internal/decide/refresh/schedule.go
+++ b/internal/decide/refresh/schedule.go
@@ -29,6 +29,19 @@
 // longer than the bound. [Settings.HoldOnRefusal] says that discovery refuses only for lack of capacity: a refusal
 // after a wait then shows that discovery could be reached. An immediate refusal never shows that.
 //
+// What discovery has counts as told earlier after two events: [HandoverBound] after a process that has replaced another
+// one is ready, and [MoveBound] after discovery's address has changed. [Schedule.CountsWithin] moves unreadSince back
+// accordingly.
+//
+// # Two processes of one dispatcher
+//
+// While one process replaces another, both are one dispatcher, and what either has read binds both. Each sends the
+// other what it reads, and [Schedule.Adopt] takes it. Where calls are spread, only one of them calls discovery: the
+// predecessor until it leaves, and then the successor, which continues its watch once the predecessor's call in
+// progress has been answered. Continuing costs discovery nothing, however many dispatchers are replaced at once. A
+// process that follows the other's watch calls for itself if it hears nothing for [Settings.FollowTimeout], or if the
+// other process ends.
+//
 // # The call budget of the fleet
 //
 // Discovery is one service of fixed capacity for all dispatchers. A call that it refuses after a wait has used capacity
@@ -112,10 +125,32 @@
 	s.unreadSince, s.reachable = s.unreadSince-max(unread.For, 0), unread.Reachable
 }
 
-// FirstDelay returns how long to wait from now on before the first call, also after discovery's address has changed. A
-// dispatcher without a list calls at once, and so does one with an agent on its own machine, as it counts as notified
-// by the agent from the start. Otherwise the delay is random, because all dispatchers may be starting together, and
-// leaves a prompt answer time within the staleness bound, however often the address changes meanwhile.
+// Adopt records at now that another process of this dispatcher has the same list, and what is unread there.
+func (s *Schedule) Adopt(now time.Duration, unread Unread) {
+	if since := now - max(unread.For, 0); since >= s.unreadSince {
+		s.unreadSince, s.reachable = since, unread.Reachable
+	}
+}
+
+// Continue records that the next call continues a watch that another process of this dispatcher has passed on.
+func (s *Schedule) Continue() { s.watching, s.failures, s.overloaded = true, 0, false }
+
+// IsWatching reports whether the last call brought a list, or the next one continues a watch that was passed on.
+func (s *Schedule) IsWatching() bool { return s.watching }
+
+// Passed records that another process of this dispatcher continues the watch.
+func (s *Schedule) Passed() { s.watching, s.failures = false, 0 }
+
+// CountsWithin records at now that what discovery has counts as told within a time from now on.
+func (s *Schedule) CountsWithin(now, within time.Duration) {
+	s.unreadSince = min(s.unreadSince, now+within-s.settings.StalenessBound())
+}
+
+// FirstDelay returns how long to wait from now on before the first call, also after discovery's address has changed, or
+// when a process is ready that has replaced another and follows none. A dispatcher without a list calls at once, and
+// so does one with an agent on its own machine, as it counts as notified by the agent from the start. Otherwise the
+// delay is random, because all dispatchers may be starting together, and leaves a prompt answer time within the
+// staleness bound, however often the address changes meanwhile.
 func (s *Schedule) FirstDelay(now time.Duration, listKnown bool) time.Duration {
 	if !listKnown || !s.settings.spreadsCalls() {
 		return 0
@@ -142,8 +177,11 @@
 	return 0
 }
 
-// AddressChanged records that discovery's address has changed. Changes that were unread stay unread.
-func (s *Schedule) AddressChanged() { s.watching, s.failures = false, 0 }
+// AddressChanged records at now that discovery's address has changed. Changes that were unread stay unread.
+func (s *Schedule) AddressChanged(now time.Duration) {
+	s.watching, s.failures = false, 0
+	s.CountsWithin(now, MoveBound)
+}
 
 // End records how the last call ended and returns the delay before the next one. retryAfter is the delay that a refusal
 // asks for, or 0.
--- a/internal/decide/refresh/settings.go
+++ b/internal/decide/refresh/settings.go
@@ -5,6 +5,16 @@
 const (
 	// NotifiedAfter is the time after which the protocol counts a dispatcher as notified of what discovery has.
 	NotifiedAfter = 6 * time.Second
+	// HandoverBound is the time after which a process that has replaced another counts as notified of what
+	// discovery has, from the moment on in which it is ready.
+	HandoverBound = 2 * time.Second
+	// MoveBound is the same time after discovery's address has changed.
+	MoveBound = 4 * time.Second
+	// MaxPassTimeout is how long a process that leaves waits for the end of its call in progress, to pass its watch
+	// on to its successor.
+	MaxPassTimeout = watchWait + passSlack
+	// HeartbeatInterval is how often a process that calls discovery gives a sign to another one that follows its watch.
+	HeartbeatInterval = 50 * time.Millisecond
 	// AnswerGrace is how long an agent that pushes lists may take to answer beyond the wait of a watch.
 	AnswerGrace = 1500 * time.Millisecond
 
@@ -19,6 +29,10 @@
 	maxSpacingFactor     = 4                      // by which consecutive failures may lengthen retrySpacing
 	maxSmallFleet        = 4                      // up to this number, each dispatcher calls as if it were alone
 	minQueueWait         = 500 * time.Millisecond // a refusal after this time came from a queue at full capacity
+	passSlack            = 250 * time.Millisecond // for the answer to a call whose wait is over
+	maxFollowTimeout     = 400 * time.Millisecond
+	minFollowTimeout     = 2 * HeartbeatInterval
+	followedAnswerTime   = 100 * time.Millisecond // for a call that replaces a watch that gives no sign
 	timerSlack           = 100 * time.Millisecond // by which a call starts earlier than the bound requires
 	minPause             = 5 * time.Millisecond   // between a failed call and the next
 	refusedSpread        = 20                     // of the delay after a refusal, the last 20th is random
@@ -89,6 +103,17 @@
 	return min(retrySpacing*maxSpacingFactor*smallFleets, s.Interval())
 }
 
+// PassesWatch reports whether a successor follows its predecessor's watch, until that passes it on. Otherwise each of
+// the two calls discovery for itself.
+func (s Settings) PassesWatch() bool { return s.spreadsCalls() }
+
+// FollowTimeout is how long a process that follows the watch of another one waits for a sign of it before it calls
+// discovery itself. What the other was told and could not pass on is then read within the grace period of a drain,
+// unless that is shorter than 200 ms.
+func (s Settings) FollowTimeout() time.Duration {
+	return min(max(s.DrainGrace-followedAnswerTime, minFollowTimeout), maxFollowTimeout)
+}
+
 // spreadsCalls reports whether random delays spread the calls of the dispatchers.
 func (s Settings) spreadsCalls() bool { return s.Polled && s.Dispatchers >= 2*maxSmallFleet }
 
--- a/internal/discovery/bound_test.go
+++ b/internal/discovery/bound_test.go
@@ -225,6 +225,37 @@
 	}
 }
 
+// Guards against a list that is used for longer than 4 s after a reload has moved discovery, beyond which what the new
+// one has counts as told: the first call comes before, and while discovery refuses for lack of capacity, a hold begins
+// then.
+func TestMoveIsReadWithinItsBound(t *testing.T) {
+	t.Parallel()
+	for attempt := range 5 { // the first call's delay is random
+		t.Run(fmt.Sprint(attempt), func(t *testing.T) {
+			t.Parallel()
+			settings := polledSettings(refresh.NotifiedAfter)
+			server, w, events := startBoundedWatch(t, settings)
+			server.next(t).answer(t, listJSON(42, false, "b", "up"))
+			require.Equal(t, "b0", events.next(t))
+			server.next(t)
+			other := newFakeServer(t)
+			movedAt := time.Now()
+			w.Move(other.Addr().String())
+			call := other.next(t)
+			require.Less(t, time.Since(movedAt), refresh.MoveBound-time.Second/2)
+			if attempt == 0 {
+				call.refuseAfterWait(t, "")
+				require.Equal(t, "held", events.next(t))
+				require.InDelta(t, refresh.MoveBound.Seconds(), time.Since(movedAt).Seconds(), 0.25)
+				return
+			}
+			call.answer(t, listJSON(2, true, "c", "up"))
+			require.Equal(t, "c0", events.next(t))
+			require.Empty(t, events)
+		})
+	}
+}
+
 // The list is stale, so a hold is in progress: nothing new may be sent to any worker. A change to settings with pushed
 // lists, which have no staleness bound, ends the hold at once. A change back to polled lists begins it again.
 func TestSettingsChangeWhileHeld(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -56,7 +56,9 @@
 	held            bool    // as last reported to holdReceiver
 	requestedAddr   string  // address of the last Move; used by its caller's goroutine only
 	firstCallDone   chan struct{}
-	started         time.Time // zero point of the schedule's times
+	started         time.Time     // zero point of the schedule's times
+	callAt          time.Duration // when the next call is due; noCallDue while another process calls
+	sharing         *sharing
 
 	mu       sync.Mutex
 	state    HandoverState
@@ -69,6 +71,7 @@
 	Seq       int64                     // version of the list
 	Hosts     map[string]dispatch.Entry // by worker id
 	Unread    refresh.Unread            // the period in which changes may have been missed
+	Shared    bool                      // the process sends what it reads from then on
 }
 
 // RefreshSettings extracts the settings of the refresh schedule.
@@ -83,7 +86,8 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Watch{receiver: receiver, client: newClient(addr), callRequests: make(chan bool, 1),
 		addressChanges: make(chan string, 1), settingsChanged: make(chan struct{}, 1), requestedAddr: addr,
-		firstCallDone: make(chan struct{}), started: time.Now(), schedule: refresh.New(0, settings, random)}
+		firstCallDone: make(chan struct{}), started: time.Now(), schedule: refresh.New(0, settings, random),
+		sharing: newSharing()}
 }
 
 // SetHoldReceiver sets the receiver of holds. It must be called before Run.
@@ -150,7 +154,7 @@
 		slog.Warn("inventory", "known", "unreadable", "error", err)
 		return 0
 	}
-	w.deliver(topazfall.ListRestored, l)
+	w.deliver(topazfall.ListRestored, l, w.client.Addr)
 	return len(l.entries)
 }
 
@@ -163,6 +167,7 @@
 	defer w.mu.Unlock()
 	state := w.state
 	state.Hosts, state.Unread = maps.Clone(state.Hosts), w.schedule.Unread(w.now())
+	state.Shared = w.sharing.others != nil
 	return state
 }
 
@@ -173,14 +178,19 @@
 	if len(state.Hosts) == 0 {
 		return 0
 	}
-	w.deliver(topazfall.ListRestored, list{seq: state.Seq, entries: slices.Collect(maps.Values(state.Hosts))})
-	w.hasList = state.Discovery == w.client.Addr
+	w.deliver(topazfall.ListRestored, list{seq: state.Seq, entries: slices.Collect(maps.Values(state.Hosts))},
+		state.Discovery)
+	if w.hasList = state.Discovery == w.client.Addr; w.hasList {
+		w.listSource = w.client // an older list from there is not taken for a newer one
+		w.sharing.following = state.Shared && w.settings().PassesWatch()
+	}
 	w.schedule.Inherit(state.Unread)
 	return len(state.Hosts)
 }
 
-// deliver passes the list or changes to it on to the receiver, and keeps them for a handover.
-func (w *Watch) deliver(kind topazfall.EventKind, l list) {
+// deliver passes a list or changes to it, which came from a discovery address, on to the receiver, and keeps them for a
+// handover.
+func (w *Watch) deliver(kind topazfall.EventKind, l list, source string) {
 	w.receiver.ApplyList(kind, l.entries)
 	w.seq, w.hasList = l.seq, true
 	w.mu.Lock()
@@ -193,31 +203,39 @@
 			delete(w.state.Hosts, e.ID)
 		}
 	}
-	w.state.Discovery, w.state.Seq = w.client.Addr, l.seq
+	w.state.Discovery, w.state.Seq = source, l.seq
 }
 
 // Run watches the list until the program ends.
 func (w *Watch) Run() {
+	w.sharing.running.Store(true)
 	w.updateHold()
-	w.pauseBeforeCall(w.firstCallDelay())
+	if w.sharing.following {
+		w.callAt = noCallDue // until this process is ready
+	} else {
+		w.callAfter(w.firstCallDelay())
+	}
 	for first := true; ; first = false {
+		w.awaitCall()
 		err := w.call()
 		if first {
 			close(w.firstCallDone)
 		}
 		if err == errAddressChanged {
-			w.pauseBeforeCall(w.firstCallDelay())
+			w.callAfter(w.firstCallDelay())
 			continue
 		}
 		w.logState(err)
 		pause := w.endCall(err)
 		w.updateHold()
-		if err != nil {
-			w.pauseBeforeCall(pause)
-		}
+		w.callAfter(pause)
+		w.shareCall()
 	}
 }
 
+// callAfter makes the next call due after a pause.
+func (w *Watch) callAfter(pause time.Duration) { w.callAt = w.now() + pause }
+
 // firstCallDelay returns the pause before the first call to an address.
 func (w *Watch) firstCallDelay() time.Duration {
 	w.mu.Lock()
@@ -254,21 +272,31 @@
 	return pause
 }
 
-// pauseBeforeCall waits until the next call is due or requested. If the address of discovery changes, the delay before
-// the first call to the new address replaces the rest of the pause.
-func (w *Watch) pauseBeforeCall(pause time.Duration) {
-	if pause <= 0 {
-		return
-	}
-	due := time.After(pause)
+// awaitCall waits until the next call is due or requested. If the address of discovery changes, the delay before the
+// first call to the new address replaces the rest of the pause.
+func (w *Watch) awaitCall() {
 	for {
+		select { // before a call that is due already
+		case operation := <-w.sharing.operations:
+			operation()
+			continue
+		default:
+		}
+		due := w.callTimer()
+		if due == nil && w.callAt != noCallDue {
+			return
+		}
 		select {
 		case whole := <-w.callRequests:
 			w.hasList = w.hasList && !whole
 			return
 		case addr := <-w.addressChanges:
 			w.switchAddress(addr)
-			due = time.After(w.firstCallDelay())
+			w.callAfter(w.firstCallDelay())
+		case operation := <-w.sharing.operations:
+			operation()
+		case <-w.heartbeatTimer():
+			w.sendHeartbeat()
 		case <-w.holdTimer():
 			w.updateHold()
 		case <-w.settingsChanged:
@@ -279,6 +307,15 @@
 	}
 }
 
+// callTimer returns a channel that fires when the next call is due, or nil if it is due already or not due at all.
+func (w *Watch) callTimer() <-chan time.Time {
+	pause := w.callAt - w.now()
+	if w.callAt == noCallDue || pause <= 0 {
+		return nil
+	}
+	return time.After(pause)
+}
+
 // holdTimer returns a channel that fires at the staleness bound, or nil if there is no bound or a hold has already
 // begun.
 func (w *Watch) holdTimer() <-chan time.Time {
@@ -314,10 +351,10 @@
 func (w *Watch) switchAddress(addr string) {
 	slog.Info("inventory", "state", "moved", "from", w.client.Addr, "to", addr, "seq", w.seq)
 	w.client.close()
-	w.client, w.hasList = newClient(addr), false
+	w.client, w.hasList, w.sharing.following = newClient(addr), false, false
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.schedule.AddressChanged()
+	w.schedule.AddressChanged(w.now())
 }
 
 // beginCall records the start of a call. It returns the settings, and for how long discovery may wait for changes
@@ -348,12 +385,13 @@
 		w.hasList = w.hasList && !whole
 	default:
 	}
-	client, acknowledged := w.client, w.acknowledgedSeq()
+	client, after := w.client, w.acknowledgedSeq()
+	w.callAt, w.sharing.following = w.now(), false
 	settings, wait := w.beginCall()
 	path, limit := "/v1/endpoints", settings.CallTimeout()
 	extraPath := path
 	if w.hasList {
-		path += "?after=" + strconv.FormatInt(acknowledged, 10) + "&wait_ms="
+		path += "?after=" + strconv.FormatInt(after, 10) + "&wait_ms="
 		extraPath = path + "0"
 		path += strconv.FormatInt(wait.Milliseconds(), 10)
 	} else if !settings.Polled { // an agent does not queue calls
@@ -371,11 +409,15 @@
 		case addr := <-w.addressChanges:
 			w.switchAddress(addr)
 			return errAddressChanged
+		case operation := <-w.sharing.operations:
+			operation()
+		case <-w.heartbeatTimer():
+			w.sendHeartbeat()
 		case a := <-mainAnswer:
-			return w.applyAnswer(a)
+			return w.applyAnswer(a, after)
 		case a := <-extraAnswer:
 			if extraCallOpen = false; a.err == nil || errors.As(a.err, &unreadableError{}) {
-				return w.applyAnswer(a)
+				return w.applyAnswer(a, after)
 			}
 		case <-extraCallDue:
 			if extraCallDue = time.After(settings.AgentRetryInterval()); !extraCallOpen {
@@ -390,12 +432,13 @@
 	}
 }
 
-// applyAnswer applies an answer to the list.
-func (w *Watch) applyAnswer(a answer) error {
+// applyAnswer applies the answer to a call that named version after.
+func (w *Watch) applyAnswer(a answer, after int64) error {
 	l, err := a.list, a.err
 	if errors.As(err, &unreadableError{}) {
 		w.hasList = false // the changes are lost, so the next call asks for the whole list
 	}
+	before := w.seq
 	switch {
 	case err != nil:
 		return err
@@ -405,14 +448,20 @@
 		w.hasList, w.receivedOlder = false, true
 		return fmt.Errorf("received version %d of the whole list after version %d", l.seq, w.seq)
 	case l.whole:
-		w.deliver(topazfall.ListSnapshot, l)
+		w.deliver(topazfall.ListSnapshot, l, w.client.Addr)
+	case w.hasList && after <= l.seq && l.seq < w.seq:
+		// Another process has received newer changes during the call.
+		l.entries = nil
+		l.seq = w.seq
 	case !w.hasList || l.seq < w.seq: // changes to a different list
 		w.hasList = false
 		return fmt.Errorf("changes up to version %d do not apply to version %d", l.seq, w.seq)
 	default:
-		w.deliver(topazfall.ListPatch, l)
+		w.deliver(topazfall.ListPatch, l, w.client.Addr)
 	}
 	w.listSource, w.receivedOlder = w.client, false
+	w.sharing.read = &Update{Discovery: w.client.Addr, After: min(after, before), Seq: l.seq, Whole: l.whole,
+		Restarted: l.whole && l.seq < before, Entries: l.entries}
 	if len(l.entries) > 0 {
 		slog.Info("inventory", "seq", l.seq, "whole", l.whole, "entries", len(l.entries))
 	}
--- a/internal/instance/format_test.go
+++ b/internal/instance/format_test.go
@@ -11,6 +11,7 @@
 
 	"topazfall/internal/decide/digests"
 	"topazfall/internal/decide/ramp"
+	"topazfall/internal/discovery"
 )
 
 // gobFields lists the exported fields below t, each with its path and its type, as gob sends them. Gob matches fields
@@ -58,6 +59,7 @@
 		{"limits", heldLimits{}, ".Conns int\n.Share float64"},
 		{"ids", []string{}, "[] string"},
 		{"size of a digest", [digests.Size]uint8{}, "[16] uint8"},
+		{"update", discovery.Update{}, updateFields},
 		{"cold work", map[string]ramp.Log{}, "[string][].At int64\n[string][].Work float64\n[string][].Own bool"},
 	} {
 		t.Run(frame.name, func(t *testing.T) {
@@ -81,6 +83,7 @@
 .List.Hosts[string].Addrs[] binary
 .List.Unread.For int64
 .List.Unread.Reachable bool
+.List.Shared bool
 .Core.Known[] string
 .Core.Memory.JobTime float64
 .Core.Memory.Least float64
@@ -118,6 +121,27 @@
 .Extension bytes
 `
 
+const updateFields = `
+.Discovery string
+.After int64
+.Seq int64
+.Whole bool
+.Restarted bool
+.Entries[].Worker.ID string
+.Entries[].Worker.Zone string
+.Entries[].Worker.Kind string
+.Entries[].Worker.Cell int
+.Entries[].Worker.State int
+.Entries[].Worker.Weight float64
+.Entries[].Worker.StartedAt int64
+.Entries[].Addr string
+.Entries[].Addrs[] binary
+.Unread.For int64
+.Unread.Reachable bool
+.Watching bool
+.Passed bool
+`
+
 const keptConnectionFields = `
 .Proven bool
 .Client bool
--- a/internal/instance/handover.go
+++ b/internal/instance/handover.go
@@ -27,18 +27,20 @@
 
 	stateKeeper StateKeeper // nil for none
 
-	mu                sync.Mutex
-	predecessor       *takeover.Link // nil if there is none, or no longer
-	predecessorIDs    *idQuestions   // to the predecessor; nil if there is none, or no longer
-	predecessorLimits heldLimits
-	successor         *takeover.Link    // nil if there is none
-	successorReady    bool              // the successor accepts connections
-	successorIDs      *idQuestions      // to the successor; nil unless it accepts connections
-	ids               *idReporter       // for the successor; nil if there is none
-	successorListener *net.UnixListener // at socketPath
-	maxWait           time.Duration     // the longest wait of a client under any settings so far
-	longestDeadline   time.Duration     // of the classes in the present settings
-	successorSince    time.Time         // when the successor connected
+	mu                 sync.Mutex
+	predecessor        *takeover.Link // nil if there is none, or no longer
+	predecessorIDs     *idQuestions   // to the predecessor; nil if there is none, or no longer
+	predecessorLimits  heldLimits
+	predecessorUpdates *updateSender     // nil if there is no predecessor
+	successor          *takeover.Link    // nil if there is none
+	successorReady     bool              // the successor accepts connections
+	successorIDs       *idQuestions      // to the successor; nil unless it accepts connections
+	ids                *idReporter       // for the successor; nil if there is none
+	successorListener  *net.UnixListener // at socketPath
+	successorUpdates   *updateSender     // nil if there is no successor
+	maxWait            time.Duration     // the longest wait of a client under any settings so far
+	longestDeadline    time.Duration     // of the classes in the present settings
+	successorSince     time.Time         // when the successor connected
 }
 
 // state returns the state of this process for a successor. The list comes before the extension's state about it: a
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -208,6 +208,7 @@
 	d.watch.SetHoldReceiver(d.core)
 	d.handover = &handover{config: &d.config, socketPath: takeover.SocketPath(d.config.Name, d.config.Listen),
 		listener: d.listener, core: d.core, transport: d.transport, server: d.server, watch: d.watch}
+	d.watch.SetOtherProcesses(d.handover)
 	d.handover.stateKeeper, _ = d.extension.(StateKeeper)
 	d.handover.settings.configured = *settings
 	d.handover.recordDeadlines(settings)
--- a/internal/instance/leaving.go
+++ b/internal/instance/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"topazfall"
+	"topazfall/internal/decide/refresh"
 	"topazfall/internal/frontend"
 )
 
@@ -104,7 +105,23 @@
 	}
 	// The handover of idle connections takes a moment. A connection that is still here at the end would be closed.
 	allHandedOver := l.server.OpenConns() == 0 || l.server.BusyConns() == 0 && since > idleHandoverTime
-	return pastDeadline || idle && allHandedOver
+	return pastDeadline || idle && allHandedOver && l.isWatchPassed(since)
+}
+
+// isWatchPassed reports whether the successor has the watch of discovery, or whether this process has waited for that
+// long enough. The successor then opens a watch of its own, which discovery has less room for.
+func (l *leaving) isWatchPassed(since time.Duration) bool {
+	if since > refresh.MaxPassTimeout {
+		return true
+	}
+	select {
+	case <-l.watch.Passed():
+	default:
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.successorUpdates.isSent()
 }
 
 // startHandover starts to hand client connections over to the successor if it accepts connections, and reports whether
@@ -118,6 +135,7 @@
 	}
 	h.reportIDs()
 	h.core.SetLeaving(true)
+	h.watch.SetLeaving()
 	h.server.StartHandover(func(conn frontend.HandoverConn) error {
 		return link.Send(frameConnection, encode(handoverConnection{conn.Proven, conn.Client, conn.More, conn.Begun}),
 			conn.Conn)
--- a/internal/instance/predecessor.go
+++ b/internal/instance/predecessor.go
@@ -12,6 +12,7 @@
 
 	"topazfall/internal/decide/digests"
 	"topazfall/internal/decide/ramp"
+	"topazfall/internal/discovery"
 	"topazfall/internal/takeover"
 )
 
@@ -23,14 +24,16 @@
 // closed the link and a process still serves at the socket, the predecessor itself or another successor: then this
 // process was too late and must not accept.
 func (h *handover) replacePredecessor(predecessor *takeover.Link) error {
+	limitsKnown, linkClosed := make(chan struct{}), make(chan struct{})
 	h.mu.Lock()
 	h.predecessor, h.predecessorIDs = predecessor, &idQuestions{link: predecessor, process: "old"}
+	h.predecessorUpdates = newUpdateSender(predecessor)
+	go h.predecessorUpdates.run(linkClosed)
 	_, serverLimits := deriveLimits(h.config)
 	h.predecessorLimits = heldLimits{Conns: serverLimits.MaxConns / 2, Share: 0.5}
 	h.updateLimits()
 	h.updateClaim()
 	h.mu.Unlock()
-	limitsKnown, linkClosed := make(chan struct{}), make(chan struct{})
 	setLimitsKnown := sync.OnceFunc(func() { close(limitsKnown) })
 	go func() {
 		defer close(linkClosed)
@@ -39,11 +42,15 @@
 		slog.Info("takeover", "old", "gone", "reason", err)
 		h.mu.Lock()
 		h.predecessor, h.predecessorIDs, h.predecessorLimits = nil, nil, heldLimits{}
+		h.predecessorUpdates = nil
 		h.updateLimits()
 		h.updateClaim()
 		h.mu.Unlock()
+		h.watch.SetGone(discovery.Predecessor)
 	}()
 	predecessor.Send(frameReady, nil, nil)
+	h.watch.SetPresent(discovery.Predecessor)
+	h.watch.SetServing()
 	select {
 	case <-limitsKnown:
 	case <-time.After(limitsTimeout):
@@ -101,6 +108,8 @@
 		}
 	case frameRanIDs:
 		h.core.AddRanIDs(digests.Decode(frame.Body))
+	case frameUpdate:
+		h.receiveUpdate(discovery.Predecessor, frame.Body)
 	case frameConnection:
 		h.receiveConnection(frame)
 	}
--- a/internal/instance/successor.go
+++ b/internal/instance/successor.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"topazfall/internal/discovery"
 	"topazfall/internal/takeover"
 )
 
@@ -61,9 +62,14 @@
 	if !h.registerSuccessor(link) { // it will try again and find the process that is there by then
 		return
 	}
+	h.mu.Lock()
+	updates, gone := h.successorUpdates, h.ids.gone
+	h.mu.Unlock()
 	slog.Info("takeover", "young", "here")
 	err := link.Send(frameState, encode(h.state()), h.listener.(syscall.Conn))
 	if err == nil {
+		h.watch.SetPresent(discovery.Successor)
+		go updates.run(gone)
 		err = link.Run(h.handleSuccessorFrame, func(body []byte) bool { return h.answerSuccessor(body, link) })
 	}
 	slog.Info("takeover", "young", "gone", "reason", err)
@@ -72,9 +78,11 @@
 	wasReady, successorListener := h.successorReady, h.successorListener
 	close(h.ids.gone)
 	h.successor, h.successorReady, h.successorIDs, h.ids = nil, false, nil, nil
+	h.successorUpdates = nil
 	h.updateClaim()
 	h.updateLimits()
 	h.mu.Unlock()
+	h.watch.SetGone(discovery.Successor)
 	if !wasReady {
 		return
 	}
@@ -98,6 +106,7 @@
 	}
 	h.successor, h.successorSince = link, time.Now()
 	h.ids = &idReporter{core: h.core, link: link, gone: make(chan struct{})}
+	h.successorUpdates = newUpdateSender(link) // before the state is taken, so that it has what comes after that
 	h.updateLimits()
 	return true
 }
@@ -106,9 +115,18 @@
 	if frame.File != nil {
 		frame.File.Close()
 	}
-	if frame.Kind != frameReady {
-		return
+	switch frame.Kind {
+	case frameReady:
+		h.handleReady()
+	case frameUpdate:
+		h.receiveUpdate(discovery.Successor, frame.Body)
+	case frameWatchRequest:
+		h.watch.Request(string(frame.Body))
 	}
+}
+
+// handleReady lets the successor, which accepts connections from now on, admit messages.
+func (h *handover) handleReady() {
 	h.mu.Lock()
 	link, ids := h.successor, h.ids
 	h.mu.Unlock()
--- a/internal/instance/transfer.go
+++ b/internal/instance/transfer.go
@@ -21,6 +21,10 @@
 	frameKnownIDs   byte = 'i' // message ids that became known in the predecessor
 	frameRanIDs     byte = 'j' // digests of message ids whose jobs may have run, one after the other
 	frameConnection byte = 'c' // a handoverConnection, sent with the connection's descriptor
+
+	// Either process sends these:
+	frameUpdate       byte = 'l' // a discovery.Update: what the process has read from discovery
+	frameWatchRequest byte = 'f' // from the successor: the address of the discovery service whose watch it asks for
 )
 
 // handoverState is the state that a successor starts with. Its field names are part of the handover format between two
