Forget workers that have left the list, with what was learned of them

Cause: Balancer.workers kept each worker with its tables, some 2.9 kB, from its first entry in the list on; nothing took one out. The upstream kept a pool for each single address that was ever called, and the module each kind ever named.

Change: the periodic task drops workers that have left the list, unless a request in progress has tried them, their ejection runs, or work that they were sent is within the fall time. A worker that returns later starts as new. Slices of workers are cleared beyond their end, kinds that no worker has are bounded by 256, and pools without a connection go. The list of workers moves from balancer.go to workerlist.go.

Ruled out: fragmentation (the live heap itself grows), the claims, hosts and entries of the list, which removals delete.

--- a/balancer.go
+++ b/balancer.go
@@ -1,17 +1,14 @@
 package topazfall
 
 // The decision module. Its interface (settings, events, actions) is in topazfall.go. In reading order: the
-// life of a request, the rules for sends, observations of workers, the learned tables and the worker list.
-// The choice of a worker is in choice.go, and that of the buddies (the subset of workers that this dispatcher
-// uses first) in subset.go.
+// life of a request, the rules for sends, observations of workers and the learned tables. The choice of a
+// worker is in choice.go, that of the buddies (the subset of workers that this dispatcher uses first) in
+// subset.go, and the worker list in workerlist.go.
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
-	"strings"
 
 	"topazfall/internal/decide/gossip"
 	"topazfall/internal/decide/ramp"
@@ -684,6 +681,7 @@
 	}
 	b.probeBuddies(b.probeInterval())
 	b.rebuildBuddies() // a worker whose ejection has ended is a buddy again
+	b.forgetGoneWorkers()
 	if b.now < b.nextTableUpdate {
 		return
 	}
@@ -695,63 +693,3 @@
 		w.update(&w.kind.table)
 	}
 }
-
-// ---- the list of workers ----
-
-// handleList processes a change, a snapshot or a failure of the worker list.
-func (b *Balancer) handleList(e *Event) {
-	b.listFailed = e.Kind == ListFailed // the known list stays in use; runPeriodicTasks asks for it again
-	if e.Kind == ListSnapshot || e.Kind == ListRestored {
-		for _, w := range b.ranked {
-			w.listed = false
-		}
-		b.ranked = b.ranked[:0]
-	}
-	for i := range e.List {
-		b.updateWorker(&e.List[i])
-	}
-	b.ranked = slices.DeleteFunc(b.ranked, func(w *worker) bool { return !w.listed })
-	slices.SortFunc(b.ranked, func(v, w *worker) int { return strings.Compare(v.rank, w.rank) })
-	b.rebuildBuddies()
-	if e.Kind == ListRestored && b.settings.ListOnRequest {
-		b.emit(Action{Kind: WatchList})
-	}
-}
-
-// updateWorker adds a worker or updates it from its entry in the list.
-func (b *Balancer) updateWorker(l *Worker) {
-	w := b.workers[l.ID]
-	if w == nil {
-		k := b.kindOf(l.Kind)
-		w = &worker{kind: k, pace: k.pace, queued: -1, rank: b.rankOf(l), hostHash: gossip.HostHash(l.ID)}
-		w.probability, w.tails = k.probability, k.tails
-		b.workers[l.ID] = w
-	}
-	if l.StartedAt > w.StartedAt { // it has restarted: its earlier errors and backlog no longer count
-		w.consecutiveErrors, w.queued, w.evidenceAt = 0, -1, max(w.evidenceAt, min(l.StartedAt, b.now))
-		w.markAlive()
-	}
-	w.Worker = *l
-	if !w.listed && l.State != Gone {
-		b.ranked = append(b.ranked, w)
-	}
-	w.listed = l.State != Gone
-	// A live weight is a load report of each worker, also for a dispatcher whose jobs bring too few reports.
-	if b.settings.LiveWeights && w.listed {
-		b.recordLoad(w, Load{Queue: -1, Inflight: w.observeWeight(l.Weight), Free: -1})
-	}
-}
-
-// rankOf returns the key by which workers are sorted alike at every dispatcher. It is a hash, preceded by the
-// cell where keyed repeats must stay in their cell, so that the workers of a cell are in the same buddy sets.
-// Zones are mixed, because the number of dispatchers in each is not known.
-func (b *Balancer) rankOf(l *Worker) string {
-	h, cell := fnv.New64a(), ""
-	for _, c := range b.settings.Classes {
-		if c.Repeat == Keyed && c.Group == GroupCell {
-			cell = fmt.Sprint(l.Cell)
-		}
-	}
-	h.Write([]byte(l.ID))
-	return fmt.Sprintf("%s %x %s", cell, h.Sum(nil), l.ID)
-}
--- a/bench_test.go
+++ b/bench_test.go
@@ -58,3 +58,34 @@
 		})
 	}
 }
+
+// BenchmarkPatchOfOneWorker measures the processor time of a change of one worker, and of a deploy that replaces it.
+func BenchmarkPatchOfOneWorker(b *testing.B) {
+	for _, workers := range []int{200, 5500} {
+		for _, replaced := range []bool{false, true} {
+			b.Run(fmt.Sprintf("workers=%d/replaced=%v", workers, replaced), func(b *testing.B) {
+				m, err := New(settings())
+				if err != nil {
+					b.Fatal(err)
+				}
+				now := int64(100e6)
+				on := func(e Event) { m.Handle(now, &e, nil) }
+				ws := fleet(workers)
+				on(Event{Kind: ListSnapshot, List: ws})
+				next := 0
+				b.ReportAllocs()
+				for b.Loop() {
+					next, now = next+1, now+1e6
+					w := &ws[next%workers]
+					if replaced {
+						on(Event{Kind: ListPatch, List: []Worker{{ID: w.ID, State: Gone}}})
+						w.ID = fmt.Sprint("n", next)
+					}
+					w.Weight++
+					on(Event{Kind: ListPatch, List: []Worker{*w}})
+					on(Event{Kind: TimerDue, Token: tokenPeriodic})
+				}
+			})
+		}
+	}
+}
--- a/cmd/topazfall/fastclient_test.go
+++ b/cmd/topazfall/fastclient_test.go
@@ -182,13 +182,13 @@
 	}()
 	time.Sleep(fastTime / 2)
 	newest := processes[len(processes)-1]
-	middle := target.memory(newest).present
+	middle := readMemory(target.T, newest).PresentKB
 	o := <-done
-	end := target.memory(newest).present
+	end := readMemory(target.T, newest).PresentKB
 	summary := usual.end()
 	together := 0
 	for _, p := range processes {
-		together += target.memory(p).peak
+		together += readMemory(target.T, p).PeakKB
 	}
 	t.Logf("peak %.1f MB for all, middle %.1f, end %.1f; sent %d on %d connections; usual clients: %v",
 		float64(together)/1024, float64(middle)/1024, float64(end)/1024, o.sent, o.connections,
--- a/cmd/topazfall/flood_test.go
+++ b/cmd/topazfall/flood_test.go
@@ -7,8 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -177,28 +175,10 @@
 	return p
 }
 
-var memoryPattern = regexp.MustCompile(`(?m)^(VmHWM|VmRSS|RssFile):\s*(\d+) kB$`)
-
-// processMemory is the memory of a process, in kB.
-type processMemory struct{ present, peak, files int }
-
-// memory returns the resident memory of a process.
-func (f *floodTarget) memory(p *program.Process) (memory processMemory) {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
-	require.NoError(f, err, "the process has ended")
-	for _, match := range memoryPattern.FindAllStringSubmatch(string(status), -1) {
-		kilobytes, err := strconv.Atoi(match[2])
-		require.NoError(f, err)
-		switch match[1] {
-		case "VmHWM":
-			memory.peak = kilobytes
-		case "VmRSS":
-			memory.present = kilobytes
-		default:
-			memory.files = kilobytes
-		}
-	}
-	require.NotZero(f, memory.present)
+// readMemory returns the resident memory of a process.
+func readMemory(t *testing.T, p *program.Process) program.Memory {
+	memory, err := p.Memory()
+	require.NoError(t, err)
 	return memory
 }
 
--- a/cmd/topazfall/memory_test.go
+++ b/cmd/topazfall/memory_test.go
@@ -172,11 +172,11 @@
 					func(c net.Conn, n int64) error { return m.send(c, fmt.Sprintf("flood-%d", n)) })
 				time.Sleep(floodTime)
 				summary := usual.end()
-				memory := target.memory(target.process)
+				memory := readMemory(target.T, target.process)
 				f.end()
-				t.Logf("peak %.1f MB, present %.1f MB of %d; usual clients: %v", float64(memory.peak)/1024,
-					float64(memory.present)/1024, limits.memoryMB, summary)
-				require.LessOrEqual(t, memory.peak, limits.memoryMB<<10, "kB")
+				t.Logf("peak %.1f MB, present %.1f MB of %d; usual clients: %v", float64(memory.PeakKB)/1024,
+					float64(memory.PresentKB)/1024, limits.memoryMB, summary)
+				require.LessOrEqual(t, memory.PeakKB, limits.memoryMB<<10, "kB")
 				require.Zero(t, summary.lost+summary.late, "messages without their answer in time")
 			})
 		}
@@ -234,8 +234,8 @@
 			target.process = target.start()
 			peak := 0
 			for end := time.Now().Add(floodTime / 2); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-				first, second := target.memory(old), target.memory(target.process)
-				peak = max(peak, first.present+second.present-min(first.files, second.files))
+				first, second := readMemory(target.T, old), readMemory(target.T, target.process)
+				peak = max(peak, first.PresentKB+second.PresentKB-min(first.FilesKB, second.FilesKB))
 			}
 			require.NoError(t, old.Terminate())
 			time.Sleep(floodTime / 2)
@@ -243,7 +243,7 @@
 			f.end()
 			t.Logf("peak %.1f MB of %d for both; usual clients: %v", float64(peak)/1024, memoryMB, summary)
 			require.LessOrEqual(t, peak, memoryMB<<10, "kB")
-			require.LessOrEqual(t, target.memory(target.process).peak, memoryMB<<10, "kB")
+			require.LessOrEqual(t, readMemory(target.T, target.process).PeakKB, memoryMB<<10, "kB")
 			require.Zero(t, summary.lost+summary.late, "messages without their answer in time")
 		})
 	}
--- a/internal/lab/program/usage.go
+++ b/internal/lab/program/usage.go
@@ -1,8 +1,10 @@
 package program
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -47,3 +49,41 @@
 	names, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID()))
 	return len(names), err
 }
+
+// Memory is the resident memory of a process, in kB.
+type Memory struct {
+	PresentKB int
+	PeakKB    int
+	FilesKB   int // of PresentKB, the pages of files, which the system can read again
+}
+
+var memoryPattern = regexp.MustCompile(`(?m)^(VmHWM|VmRSS|RssFile):\s*(\d+) kB$`)
+
+// errNoMemory is returned for a process that has ended.
+var errNoMemory = errors.New("the process has no memory")
+
+// Memory returns the resident memory of the process.
+func (p *Process) Memory() (memory Memory, err error) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID()))
+	if err != nil {
+		return Memory{}, err
+	}
+	for _, match := range memoryPattern.FindAllStringSubmatch(string(status), -1) {
+		kilobytes, err := strconv.Atoi(match[2])
+		if err != nil {
+			return Memory{}, err
+		}
+		switch match[1] {
+		case "VmHWM":
+			memory.PeakKB = kilobytes
+		case "VmRSS":
+			memory.PresentKB = kilobytes
+		default:
+			memory.FilesKB = kilobytes
+		}
+	}
+	if memory.PresentKB == 0 {
+		return Memory{}, errNoMemory
+	}
+	return memory, nil
+}
--- a/internal/upstream/conn_test.go
+++ b/internal/upstream/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -61,6 +62,21 @@
 	require.EqualValues(t, 1, transport.openConns.Load(), "a dial that was not made is not counted")
 }
 
+// Guards against pools that are kept for each address that was ever called: those without a connection go, and one with
+// a connection stays.
+func TestPoolsOfHostsThatAreGone(t *testing.T) {
+	h := newFixture(t)
+	kept := h.pool(h.host.Addr)
+	conn, err := kept.AcquireConn(0, false)
+	require.NoError(t, err)
+	defer kept.CloseConn(conn)
+	for i := range 10 * minPools {
+		h.pool(fmt.Sprintf("127.0.0.1:%d", i+1))
+		require.LessOrEqual(t, len(h.pools), minPools)
+	}
+	require.Same(t, kept, h.pool(h.host.Addr))
+}
+
 // A kept connection is used again after the deadline of the last exchange on it has passed: that deadline does not
 // apply to the next exchange.
 func TestConnIsReusedAfterDeadlineOfLastExchange(t *testing.T) {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -56,6 +56,7 @@
 	mu         sync.Mutex
 	settings   ConnSettings
 	pools      map[string]*fasthttp.HostClient // by address, of the hosts with one address
+	maxPools   int                             // number of pools at which those without a connection are dropped
 	routes     map[string]*route               // by ID, of the hosts with several addresses
 	unanswered map[*exchange.Relay]net.Conn    // relays that were written, or are being written, without an answer yet
 
@@ -66,8 +67,8 @@
 // New returns a transport that reports the results of its calls to core.
 func New(core *dispatch.Core, options Options) *Transport {
 	t := &Transport{core: core, options: options, settings: options.ConnSettings,
-		pools: map[string]*fasthttp.HostClient{}, routes: map[string]*route{}, addressLimits: addresses.Defaults,
-		unanswered: map[*exchange.Relay]net.Conn{}}
+		pools: map[string]*fasthttp.HostClient{}, maxPools: minPools, routes: map[string]*route{},
+		addressLimits: addresses.Defaults, unanswered: map[*exchange.Relay]net.Conn{}}
 	t.SetMaxConns(options.MaxConns)
 	return t
 }
@@ -103,6 +104,9 @@
 // SetMaxConns changes the limit on open connections. Connections over a lowered limit are not closed early.
 func (t *Transport) SetMaxConns(maxConns int) { t.maxConns.Store(int64(maxConns)) }
 
+// minPools is the number of pools up to which those without a connection are kept.
+const minPools = 128
+
 var errTooMany = errors.New("too many connections")
 
 // pool returns the connection pool of one address. It uses the newest connection first, so that the others become idle.
@@ -112,12 +116,23 @@
 	defer t.mu.Unlock()
 	p := t.pools[addr]
 	if p == nil {
+		if len(t.pools) >= t.maxPools {
+			t.dropUnusedPools()
+		}
 		p = t.newPool(addr, t.settings, t.dial("tcp", addr, t.settings.DialTimeout))
 		t.pools[addr] = p
 	}
 	return p
 }
 
+// dropUnusedPools drops the pools without a connection: their hosts may have left the list. A call that has such a pool
+// still uses it, and its connection is then not kept for others. There are at most twice as many pools as open
+// connections, or minPools. t.mu must be held.
+func (t *Transport) dropUnusedPools() {
+	maps.DeleteFunc(t.pools, func(_ string, pool *fasthttp.HostClient) bool { return pool.ConnsCount() == 0 })
+	t.maxPools = max(2*len(t.pools), minPools)
+}
+
 // newPool returns a connection pool that opens connections with dial.
 func (t *Transport) newPool(addr string, settings ConnSettings, dial fasthttp.DialFunc) *fasthttp.HostClient {
 	return &fasthttp.HostClient{Addr: addr, MaxConns: t.options.MaxConns,
--- a/memory.go
+++ b/memory.go
@@ -185,6 +185,7 @@
 		// The worker may have left the list: it gets nothing new, but the attempt there may still end.
 		if b.workers[t.Worker] == nil {
 			b.updateWorker(&Worker{ID: t.Worker, State: Gone})
+			b.gone = append(b.gone, b.workers[t.Worker])
 		}
 		w := b.workers[t.Worker]
 		a := &attempt{request: r, index: len(r.attempts), region: b.currentRegion(w), worker: w, sentAt: t.Sent,
--- a/state.go
+++ b/state.go
@@ -1,6 +1,7 @@
 package topazfall
 
-// The state of a balancer, and lookups in it. Every decision is made in balancer.go.
+// The state of a balancer, and lookups in it. Decisions are made in balancer.go, choice.go, subset.go and
+// workerlist.go.
 
 import (
 	"cmp"
@@ -19,7 +20,8 @@
 	now             int64
 	actions         []Action
 	requests        map[uint64]*request
-	workers         map[string]*worker     // all that were ever listed, by ID
+	workers         map[string]*worker     // by ID: the listed ones, and others that are still needed
+	gone            []*worker              // those of workers that are not listed
 	ranked          []*worker              // the listed workers, in the order common to all dispatchers
 	buddies         []*worker              // the subset of ranked that is used first
 	subsetSpan      int                    // length of the range of ranked that the buddies are taken from
--- a/subset.go
+++ b/subset.go
@@ -31,6 +31,8 @@
 	sizeWithExtra := max(size, b.sizeForOwnJobs())
 	start := gossip.SubsetStart(b.settings.Me, b.settings.Dispatchers, len(b.ranked))
 	hasKind := map[string]bool{}
+	clear(b.buddies)
+	clear(b.nonBuddies)
 	b.buddies, b.nonBuddies, b.subsetSpan = b.buddies[:0], b.nonBuddies[:0], 0
 	for i := range b.ranked {
 		w := b.ranked[(start+i)%len(b.ranked)]
