Soak: draw rolling deploys of large fleets, and many dispatchers where lists are asked for

One run of three replaces 200 to 3,200 listed hosts again and again under a limit of 48 MB, and no process may take more (VmHWM). The last dispatcher is only reloaded and held, so that one process sees all deploys. Half of the runs that ask for lists belong to 60 dispatchers, so that first calls are spread and watches are passed on.

The report counts each rule of the auditor, which a test now checks.

--- a/internal/lab/soak/audit.go
+++ b/internal/lab/soak/audit.go
@@ -43,8 +43,12 @@
 	RuleCrash     Rule = "crash"     // a process that exited by itself or with an error
 	RuleReady     Rule = "ready"     // a start that took too long
 	RuleLeak      Rule = "leak"      // descriptors, requests or goroutines that were not released
+	RuleMemory    Rule = "memory"    // a process over its memory limit
 )
 
+var allRules = []Rule{RuleLost, RuleClosed, RuleDuplicate, RuleRefused, RuleInvented, RuleDrain, RuleDeparted,
+	RuleTimeout, RuleErrorOwed, RuleCrash, RuleReady, RuleLeak, RuleMemory}
+
 // Violation is one violation of a rule.
 type Violation struct {
 	Rule    Rule      `json:"rule"`
@@ -86,6 +90,7 @@
 	}
 	a.checkProcesses()
 	a.checkLeftovers()
+	a.checkMemory()
 	slices.SortFunc(a.violations, func(b, c Violation) int {
 		return cmp.Or(b.At.Compare(c.At), cmp.Compare(b.Rule, c.Rule), cmp.Compare(b.ID, c.ID))
 	})
@@ -341,6 +346,15 @@
 	}
 }
 
+// checkMemory checks that each process stayed within its memory limit.
+func (a *auditor) checkMemory() {
+	for _, p := range a.Processes {
+		if limit := a.Terms.MemoryMB << 10; limit > 0 && p.PeakMemoryKB > limit {
+			a.addViolation(RuleMemory, p.Process, "", p.Started, "%d kB, %d are allowed", p.PeakMemoryKB, limit)
+		}
+	}
+}
+
 // eventWindow is how long after a violation other events are listed with it. Before the violation, the events of four
 // times this length are listed.
 const eventWindow = time.Second
--- a/internal/lab/soak/audit_test.go
+++ b/internal/lab/soak/audit_test.go
@@ -131,6 +131,9 @@
 	"a goroutine is left over": {RuleLeak, "", func(h *History) {
 		h.Leftovers[0].Goroutines, h.Leftovers[0].AllowedGoroutines = 21, 20
 	}},
+	"a process takes a kB more than its memory": {RuleMemory, "", func(h *History) {
+		h.Terms.MemoryMB, h.Processes[0].PeakMemoryKB = 48, 48<<10+1
+	}},
 	"an unfinished request is left over": {RuleLeak, "", func(h *History) { h.Leftovers[0].Outstanding = 1 }},
 }
 
@@ -145,6 +148,13 @@
 			require.Len(t, violations, 1, "%+v", violations)
 			require.Equal(t, plant.rule, violations[0].Rule)
 			require.Equal(t, plant.id, violations[0].ID)
+			unmet := 0
+			for _, bound := range newReport(Options{}, []Outcome{{Violations: violations}}).Bounds {
+				if !bound.IsMet() {
+					unmet++
+				}
+			}
+			require.Equal(t, 1, unmet, "the report counts it")
 			if plant.id != "" {
 				require.NotEmpty(t, violations[0].Events)
 			}
@@ -183,6 +193,9 @@
 			h.Attempts[2].Rejected = true
 			h.Attempts = append(h.Attempts, newAttempt("s-0", "n0-b", 2040))
 		},
+		"a process that takes all of its memory": func(h *History) {
+			h.Terms.MemoryMB, h.Processes[0].PeakMemoryKB = 48, 48<<10
+		},
 		"an attempt that was cancelled": func(h *History) {
 			h.Attempts[0].EndedAt, h.Attempts[0].CancelledAt = time.Time{}, historyTime(1190)
 		},
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -44,6 +44,7 @@
 	Ended          time.Time
 	ExitCode       int
 	CrashLine      string // log line that shows a crash, "" for none
+	PeakMemoryKB   int    // as last seen
 }
 
 // Stall is a period in which the process that makes the run got no CPU, so that it observed events late.
@@ -65,6 +66,7 @@
 	Classes    []Class
 	DrainGrace time.Duration
 	Subscribe  bool // the dispatchers must request the worker list
+	MemoryMB   int  // limit on the memory of a process, 0 for none that is checked
 }
 
 // Class is the repeat policy of a request class.
--- a/internal/lab/soak/installation.go
+++ b/internal/lab/soak/installation.go
@@ -84,6 +84,7 @@
 		inst.workers = append(inst.workers, h)
 		inst.setWorkerHealth(k, "up", time.Time{})
 	}
+	inst.listFirstRelease()
 	var names []string
 	for k := range inst.plan.Processes {
 		names = append(names, processName(k))
@@ -115,7 +116,7 @@
 
 // terms returns the terms that follow from the plan.
 func (inst *installation) terms() Terms {
-	t := Terms{DrainGrace: drainGrace, Subscribe: inst.plan.Subscribe}
+	t := Terms{DrainGrace: drainGrace, Subscribe: inst.plan.Subscribe, MemoryMB: inst.plan.Deploys.MemoryMB}
 	for _, name := range program.Classes {
 		class := Class{Name: name}
 		if program.IsAtMostOnce(name) {
@@ -132,14 +133,14 @@
 // programOptions returns the options that the dispatchers are started with.
 func (inst *installation) programOptions(o Options) program.Options {
 	return program.Options{ProgramPath: o.ProgramPath, Env: o.Env, Discovery: inst.endpoints[0].Address(),
-		MaxSockets: inst.plan.MaxSockets, IdleTimeout: idleTimeout, Deadline: inst.plan.Deadline,
-		Subscribe: inst.plan.Subscribe, EditConfig: inst.configure}
+		MaxSockets: inst.plan.MaxSockets, MemoryMB: inst.plan.Deploys.MemoryMB, IdleTimeout: idleTimeout,
+		Deadline: inst.plan.Deadline, Subscribe: inst.plan.Subscribe, EditConfig: inst.configure}
 }
 
 // configure sets a dispatcher's index, the number of dispatchers, its seed and the keyed class.
 func (inst *installation) configure(config map[string]any) {
 	settings := config["settings"].(map[string]any)
-	settings["replicas_of_me"] = inst.plan.Processes
+	settings["replicas_of_me"] = inst.plan.Dispatchers
 	for k := range inst.plan.Processes {
 		if config["name"] == processName(k) {
 			settings["me"] = k
--- a/internal/lab/soak/plan.go
+++ b/internal/lab/soak/plan.go
@@ -29,6 +29,8 @@
 	JointSteps     []JointStep     // in order of time
 	WorkerSteps    []WorkerStep    // in order of time
 	DiscoverySteps []DiscoveryStep // in order of time
+	Dispatchers    int             // in the settings; at least Processes
+	Deploys        Deploys
 }
 
 // Action is what is done to a dispatcher process.
@@ -156,6 +158,7 @@
 	g.drawJointSteps(&p)
 	g.drawWorkerSteps(&p)
 	g.drawDiscoverySteps(&p)
+	drawDeploys(&p)
 	return p
 }
 
@@ -240,6 +243,7 @@
 		p.Seed, p.Length.Round(time.Millisecond), p.Processes, p.MaxSockets, p.Clients,
 		p.MeanPause.Round(time.Millisecond), p.Deadline.Round(time.Millisecond), p.KeyWindow.Round(time.Millisecond),
 		p.Subscribe, p.FullLists, p.IdleClients, len(p.WorkTimes))
+	fmt.Fprintf(&b, "  of %d dispatchers; %v\n", p.Dispatchers, p.Deploys)
 	for i, steps := range p.ProcessSteps {
 		fmt.Fprintf(&b, "  %s:", processName(i))
 		for _, s := range steps {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -80,6 +80,7 @@
 	Processes           int           `json:"lives"`  // started in the run
 	KilledAfterTerm     int           `json:"killed"` // of these, killed when their time after SIGTERM was over
 	Stalled             time.Duration `json:"stalled"`
+	PeakMemoryKB        int           `json:"peak_kb,omitempty"` // of the process that took most, in a run with deploys
 	Violations          []Violation   `json:"breaks"`
 	Failure             string        `json:"fault,omitempty"` // why the run could not be completed
 }
@@ -132,6 +133,7 @@
 		}
 	}
 	for _, process := range history.Processes {
+		out.PeakMemoryKB = max(out.PeakMemoryKB, process.PeakMemoryKB)
 		if !process.Killed.IsZero() && !process.Terminated.IsZero() {
 			out.KilledAfterTerm++
 		}
@@ -173,6 +175,9 @@
 	watchContext, cancelWatch := context.WithCancel(ctx)
 	var watch sync.WaitGroup
 	watch.Go(func() { inst.watchStalls(watchContext) })
+	if inst.plan.Deploys.Hosts > 0 {
+		watch.Go(func() { inst.watchMemory(watchContext) })
+	}
 	defer watch.Wait()
 	defer cancelWatch()
 	var steps sync.WaitGroup
@@ -195,6 +200,7 @@
 	start(inst.runJointSteps)
 	start(inst.runWorkerSteps)
 	start(inst.runDiscoverySteps)
+	start(inst.runDeploys)
 	steps.Wait()
 	stopClients()
 	clients.Wait()
@@ -298,6 +304,9 @@
 		"stalled %v\n",
 		o.Seed, o.Ends, o.UnreadFirstRequests, o.Statuses, o.Attempts, o.Processes, o.KilledAfterTerm,
 		o.Stalled.Round(time.Millisecond))
+	if o.PeakMemoryKB > 0 {
+		fmt.Fprintf(w, "seed %d: at most %d kB\n", o.Seed, o.PeakMemoryKB)
+	}
 	if o.Failure != "" {
 		fmt.Fprintf(w, "seed %d: COULD NOT BE PLAYED: %s\n", o.Seed, o.Failure)
 	}
@@ -329,8 +338,7 @@
 				fmt.Sprintf("again: topazlab soak --first %d --seeds 1%s", out.Seed, o.lengthFlag()))
 		}
 	}
-	for _, rule := range []Rule{RuleLost, RuleClosed, RuleDuplicate, RuleRefused, RuleInvented, RuleDrain, RuleDeparted,
-		RuleTimeout, RuleErrorOwed, RuleCrash, RuleReady, RuleLeak} {
+	for _, rule := range allRules {
 		n := 0
 		for _, out := range outcomes {
 			for _, v := range out.Violations {
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -73,8 +73,10 @@
 			seen[s.Fault]++
 		}
 		seen["joint"] += len(p.JointSteps)
+		seen["deploys"] += len(p.Deploys.At)
 		seen["crowd"] += p.IdleClients
-		for what, is := range map[string]bool{"asked": p.Subscribe, "whole": p.FullLists, "window": p.KeyWindow > 0} {
+		for what, is := range map[string]bool{"asked": p.Subscribe, "whole": p.FullLists, "window": p.KeyWindow > 0,
+			"large fleet": p.Dispatchers > p.Processes} {
 			if is {
 				seen[what]++
 			}
@@ -86,7 +88,7 @@
 	for _, disruption := range []Disruption{DrainWorker, RestartWorker, FaultyWorker, CloseIdleConnections} {
 		require.NotZero(t, seen[disruption], disruption)
 	}
-	for _, what := range []string{"joint", "crowd", "asked", "whole", "window"} {
+	for _, what := range []string{"joint", "crowd", "asked", "whole", "window", "deploys", "large fleet"} {
 		require.NotZero(t, seen[what], what)
 	}
 }
