Send signs of a watch only to processes that follow it

Symptom: none seen; found by reading. While both processes of a replacement ran, each sent the other 20 updates a second even if the other did not follow its watch. A process that stands still (SIGSTOP) reads nothing, so that the link to it would fill up, and after 2 s of that nothing more is sent over it, handovers included.

Cause: heartbeats went to every process that is present. Now they go to a successor that has asked for the watch and to a predecessor that has passed it on. What a call brings still goes to all.

--- a/internal/discovery/sharing.go
+++ b/internal/discovery/sharing.go
@@ -67,7 +67,8 @@
 	following  bool             // another process calls discovery, and this one does not
 	serving    bool             // this process is ready to replace its predecessor
 	leaving    bool             // this process passes its watch on if its successor asks for it
-	requested  bool             // the successor asks for it
+	requested  bool             // the successor asks for it, and follows this process until then
+	continued  bool             // the predecessor has passed its watch on, and follows this process
 	sentAt     time.Duration    // when an update was last sent
 	read       *Update          // by the last call; nil if it brought nothing
 	running    atomic.Bool      // Run has been called
@@ -189,18 +190,30 @@
 	return w.sharing.others.SendUpdate(to, update)
 }
 
+// followers returns the other processes that follow this one's watch. Those that do not get no heartbeats: a process
+// that stands still would not read them, and the link to it would fill up.
+func (s *sharing) followers() (others []Process) {
+	if s.requested && s.present[Successor] {
+		others = append(others, Successor)
+	}
+	if s.continued && s.present[Predecessor] {
+		others = append(others, Predecessor)
+	}
+	return others
+}
+
 // heartbeatTimer returns a channel that fires when a process that follows this one is to get a sign, or nil if there is
 // no such process.
 func (w *Watch) heartbeatTimer() <-chan time.Time {
-	if len(w.sharing.present) == 0 || w.sharing.following || !w.settings().PassesWatch() {
+	if w.sharing.following || len(w.sharing.followers()) == 0 {
 		return nil
 	}
 	return time.After(w.sharing.sentAt + refresh.HeartbeatInterval - w.now())
 }
 
-// sendHeartbeat sends an update without news to the other processes.
+// sendHeartbeat sends an update without news to the processes that follow this one.
 func (w *Watch) sendHeartbeat() {
-	for other := range w.sharing.present {
+	for _, other := range w.sharing.followers() {
 		w.send(other, Update{Discovery: w.state.Discovery, After: w.seq, Seq: w.seq})
 	}
 }
@@ -264,7 +277,7 @@
 // continueWatch takes over the watch of another process, which may have been failing there.
 func (w *Watch) continueWatch(from Process, isWatching bool) {
 	slog.Info("inventory", "state", "continued", "from", from, "seq", w.seq, "watching", isWatching)
-	w.sharing.following = false
+	w.sharing.following, w.sharing.continued = false, true
 	if !isWatching {
 		w.callAfter(w.firstCallDelay())
 		return
--- a/internal/discovery/sharing_test.go
+++ b/internal/discovery/sharing_test.go
@@ -26,6 +26,7 @@
 
 	mu   sync.Mutex
 	link map[Process]*process // nil for none
+	sent map[Process]int      // updates
 }
 
 func (p *process) linked(other Process) *process {
@@ -42,6 +43,9 @@
 
 // SendUpdate implements OtherProcesses.
 func (p *process) SendUpdate(to Process, update Update) bool {
+	p.mu.Lock()
+	p.sent[to]++
+	p.mu.Unlock()
 	other := p.linked(to)
 	if other != nil {
 		other.Receive(to.opposite(), update)
@@ -49,6 +53,18 @@
 	return other != nil
 }
 
+// sentWithin returns how many updates the process sends to another one within a time.
+func (p *process) sentWithin(to Process, duration time.Duration) int {
+	count := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.sent[to]
+	}
+	before := count()
+	time.Sleep(duration)
+	return count() - before
+}
+
 // RequestWatch implements OtherProcesses.
 func (p *process) RequestWatch(addr string) {
 	if other := p.linked(Predecessor); other != nil {
@@ -59,7 +75,7 @@
 // startProcess starts a process that replaces none. Its watch has version 41 of the list, and its first call is
 // pending.
 func startProcess(t *testing.T, server *fakeServer) *process {
-	p := &process{lists: make(recorder, 99), link: map[Process]*process{}}
+	p := &process{lists: make(recorder, 99), link: map[Process]*process{}, sent: map[Process]int{}}
 	p.Watch = New(server.Addr().String(), p.lists, sharedSettings)
 	p.SetOtherProcesses(p)
 	require.Equal(t, 1, p.LoadKnown([]byte(listJSON(41, true, "a", "up"))))
@@ -80,7 +96,8 @@
 
 // replace starts a process that replaces this one, at an address of discovery. It has the state and is not ready yet.
 func (p *process) replace(t *testing.T, addr string) *process {
-	next := &process{lists: make(recorder, 99), link: map[Process]*process{Predecessor: p}}
+	next := &process{lists: make(recorder, 99), link: map[Process]*process{Predecessor: p},
+		sent: map[Process]int{}}
 	next.Watch = New(addr, next.lists, sharedSettings)
 	next.SetOtherProcesses(next)
 	p.setLink(Successor, next)
@@ -251,6 +268,26 @@
 	require.Empty(t, p.lists)
 }
 
+// Guards against a link that fills up while the process at its other end stands still: signs go only to processes that
+// follow this one.
+func TestHeartbeatsGoToFollowersOnly(t *testing.T) {
+	t.Parallel()
+	const observed = 10 * refresh.HeartbeatInterval
+	server := newFakeServer(t)
+	old, call := startWatching(t, server)
+	young := old.replace(t, server.Addr().String())
+	require.Zero(t, old.sentWithin(Successor, observed), "the successor is not ready")
+	young.SetServing()
+	require.GreaterOrEqual(t, old.sentWithin(Successor, observed), 5)
+	require.Zero(t, young.sentWithin(Predecessor, observed))
+	old.SetLeaving()
+	call.answer(t, drain(42))
+	<-old.Passed()
+	server.next(t) // of the successor
+	require.GreaterOrEqual(t, young.sentWithin(Predecessor, observed), 5)
+	require.Zero(t, old.sentWithin(Successor, observed))
+}
+
 // A process that misses an update calls discovery at once, and one with another list does not use changes to this one.
 func TestMissedUpdate(t *testing.T) {
 	t.Parallel()
@@ -347,7 +384,7 @@
 				if name == "older version" {
 					state.Discovery = own.Addr().String()
 				}
-				p := &process{lists: make(recorder, 99), link: map[Process]*process{}}
+				p := &process{lists: make(recorder, 99), link: map[Process]*process{}, sent: map[Process]int{}}
 				p.Watch = New(own.Addr().String(), p.lists, settings)
 				p.SetOtherProcesses(p)
 				state.Hosts = entriesByID(t, listJSON(41, true, "a", "up"))
