Keep the owner of a contested address over replacements of the process

Seen while docs/design/state.md was written, not by callers: two hosts list one address. The one that had it first keeps it (docs/operations/addresses.md), but after a replacement it went to the host whose name comes first, so that jobs for one host could be sent to the other's machine.

Cause: who listed an address first stood in addresses.Claims alone; the list that is handed over has no order.

Change: the handover state names the owners of contested addresses (AddressOwners; older processes ignore it), and a claim that is new in the successor begins with that owner, which keeps the address only if it lists it.

Ruled out: a race between the list and the state (both are applied before the process is ready).

--- a/cmd/topazfall/addresses_test.go
+++ b/cmd/topazfall/addresses_test.go
@@ -22,6 +22,7 @@
 	discovery *discoveryserver.Server
 	hosts     []*host.Host
 	program   *program.Process
+	options   program.Options // of program
 	client    *client.Client
 }
 
@@ -60,7 +61,7 @@
 			tb.Log(p.Log())
 		}
 	})
-	tb.program = p
+	tb.program, tb.options = p, o
 	if tb.client == nil {
 		tb.client = client.New(p.Address(), strings.ReplaceAll(tb.Name(), "/", "-"))
 	}
@@ -418,6 +419,34 @@
 	}
 }
 
+// Guards against an address that goes to another host at a replacement: the host that had it first, and lists it still,
+// keeps it in the next process, whatever the names of the two.
+func TestOwnerOfAnAddressOutlastsAReplacement(t *testing.T) {
+	tb := startTestbed(t, 2, program.Options{})
+	other, owner := listEntry(tb.hosts[0]), listEntry(tb.hosts[1])
+	contested := owner.Addresses[unixAddress]
+	other.Addresses = append(other.Addresses[:unixAddress:unixAddress], contested)
+	tb.discovery.Update(other)
+	conflict := fmt.Sprintf("odd=address host=%s address=%s owner=%s", other.Host, contested, owner.Host)
+	require.Eventually(t, func() bool { return strings.Contains(tb.program.Log(), conflict) }, testTimeout,
+		time.Millisecond)
+	for range 2 {
+		options := tb.options
+		options.Listen = tb.program.Address()
+		next := launchProgram(t, options)
+		_, err := next.AwaitReady(testTimeout)
+		require.NoError(t, err)
+		require.NoError(t, tb.program.Terminate())
+		require.NoError(t, tb.program.Wait(testTimeout))
+		tb.program = next
+		require.Contains(t, next.Log(), "owner="+owner.Host)
+		require.NotContains(t, next.Log(), "owner="+other.Host)
+		for i := range 20 {
+			tb.mustServe(program.Classes[i%3])
+		}
+	}
+}
+
 // An address that changes between up and down every second costs a limited number of connections and no message.
 func TestFlappingAddress(t *testing.T) {
 	tb := startTestbed(t, 1, program.Options{})
--- a/internal/decide/addresses/addresses_test.go
+++ b/internal/decide/addresses/addresses_test.go
@@ -114,6 +114,29 @@
 	require.Len(t, c.Hosts(), 3)
 }
 
+// The owner of a contested address keeps it in a successor if it still lists it there.
+func TestClaimsAreInherited(t *testing.T) {
+	first := NewClaims()
+	first.Set("b", []Address{four, six}, "")
+	first.Resolve()
+	first.Set("a", []Address{four, six, local}, "")
+	first.Resolve()
+	require.Equal(t, map[string]string{four.String(): "b", six.String(): "b"}, first.Contested())
+	successor := NewClaims()
+	successor.Inherit(first.Contested())
+	successor.Set("a", []Address{four, six, local}, "")
+	successor.Set("b", []Address{four}, "")
+	_, conflicts := successor.Resolve()
+	require.Equal(t, []Conflict{{four, "a", "b"}}, conflicts)
+	own, _ := successor.Usable("a")
+	require.Equal(t, []Address{six, local}, own, "b does not list the other one any more")
+	require.Equal(t, map[string]string{four.String(): "b"}, successor.Contested())
+	successor.Remove("b")
+	successor.Resolve()
+	own, _ = successor.Usable("a")
+	require.Equal(t, []Address{four, six, local}, own)
+}
+
 // raceFirst runs a race whose first connection comes up or fails, and returns its address.
 func raceFirst(t *testing.T, s *Set, now int64, once bool, failure Failure) Address {
 	r := s.NewRace(now, now+250*ms, once)
--- a/internal/decide/addresses/claims.go
+++ b/internal/decide/addresses/claims.go
@@ -18,6 +18,8 @@
 	claims map[Address]*addressClaim
 	usable map[string][]Address // by host, as of the last Resolve
 
+	inheritedOwners map[string]string // by address: its owner in the predecessor, if it is not listed here yet
+
 	changedAddresses map[Address]bool // since the last Resolve
 	changedHosts     map[string]bool
 }
@@ -71,7 +73,8 @@
 	c.changedAddresses[a] = true
 	claim := c.claims[a]
 	if claim == nil {
-		claim = &addressClaim{}
+		claim = &addressClaim{owner: c.inheritedOwners[a.text]}
+		delete(c.inheritedOwners, a.text)
 		c.claims[a] = claim
 	}
 	return claim
@@ -107,6 +110,21 @@
 	c.changedHosts[host] = true
 }
 
+// Contested returns the owners of the addresses that several hosts list, by address, for a successor.
+func (c *Claims) Contested() map[string]string {
+	owners := map[string]string{}
+	for a, claim := range c.claims {
+		if len(claim.listing) > 1 {
+			owners[a.text] = claim.owner
+		}
+	}
+	return owners
+}
+
+// Inherit sets the owners of addresses in a predecessor: each keeps its address as long as it lists it. It must be
+// called before the list is set.
+func (c *Claims) Inherit(owners map[string]string) { c.inheritedOwners = maps.Clone(owners) }
+
 // Hosts returns the hosts that have claims, in no particular order.
 func (c *Claims) Hosts() []string {
 	return slices.Concat(slices.Collect(maps.Keys(c.listed)), slices.Collect(maps.Keys(c.dialed)))
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -16,15 +16,24 @@
 type HandoverState struct {
 	Known  []string         // known message ids, the oldest first
 	Memory topazfall.Memory // what the module has learned about workers and their kinds
+
+	AddressOwners map[string]string // by address: the host that owns it, if several list it
 }
 
 // HandoverState returns the current state for a successor.
 func (c *Core) HandoverState() HandoverState {
 	return await(c, func() HandoverState {
-		return HandoverState{Known: c.recentIDsAfter(0), Memory: c.balancer.Memory()}
+		return HandoverState{Known: c.recentIDsAfter(0), Memory: c.balancer.Memory(),
+			AddressOwners: c.claims.Contested()}
 	})
 }
 
+// RestoreAddressOwners continues with the owners of addresses that a predecessor had. It must be called before the list
+// of workers is applied.
+func (c *Core) RestoreAddressOwners(state HandoverState) {
+	c.listOps <- func() { c.claims.Inherit(state.AddressOwners) }
+}
+
 // RestoreState continues with the state of a predecessor. The list of workers that it refers to must have been applied
 // before.
 func (c *Core) RestoreState(state HandoverState) {
--- a/internal/instance/format_test.go
+++ b/internal/instance/format_test.go
@@ -107,6 +107,7 @@
 .Core.Memory.Workers[string].Sent[].Work float64
 .Core.Memory.Workers[string].Sent[].Own bool
 .Core.Memory.Workers[string].Table[5][18] float64
+.Core.AddressOwners[string] string
 .Addresses[string][].Address string
 .Addresses[string][].State uint8
 .Addresses[string][].Doubt uint8
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -269,6 +269,7 @@
 func (d *dispatcher) restoreKnown() (known int) {
 	if d.state != nil {
 		d.transport.RestoreState(d.state.Addresses)
+		d.core.RestoreAddressOwners(d.state.Core)
 		known = d.watch.RestoreState(d.state.List)
 		d.core.RestoreState(d.state.Core)
 	}
