Rank a worker once that one change of the list removes and names again

Symptom: none seen; found by reading. The worker stood twice in the common order, so that it got a double share and the fleet counted one more. TestWorkerIsRankedOnce failed before (4 of 3 workers ranked).

--- a/list_test.go
+++ b/list_test.go
@@ -84,6 +84,16 @@
 	}
 }
 
+// Guards against a worker that counts twice because one change of the list removes it and names it again.
+func TestWorkerIsRankedOnce(t *testing.T) {
+	r := newRig(t, settings(), fleet(3)...)
+	again := fleet(1)[0]
+	r.handle(Event{Kind: ListPatch, List: []Worker{{ID: again.ID, State: Gone}, again}})
+	if len(r.b.ranked) != 3 {
+		t.Errorf("%d of 3 workers are ranked", len(r.b.ranked))
+	}
+}
+
 func TestWholeListReplaced(t *testing.T) {
 	r := newRig(t, settings(), fleet(12)...)
 	r.handle(Event{Kind: ListSnapshot, List: nil})
--- a/workerlist.go
+++ b/workerlist.go
@@ -40,6 +40,7 @@
 		return !w.listed
 	})
 	slices.SortFunc(b.ranked, func(v, w *worker) int { return strings.Compare(v.rank, w.rank) })
+	b.ranked = slices.Compact(b.ranked) // of a list that removes a worker and names it again
 	b.rebuildBuddies()
 	if e.Kind == ListRestored && b.settings.ListOnRequest {
 		b.emit(Action{Kind: WatchList})
@@ -83,8 +84,8 @@
 	w.kind, w.pace, w.table = k, k.pace, table{probability: k.probability, tails: k.tails}
 }
 
-// knownWorker returns a worker that another balancer knows. It is added as one that has left the list if it is not known
-// here.
+// knownWorker returns a worker that another balancer knows. It is added as one that has left the list if it is not
+// known here.
 func (b *Balancer) knownWorker(id string) *worker {
 	if b.workers[id] == nil {
 		b.updateWorker(&Worker{ID: id, State: Gone})
