Note the successor before its state is taken, so that it misses no change of the list

Symptom: none seen; found by reading. A change that was read while the state was taken and sent went to the successor only when it noticed the gap, and cost discovery a call. The successor now counts as present before that; its updates wait until the state is sent, as their queue did already.

--- a/internal/instance/successor.go
+++ b/internal/instance/successor.go
@@ -66,9 +66,9 @@
 	updates, gone := h.successorUpdates, h.ids.gone
 	h.mu.Unlock()
 	slog.Info("takeover", "young", "here")
+	h.watch.SetPresent(discovery.Successor) // what is read while the state is taken and sent waits for it to be sent
 	err := link.Send(frameState, encode(h.state()), h.listener.(syscall.Conn))
 	if err == nil {
-		h.watch.SetPresent(discovery.Successor)
 		go updates.run(gone)
 		err = link.Run(h.handleSuccessorFrame, func(body []byte) bool { return h.answerSuccessor(body, link) })
 	}
