Soak: hold dispatchers that ask for lists to what discovery has told them

Each dispatcher has discovery addresses of its own now, the stand-in records what was written and confirmed by the next call on the connection, and the auditor counts from that, with the allowances for replacements (2 s) and moves (4 s). A dispatcher that has started without a predecessor since is left out. Stricter only: the 6 s stay as the latest time.

One planted fault more and three values within bounds in the auditor's tests.

--- a/internal/lab/discoveryserver/discoveryserver.go
+++ b/internal/lab/discoveryserver/discoveryserver.go
@@ -39,6 +39,7 @@
 	fullLists      bool          // every answer is a full list
 	callCount      int           // calls so far, answered or not
 	acknowledged   int64         // the highest version that a call has named as received
+	receipts       *receipts     // nil if they are not recorded
 	faultCleared   chan struct{} // closed at the next SetFault
 }
 
@@ -70,8 +71,8 @@
 // Close closes the server's listener.
 func (s *Server) Close() { s.listener.Close() }
 
-// Update adds, changes and removes hosts, as one change of the list.
-func (s *Server) Update(entries ...Entry) {
+// Update adds, changes and removes hosts, as one change of the list. It returns the new version.
+func (s *Server) Update(entries ...Entry) (version int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.seq++
@@ -87,6 +88,7 @@
 	clear(s.cachedAnswers)
 	close(s.updated)
 	s.updated = make(chan struct{})
+	return s.seq
 }
 
 // Version returns the version of the list.
@@ -127,6 +129,7 @@
 	}
 	s.mu.Lock()
 	s.acknowledged = max(s.acknowledged, int64(after))
+	s.receipts.confirm(ctx, int64(after))
 	s.mu.Unlock()
 	timeout := time.After(time.Duration(min(args.GetUintOrZero("wait_ms"), 60_000)) * time.Millisecond)
 	for {
@@ -147,6 +150,7 @@
 	defer s.mu.Unlock()
 	ctx.SetContentType("application/json")
 	ctx.SetBody(s.encodeList(int64(after)))
+	s.receipts.answer(ctx, int64(after), s.seq)
 }
 
 // encodeList returns the list, or the changes to it after a version. The caller holds s.mu.
--- a/internal/lab/soak/actions.go
+++ b/internal/lab/soak/actions.go
@@ -129,10 +129,11 @@
 }
 
 func (m *member) otherEndpoint(address string) string {
-	if address == m.endpoints[0].Address() {
-		return m.endpoints[1].Address()
+	own := m.endpoints[m.index]
+	if address == own[0].Address() {
+		return own[1].Address()
 	}
-	return m.endpoints[0].Address()
+	return own[0].Address()
 }
 
 // sendHangups sends a series of SIGHUPs to each process.
--- a/internal/lab/soak/audit.go
+++ b/internal/lab/soak/audit.go
@@ -259,23 +259,52 @@
 		}
 		notified = time.Time{}
 		if !update.AcceptsWork {
-			notified = a.notifiedBy(update.At, process)
+			notified = a.notifiedBy(update, process, t.FirstByteAt)
 		}
 	}
 	limit := notified.Add(a.Terms.DrainGrace + wireSlack + a.stalledWithin(notified, t.FirstByteAt))
 	return notified, !notified.IsZero() && t.FirstByteAt.After(limit)
 }
 
-// notifiedBy returns the time by which a dispatcher must have received a change of the worker list.
-func (a *auditor) notifiedBy(at time.Time, process string) time.Time {
+// notifiedBy returns the time by which a dispatcher counts as notified of a change of the worker list, as far as it
+// matters for an attempt. Where lists are requested, that is a fixed time after the change, or earlier when discovery
+// has told it.
+func (a *auditor) notifiedBy(update WorkerUpdate, process string, attempt time.Time) time.Time {
+	at := update.At
 	for _, o := range a.Outages {
 		if !at.Before(o.From) && at.Before(o.To) {
 			at = o.To
 		}
 	}
-	if a.Terms.Subscribe {
-		return at.Add(subscribedListBound)
+	if !a.Terms.Subscribe {
+		return a.extendedByStarts(at, process)
 	}
+	notified := at.Add(subscribedListBound)
+	if told, known := a.toldAt(update.Version, process, attempt); known {
+		notified = earliest(notified, a.extendedByStarts(told, process))
+	}
+	return notified
+}
+
+// toldAt returns when discovery told a dispatcher a version of the list. It is unknown if the dispatcher has started
+// since then without a predecessor, as then nobody there may have it.
+func (a *auditor) toldAt(version int64, process string, attempt time.Time) (at time.Time, known bool) {
+	for _, told := range a.Told {
+		if told.Process == process && told.Version >= version && !known {
+			at, known = told.At, true
+		}
+	}
+	for _, p := range a.Processes {
+		if p.Process == process && !p.Successor && p.Started.Before(attempt) && p.Ready.After(at) {
+			return time.Time{}, false
+		}
+	}
+	return at, known
+}
+
+// extendedByStarts returns the time by which a dispatcher counts as notified of what it is told at a time: later if it
+// has moved to another discovery address, or if one of its processes has just replaced another.
+func (a *auditor) extendedByStarts(at time.Time, process string) time.Time {
 	notified := at
 	extend := func(from time.Time, bound time.Duration) {
 		if !from.IsZero() && from.After(at.Add(-bound)) && from.Before(at.Add(a.Terms.DrainGrace)) {
@@ -296,6 +325,14 @@
 	return notified
 }
 
+// earliest returns the earlier of two times.
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // latest returns the later of two times.
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/lab/soak/audit_test.go
+++ b/internal/lab/soak/audit_test.go
@@ -111,6 +111,13 @@
 		h.Requests = append(h.Requests, newRequest("n0-c", 0, 3550, 3700, "s-1 n0-c"))
 		h.Attempts = append(h.Attempts, newAttempt("s-1", "n0-c", 3560))
 	}},
+	"new work comes to a worker 0.56 s after its drain was told to who asks for lists": {RuleDrain, "n0-c",
+		func(h *History) {
+			h.Terms.Subscribe, h.WorkerUpdates[2].Version = true, 7
+			h.Told = []Told{{"n1", 9, historyTime(3010)}, {"n0", 6, historyTime(3020)}, {"n0", 8, historyTime(3100)}}
+			h.Requests = append(h.Requests, newRequest("n0-c", 0, 3650, 3800, "s-1 n0-c"))
+			h.Attempts = append(h.Attempts, newAttempt("s-1", "n0-c", 3660))
+		}},
 	"an attempt begins 0.16 s after its client disconnected": {RuleDeparted, "n0-a", func(h *History) {
 		h.Requests[0].Outcome, h.Requests[0].Ended = client.Disconnected, historyTime(1050)
 	}},
@@ -189,6 +196,25 @@
 			h.Requests = append(h.Requests, newRequest("n0-c", 0, 6900, 7100, "s-1 n0-c"))
 			h.Attempts = append(h.Attempts, newAttempt("s-1", "n0-c", 7000))
 		},
+		"work for a worker 0.54 s after its drain was told to who asks for lists": func(h *History) {
+			h.Terms.Subscribe, h.WorkerUpdates[2].Version = true, 7
+			h.Told = []Told{{"n0", 7, historyTime(3100)}}
+			h.Requests = append(h.Requests, newRequest("n0-c", 0, 3600, 3800, "s-1 n0-c"))
+			h.Attempts = append(h.Attempts, newAttempt("s-1", "n0-c", 3640))
+		},
+		"work after a drain that was told to a process without a successor": func(h *History) {
+			h.Terms.Subscribe, h.WorkerUpdates[2].Version = true, 7
+			h.Told = []Told{{"n0", 7, historyTime(3100)}}
+			h.Requests = append(h.Requests, newRequest("n0-c", 0, 5900, 6100, "s-1 n0-c"))
+			h.Attempts = append(h.Attempts, newAttempt("s-1", "n0-c", 6000))
+		},
+		"work right after a replacement, in which a drain was told": func(h *History) {
+			h.Terms.Subscribe, h.WorkerUpdates[2].Version = true, 7
+			h.Processes[1].Successor, h.Processes[1].Ready = true, historyTime(3050)
+			h.Told = []Told{{"n0", 7, historyTime(3100)}}
+			h.Requests = append(h.Requests, newRequest("n0-c", 0, 5500, 5700, "s-1 n0-c"))
+			h.Attempts = append(h.Attempts, newAttempt("s-1", "n0-c", 5560))
+		},
 		"a second attempt after a rejection": func(h *History) {
 			h.Attempts[2].Rejected = true
 			h.Attempts = append(h.Attempts, newAttempt("s-0", "n0-b", 2040))
--- a/internal/lab/soak/history.go
+++ b/internal/lab/soak/history.go
@@ -26,7 +26,15 @@
 type WorkerUpdate struct {
 	At          time.Time
 	Worker      string
-	AcceptsWork bool // whether the worker may get new work from then on
+	AcceptsWork bool  // whether the worker may get new work from then on
+	Version     int64 // of the list that has it
+}
+
+// Told is a version of the list that discovery has written to a dispatcher, and that the dispatcher has read.
+type Told struct {
+	Process string // name of the dispatcher
+	Version int64
+	At      time.Time
 }
 
 // Outage is a period in which discovery had a fault.
@@ -92,6 +100,7 @@
 	Requests      []Request
 	Attempts      []Attempt
 	WorkerUpdates []WorkerUpdate
+	Told          []Told // in order of time
 	Outages       []Outage
 	Processes     []ProcessRecord
 	Stalls        []Stall
--- a/internal/lab/soak/installation.go
+++ b/internal/lab/soak/installation.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,7 +30,7 @@
 type installation struct {
 	plan             Plan
 	discovery        *discoveryserver.Server
-	endpoints        [2]*discoveryserver.Endpoint // two addresses of discovery, between which the dispatchers move
+	endpoints        []endpoints // of the dispatchers
 	workers          []*host.Host
 	rig              *rig.Rig
 	members          []*member
@@ -69,10 +70,9 @@
 		return err
 	}
 	inst.discovery.SetFullLists(inst.plan.FullLists)
-	for k := range inst.endpoints {
-		if inst.endpoints[k], err = inst.discovery.AddEndpoint(); err != nil {
-			return err
-		}
+	inst.discovery.RecordReceipts()
+	if err = inst.openEndpoints(); err != nil {
+		return err
 	}
 	for k, work := range inst.plan.WorkTimes {
 		// On an IP of its own: a port that it gives up for a while must not go to another run's worker.
@@ -132,7 +132,7 @@
 
 // programOptions returns the options that the dispatchers are started with.
 func (inst *installation) programOptions(o Options) program.Options {
-	return program.Options{ProgramPath: o.ProgramPath, Env: o.Env, Discovery: inst.endpoints[0].Address(),
+	return program.Options{ProgramPath: o.ProgramPath, Env: o.Env, Discovery: inst.endpoints[0][0].Address(),
 		MaxSockets: inst.plan.MaxSockets, MemoryMB: inst.plan.Deploys.MemoryMB, IdleTimeout: idleTimeout,
 		Deadline: inst.plan.Deadline, Subscribe: inst.plan.Subscribe, EditConfig: inst.configure}
 }
@@ -144,6 +144,7 @@
 	for k := range inst.plan.Processes {
 		if config["name"] == processName(k) {
 			settings["me"] = k
+			config["discovery"] = inst.endpoints[k][0].Address()
 			config["seed"] = fmt.Sprint(inst.plan.Seed + uint64(k))
 		}
 	}
@@ -169,16 +170,50 @@
 // setWorkerHealth publishes a worker's health and start time through discovery, and records whether it accepts work
 // from then on.
 func (inst *installation) setWorkerHealth(worker int, health string, startedAt time.Time) {
-	h, millis := inst.workers[worker], int64(0)
+	h, millis, at := inst.workers[worker], int64(0), time.Now()
 	if !startedAt.IsZero() {
 		millis = startedAt.UnixMilli()
 	}
-	inst.record(func(now time.Time) {
+	version := inst.discovery.Update(discoveryserver.Entry{Host: h.Name(), Dial: h.Addresses()[workerAddress],
+		Site: "hall-a", Class: "small", Share: 1, Health: health, StartedMillis: millis})
+	inst.record(func(time.Time) {
 		inst.history.WorkerUpdates = append(inst.history.WorkerUpdates,
-			WorkerUpdate{At: now, Worker: h.Name(), AcceptsWork: health == "up"})
+			WorkerUpdate{At: at, Worker: h.Name(), AcceptsWork: health == "up", Version: version})
 	})
-	inst.discovery.Update(discoveryserver.Entry{Host: h.Name(), Dial: h.Addresses()[workerAddress], Site: "hall-a",
-		Class: "small", Share: 1, Health: health, StartedMillis: millis})
+}
+
+// endpoints are the addresses of discovery for one dispatcher, between which it moves. No other dispatcher calls them.
+type endpoints [2]*discoveryserver.Endpoint
+
+// openEndpoints opens the endpoints of all dispatchers.
+func (inst *installation) openEndpoints() error {
+	for range inst.plan.Processes {
+		var pair endpoints
+		for k := range pair {
+			endpoint, err := inst.discovery.AddEndpoint()
+			if err != nil {
+				return err
+			}
+			pair[k] = endpoint
+		}
+		inst.endpoints = append(inst.endpoints, pair)
+	}
+	return nil
+}
+
+// told returns what discovery has told the dispatchers.
+func (inst *installation) told() (told []Told) {
+	names := map[string]string{}
+	for k, pair := range inst.endpoints {
+		for _, endpoint := range pair {
+			names[endpoint.Address()] = processName(k)
+		}
+	}
+	for _, receipt := range inst.discovery.Receipts() {
+		told = append(told, Told{names[receipt.Endpoint], receipt.Version, receipt.At})
+	}
+	slices.SortFunc(told, func(s, t Told) int { return s.At.Compare(t.At) })
+	return told
 }
 
 // record changes the history under its lock.
@@ -199,9 +234,9 @@
 	for _, h := range inst.workers {
 		h.Close()
 	}
-	for _, d := range inst.endpoints {
-		if d != nil {
-			d.Close()
+	for _, pair := range inst.endpoints {
+		for _, endpoint := range pair {
+			endpoint.Close()
 		}
 	}
 	if inst.discovery != nil {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -290,6 +290,7 @@
 			inst.history.Attempts = append(inst.history.Attempts, Attempt{Attempt: a, Worker: h.Name()})
 		}
 	}
+	inst.history.Told = inst.told()
 	for _, m := range inst.members {
 		for _, record := range m.processes {
 			inst.history.Processes = append(inst.history.Processes, *record)
