Laboratory: end starts that are under way when an installation is closed

Cause: the rig knew a process only once it was ready. It now knows processes that start, kills them at its end and starts none after that. A process that cannot be stopped is not taken for held.

TestCloseEndsAStart is new; without the change there is no way for it to see the start.

--- a/internal/lab/rig/rig.go
+++ b/internal/lab/rig/rig.go
@@ -22,6 +22,9 @@
 // with some reserve.
 const exitTimeout = 30 * time.Second
 
+// startTimeout bounds the wait for a process to be ready for clients.
+const startTimeout = 20 * time.Second
+
 // Options configure an installation.
 type Options struct {
 	Program program.Options                // of each process; the rig sets Name, Dir, Listen and Args
@@ -57,7 +60,51 @@
 	dir           string // folder of its processes
 
 	mu        sync.Mutex
-	processes []*program.Process // every process started so far; the last is the current one
+	processes []*program.Process        // every process that has been ready; the last is the current one
+	starting  map[*program.Process]bool // processes that are not ready yet
+	closed    bool                      // no process may be started any more
+}
+
+// errClosed is returned for a start after Close.
+var errClosed = errors.New("the installation is closed")
+
+// launch starts a process that is not ready yet.
+func (m *runningMember) launch(options program.Options) (*program.Process, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		return nil, errClosed
+	}
+	p, err := program.Launch(options)
+	if err == nil {
+		m.starting[p] = true
+	}
+	return p, err
+}
+
+// endStart makes a process the current one if it is ready.
+func (m *runningMember) endStart(p *program.Process, ready bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.starting, p)
+	if ready {
+		m.processes = append(m.processes, p)
+	}
+}
+
+// close kills the member's processes. None can be started from then on.
+func (m *runningMember) close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	for p := range m.starting {
+		p.Kill()
+	}
+	for _, p := range m.processes {
+		if !p.HasExited() {
+			p.Kill()
+		}
+	}
 }
 
 func (m *runningMember) currentProcess() *program.Process {
@@ -90,7 +137,8 @@
 		if err != nil {
 			return err
 		}
-		m := &runningMember{clientAddress: freeAddresses[0], dir: filepath.Join(r.options.Dir, name)}
+		m := &runningMember{clientAddress: freeAddresses[0], dir: filepath.Join(r.options.Dir, name),
+			starting: map[*program.Process]bool{}}
 		m.Member = Member{Name: name, StateDir: filepath.Join(m.dir, "state"), PeerListen: freeAddresses[1],
 			PeerLinks: map[string]string{}}
 		if err := os.MkdirAll(m.StateDir, 0o700); err != nil {
@@ -124,13 +172,16 @@
 	}
 	options := r.options.Program
 	options.Name, options.Dir, options.Listen, options.Args = name, m.dir, m.clientAddress, args
-	p, err := program.Start(options)
+	p, err := m.launch(options)
 	if err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.processes = append(m.processes, p)
+	_, err = p.AwaitReady(startTimeout)
+	m.endStart(p, err == nil)
+	if err != nil {
+		p.Kill()
+		return fmt.Errorf("%s: %w", name, err)
+	}
 	return nil
 }
 
@@ -247,16 +298,11 @@
 	return p.Wait(exitTimeout)
 }
 
-// Close kills the processes that still run, each by its process id, and closes the links.
+// Close kills the processes that still run, each by its process id, and closes the links. A start that is under way
+// fails.
 func (r *Rig) Close() {
 	for _, m := range r.members {
-		m.mu.Lock()
-		for _, p := range m.processes {
-			if !p.HasExited() {
-				p.Kill()
-			}
-		}
-		m.mu.Unlock()
+		m.close()
 	}
 	for _, l := range r.links {
 		l.Close()
--- a/internal/lab/rig/rig_test.go
+++ b/internal/lab/rig/rig_test.go
@@ -134,3 +134,29 @@
 
 // A name that is no member's has no process.
 func TestProcessOfUnknownMember(t *testing.T) { require.Nil(t, (&Rig{}).Process("none")) }
+
+// Guards against a process that is left behind because the installation was closed while it started.
+func TestCloseEndsAStart(t *testing.T) {
+	r := startRig(t, "a")
+	require.NoError(t, r.Freeze("a")) // so that its successor does not become ready
+	failed := make(chan error, 1)
+	go func() {
+		_, err := r.Replace("a")
+		failed <- err
+	}()
+	m := r.members["a"]
+	require.Eventually(t, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return len(m.starting) == 1
+	}, testTimeout, time.Millisecond)
+	r.Close()
+	select {
+	case err := <-failed:
+		require.ErrorContains(t, err, "exited before it was ready")
+	case <-time.After(testTimeout / 4):
+		require.Fail(t, "the start goes on")
+	}
+	_, err := r.Replace("a")
+	require.ErrorIs(t, err, errClosed)
+}
--- a/internal/lab/soak/actions.go
+++ b/internal/lab/soak/actions.go
@@ -83,11 +83,13 @@
 
 // whileFrozen calls do while a process is frozen, as if it got no CPU for a moment. Then it lets the process run for
 // some time before it can be frozen again: the operators' limits allow for one such pause, but not for two in a row. A
-// process that has exited is not affected.
+// process that has exited, or does not stop, is not held up.
 func whileFrozen(p *program.Process, do func()) {
-	p.Freeze()
+	frozen := p.Freeze() == nil
 	do()
-	time.Sleep(freezeTime)
+	if frozen {
+		time.Sleep(freezeTime)
+	}
 	p.Thaw()
 	time.Sleep(thawTime)
 }
