--- a/internal/frontend/eviction_test.go
+++ b/internal/frontend/eviction_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -89,6 +90,49 @@
 	require.True(t, isOpen(newest))
 }
 
+// Guards against a new connection that is closed for the next one before its first request is read, while others have
+// been idle for long: one client that connects again and again would cost the others theirs. A quarter of all
+// connections at most are kept for that, and only for a moment.
+func TestNewConnIsKeptForItsFirstRequest(t *testing.T) {
+	const places = 8
+	for name, wait := range map[string]time.Duration{"new": 0, "overdue": 2 * expectedWithin} {
+		for _, sends := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, sends %v", name, sends), func(t *testing.T) {
+				l := newTestListener(t, places, 0)
+				var idle []*conn
+				for range places - 1 {
+					c, _ := connect(t, l)
+					c.markProven(true)
+					trackState(c, fasthttp.StateIdle)
+					idle = append(idle, c)
+				}
+				recent, client := connect(t, l)
+				if sends {
+					_, err := client.Write([]byte("P"))
+					require.NoError(t, err)
+					require.Eventually(t, recent.hasUnread, waitLimit, time.Millisecond)
+				}
+				time.Sleep(wait)
+				recent.acceptedAt = time.Now().Add(-wait) // whatever time the steps above have taken
+				connect(t, l)
+				require.Equal(t, wait == 0, isOpen(recent))
+				require.Equal(t, wait > 0, isOpen(idle[0]), "the one that has been idle for longest")
+				require.True(t, isOpen(idle[1]))
+			})
+		}
+	}
+	l := newTestListener(t, places, 0)
+	proven, _ := connect(t, l)
+	proven.markProven(true)
+	trackState(proven, fasthttp.StateIdle)
+	oldest, _ := connect(t, l)
+	for range places - 1 {
+		connect(t, l)
+	}
+	require.False(t, isOpen(oldest))
+	require.True(t, isOpen(proven), "no more than a quarter are kept in its place")
+}
+
 // A connection that lingers after an error response, with a client that still sends, is evicted before all others.
 func TestLingeringConnsAreEvictedFirst(t *testing.T) {
 	l := newTestListener(t, 2, 0)
