--- a/cmd/topazfall/restart_test.go
+++ b/cmd/topazfall/restart_test.go
@@ -202,8 +202,11 @@
 	predecessor := launchProgram(t, program.Options{Discovery: list.Address()})
 	_, err := predecessor.AwaitReady(testTimeout)
 	require.NoError(t, err)
-	hanging, err := takeover.Dial(linkPath(predecessor.Dir(), predecessor.Address()))
-	require.NoError(t, err)
+	var hanging *takeover.Link
+	require.Eventually(t, func() bool { // it listens for successors right after it is ready
+		hanging, err = takeover.Dial(linkPath(predecessor.Dir(), predecessor.Address()))
+		return err == nil
+	}, testTimeout, time.Millisecond)
 	defer hanging.Close()
 	require.NoError(t, hanging.Send('h', nil, nil))
 	f, err := hanging.ReadFrame()
